--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+GO ?= go
+LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+SEEDS ?= 20
+
+.PHONY: build test fmt lint vet unit generate
+
+build:
+	$(GO) build -o burdocksaddle .
+
+# test is what CI calls: formatter, linter, vet, build and all tests.
+test: fmt lint vet build unit
+
+fmt:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+
+lint:
+	$(GO) run $(LINT) run ./...
+
+vet:
+	$(GO) vet ./...
+
+unit:
+	$(GO) test -race -timeout 8m ./...
+
+# generate needs protoc; the generated code is committed.
+generate:
+	GOBIN=$(CURDIR)/bin $(GO) install $(PROTOC_GEN_GO)
+	PATH=$(CURDIR)/bin:$$PATH protoc --go_out=. --go_opt=module=burdocksaddle wirepb/burdocksaddle.proto
+	rm -r bin
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command burdocksaddle serves rarely used language models.
+package main
+
+func main() {}
