--- a/engineapi/engine.go
+++ b/engineapi/engine.go
@@ -83,7 +83,7 @@
 	Dropped  bool
 }
 
-// Paths of the weight store: GET PathWeights+model@version streams a checkpoint,
+// PathWeights of the weight store: GET PathWeights+model@version streams a checkpoint,
 // 429 with Retry-After when the rate is exceeded.
 const PathWeights = "/weights/"
 
