Read and check settings and catalogs whole

Cause: settings and catalogs had types but nothing that read or checked them. Change: jsonc decodes JSON with comments and reports every unknown, repeated or mistyped key; setting.Load and catalog.Parse report every fault in a line of its own. A catalog has With methods, Change, Diff and Delta; each list is sorted and indexed once, so that look-ups hold with 12,000 adapters. Bounds of settings that cannot be 0 now start at 1, a lease at 100 ms.

--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,258 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func small() Catalog {
+	return Catalog{
+		Services: []Service{{Name: "assist", Kind: KindModel}, {Name: "desk", Kind: KindPlain, NonIdempotent: []string{"POST /bookings"}}},
+		Models:   []Model{{Name: "m2", Service: "assist", Version: "1", MemoryMB: 2}, {Name: "m1", Service: "assist", Version: "1", MemoryMB: 1}},
+		Adapters: []Adapter{{Name: "a1", Model: "m1"}},
+		Presets:  []Preset{{Name: "Ordinary", ColdStartWeight: 1}, {Name: "Peak", ColdStartWeight: 2}},
+		Preset:   "Ordinary",
+	}.indexed()
+}
+
+func TestValidateRefuses(t *testing.T) {
+	tests := []struct {
+		name  string
+		put   Items
+		match func(error) bool
+		want  string
+	}{
+		{"service of a model", Items{Models: []Model{{Name: "m3", Service: "none", Version: "1", MemoryMB: 1}}}, IsErrServiceNotExist,
+			`Models[m3].Service is "none"; allowed: the name of a service that exists`},
+		{"plain service of a model", Items{Models: []Model{{Name: "m3", Service: "desk", Version: "1", MemoryMB: 1}}}, IsErrValueInvalid,
+			`Models[m3].Service is "desk"; allowed: a service of Kind Model`},
+		{"model of an adapter", Items{Adapters: []Adapter{{Name: "a2", Model: "none"}}}, IsErrModelNotExist,
+			`Adapters[a2].Model is "none"; allowed: the name of a model that exists`},
+		{"adapter named as a model", Items{Adapters: []Adapter{{Name: "m1", Model: "m2"}}}, IsErrNameTaken,
+			`Adapters[m1] holds the name "m1" again; allowed: each name once, models and adapters together`},
+		{"memory", Items{Models: []Model{{Name: "m1", Service: "assist", Version: "1"}}}, IsErrValueInvalid,
+			`Models[m1].MemoryMB is 0; allowed: 1 to 100000000`},
+		{"replicas", Items{Models: []Model{{Name: "m1", Service: "assist", Version: "1", MemoryMB: 1, MinReplicas: 2, MaxReplicas: 1}}}, IsErrValueInvalid,
+			`Models[m1].MinReplicas is 2; allowed: 0 to MaxReplicas, at most 4096`},
+		{"version", Items{Models: []Model{{Name: "m1", Service: "assist", Version: "a@b", MemoryMB: 1}}}, IsErrValueInvalid,
+			`Models[m1].Version is "a@b"; allowed: 1 to 64 characters without space, / or @`},
+		{"name", Items{Services: []Service{{Name: "a/b", Kind: KindPlain}}}, IsErrValueInvalid,
+			`Services[a/b].Name is "a/b"; allowed: ` + namePolicy},
+		{"call", Items{Services: []Service{{Name: "desk", Kind: KindPlain, NonIdempotent: []string{"bookings"}}}}, IsErrValueInvalid,
+			`Services[desk].NonIdempotent is "bookings"; allowed: METHOD /path, such as POST /bookings`},
+		{"orders", Items{Endpoints: []Endpoint{{Name: "e", Service: "desk", OrdersBy: "Nobody"}}}, IsErrValueInvalid,
+			`Endpoints[e].OrdersBy is "Nobody"; allowed: one of Agent, Operator`},
+		{"weights", Items{Presets: []Preset{{Name: "Peak"}}}, IsErrValueInvalid,
+			`Presets[Peak].ColdStartWeight is 0; allowed: more than 0 where IdleWeight is 0`},
+		{"share", Items{Presets: []Preset{{Name: "Peak", IdleWeight: 1, FreeShare: 1}}}, IsErrValueInvalid,
+			`Presets[Peak].FreeShare is 1; allowed: from 0 to less than 1`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Change{Put: test.put}.Apply(small())
+			if !test.match(err) {
+				t.Fatalf("got %T %v", err, err)
+			}
+			if diff := cmp.Diff(test.want, err.Error()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestApplyRefuses(t *testing.T) {
+	tests := []struct {
+		name   string
+		change Change
+		match  func(error) bool
+	}{
+		{"empty", Change{}, IsErrChangeInvalid},
+		{"set and preset", Change{Set: &Catalog{}, Preset: "Peak"}, IsErrChangeInvalid},
+		{"preset", Change{Preset: "None"}, IsErrPresetNotExist},
+		{"preset in force deleted", Change{Delete: Names{Presets: []string{"Ordinary"}}}, IsErrPresetNotExist},
+		{"service deleted", Change{Delete: Names{Services: []string{"assist"}}}, IsErrServiceNotExist},
+		{"model deleted under its adapter", Change{Delete: Names{Models: []string{"m1"}}}, IsErrModelNotExist},
+		{"missing model", Change{Delete: Names{Models: []string{"none"}}}, IsErrModelNotExist},
+		{"missing adapter", Change{Delete: Names{Adapters: []string{"none"}}}, IsErrAdapterNotExist},
+		{"missing endpoint", Change{Delete: Names{Endpoints: []string{"none"}}}, IsErrEndpointNotExist},
+		{"repeated name", Change{Set: &Catalog{Services: []Service{{Name: "a", Kind: KindPlain}, {Name: "a", Kind: KindPlain}}}}, IsErrNameTaken},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := test.change.Apply(small())
+			if !test.match(err) {
+				t.Fatalf("got %T %v", err, err)
+			}
+			if diff := cmp.Diff(small(), got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestParseNamesEachFault(t *testing.T) {
+	_, err := Parse("f", []byte(`{"Services": [{"Name": "s", "Kind": "Plain", "Hue": 1}, {"Name": 2}], // all
+		"Preset": "x",}`))
+	want := "f: Services[0].Hue is unknown; allowed: one of Name, Kind, NonIdempotent\n" +
+		"f: Services[1].Name is 2; allowed: a string"
+	if diff := cmp.Diff(want, fmt.Sprint(err)); diff != "" {
+		t.Error(diff)
+	}
+	_, err = Parse("f", []byte(`{"Services": [{"Name": "s", "Kind": "Odd"}], "Preset": "x"}`))
+	want = "f: Services[s].Kind is \"Odd\"; allowed: one of Model, Plain\n" +
+		"f: Preset is \"x\"; allowed: the name of a preset that exists"
+	if diff := cmp.Diff(want, fmt.Sprint(err)); diff != "" {
+		t.Error(diff)
+	}
+	if !IsErrFileInvalid(err) || !IsErrPresetNotExist(err) {
+		t.Errorf("got %T", err)
+	}
+}
+
+func TestWithLeavesTheOriginal(t *testing.T) {
+	before := small()
+	after := before.WithModel(Model{Name: "m1", Service: "assist", Version: "2", MemoryMB: 9}).
+		WithAdapter(Adapter{Name: "a2", Model: "m1"})
+	after, err := after.WithPresetInForce("Peak")
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err = after.WithoutModel("m2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Difference{
+		{Path: "Models[m1].Version", Before: `"1"`, After: `"2"`},
+		{Path: "Models[m1].MemoryMB", Before: `1`, After: `9`},
+		{Path: "Models[m2]", Before: `{"Name":"m2","Service":"assist","Version":"1","MemoryMB":2}`},
+		{Path: "Adapters[a2]", After: `{"Name":"a2","Model":"m1"}`},
+		{Path: "Preset", Before: `"Ordinary"`, After: `"Peak"`},
+	}
+	if diff := cmp.Diff(want, Diff(before, after)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(small(), before); diff != "" {
+		t.Error(diff)
+	}
+	if _, err := after.WithoutModel("m2"); !IsErrModelNotExist(err) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestDeltaRefusesAnotherBase(t *testing.T) {
+	a := small()
+	b, err := Change{Preset: "Peak"}.Apply(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := DeltaOf(a, b).Apply(b); !IsErrVersionMismatch(err) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestRandomChanges(t *testing.T) {
+	const seed, changes = 7, 300
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, seed))
+	start := small()
+	now := start
+	for range changes {
+		before := now
+		next, err := randomChange(random).Apply(now)
+		if err != nil {
+			continue
+		}
+		if next.Version != before.Version+1 {
+			t.Fatalf("version %d after %d", next.Version, before.Version)
+		}
+		sent, _ := json.Marshal(DeltaOf(before, next))
+		var delta Delta
+		if err := json.Unmarshal(sent, &delta); err != nil {
+			t.Fatal(err)
+		}
+		got, err := delta.Apply(before)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := json.Marshal(next)
+		read, err := Parse("f", text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(next, got) + cmp.Diff(next, read); diff != "" {
+			t.Fatal(diff)
+		}
+		now = next
+	}
+	if now.Version < changes/3 {
+		t.Errorf("only %d of %d changes were valid", now.Version, changes)
+	}
+	if diff := cmp.Diff(small(), start); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func randomChange(random *rand.Rand) Change {
+	name := fmt.Sprintf("x%d", random.IntN(12))
+	model := fmt.Sprintf("y%d", random.IntN(6))
+	switch random.IntN(6) {
+	case 0:
+		return Change{Delete: Names{Adapters: []string{name}}}
+	case 1:
+		return Change{Delete: Names{Models: []string{model}}}
+	case 2:
+		return Change{Preset: []string{"Ordinary", "Peak", "None"}[random.IntN(3)]}
+	case 3:
+		return Change{Put: Items{Models: []Model{{Name: model, Service: "assist", Version: "1", MemoryMB: 1 + random.Uint64N(9)}}}}
+	default:
+		return Change{Put: Items{Adapters: []Adapter{{Name: name, Model: model}}}}
+	}
+}
+
+func TestLookUpsAtSize(t *testing.T) {
+	const adapters = 12_000
+	var items Items
+	for i := range adapters {
+		items.Adapters = append(items.Adapters, Adapter{Name: fmt.Sprintf("a-%d", i), Model: []string{"m1", "m2"}[i%2]})
+	}
+	c, err := Change{Put: items}.Apply(small())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range items.Adapters {
+		got, known := c.Adapter(want.Name)
+		if !known || got != want {
+			t.Fatalf("got %v for %v", got, want)
+		}
+	}
+	if _, known := c.Adapter("a-12000"); known {
+		t.Error("found an adapter that isn't there")
+	}
+	stale := c
+	stale.Adapters = []Adapter{{Name: "other", Model: "m1"}}
+	if _, known := stale.Adapter("other"); !known {
+		t.Error("the index hides a replaced list")
+	}
+	if _, known := (Catalog{Models: []Model{{Name: "m"}}}).Model("m"); !known {
+		t.Error("a literal has no look-ups")
+	}
+}
+
+func BenchmarkAdapter(b *testing.B) {
+	for _, size := range []int{100, 12_000} {
+		c := small()
+		for i := range size {
+			c.Adapters = append(c.Adapters, Adapter{Name: fmt.Sprintf("a-%d", i), Model: "m1"})
+		}
+		c = c.indexed()
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				c.Adapter("a-50")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/catalog/service.go
@@ -0,0 +1,71 @@
+package catalog
+
+import (
+	"errors"
+	"regexp"
+)
+
+// ServiceKind says what stands behind a service.
+type ServiceKind string
+
+// Kinds of services.
+const (
+	KindModel ServiceKind = "Model"
+	KindPlain ServiceKind = "Plain"
+)
+
+// Service is a named group of endpoints of one kind.
+type Service struct {
+	Name string
+	Kind ServiceKind
+	// NonIdempotent lists the "METHOD /path" calls that run at most once.
+	NonIdempotent []string `json:",omitempty"`
+}
+
+var callPattern = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE) /\S*$`)
+
+func (one Service) check(r *report) {
+	key := "Services[" + one.Name + "]"
+	r.name(key, one.Name)
+	r.need(one.Kind == KindModel || one.Kind == KindPlain, key+".Kind", one.Kind, "one of Model, Plain")
+	for _, call := range one.NonIdempotent {
+		r.need(callPattern.MatchString(call), key+".NonIdempotent", call, "METHOD /path, such as POST /bookings")
+	}
+	r.need(one.Kind != KindModel || len(one.NonIdempotent) == 0, key+".NonIdempotent", one.NonIdempotent,
+		"calls only where Kind is Plain")
+}
+
+// WithService returns the catalog with a service put in or replaced.
+func (c Catalog) WithService(one Service) Catalog {
+	c.Services = put(c.Services, []Service{one}, Service.key)
+	return c.indexed()
+}
+
+// WithoutService returns the catalog without a service; the error is ErrServiceNotExist.
+func (c Catalog) WithoutService(name string) (Catalog, error) {
+	kept, missing := without(c.Services, []string{name}, Service.key)
+	if len(missing) > 0 {
+		return c, ErrServiceNotExist{Name: name, By: byChange}
+	}
+	c.Services = kept
+	return c.indexed(), nil
+}
+
+func (one Service) key() string { return one.Name }
+
+// ErrServiceNotExist says that By refers to a service that the catalog doesn't hold.
+type ErrServiceNotExist struct {
+	Name string
+	By   string
+}
+
+// Error names the service and what refers to it.
+func (err ErrServiceNotExist) Error() string {
+	return notExist("service", err.Name, err.By)
+}
+
+// IsErrServiceNotExist reports whether err holds an ErrServiceNotExist.
+func IsErrServiceNotExist(err error) bool {
+	var missing ErrServiceNotExist
+	return errors.As(err, &missing)
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -38,16 +38,16 @@
 	// CallerListen is the HOST:PORT for callers and the balancer.
 	CallerListen string `validate:"omitempty,hostname_port"`
 	// MaxBodyBytes bounds a caller's body.
-	MaxBodyBytes int64 `validate:"min=0,max=67108864"`
+	MaxBodyBytes int64 `validate:"min=1,max=67108864"`
 	// DefaultDeadlineMS holds where a caller names none; MaxDeadlineMS bounds what they ask.
-	DefaultDeadlineMS int64 `validate:"min=0,max=3600000"`
-	MaxDeadlineMS     int64 `validate:"min=0,max=3600000"`
+	DefaultDeadlineMS int64 `validate:"min=1,max=3600000"`
+	MaxDeadlineMS     int64 `validate:"min=1,max=3600000"`
 	// DrainMS is how long a stop waits for open requests.
 	DrainMS int64 `validate:"min=0,max=3600000"`
 	// BalancerMS is how long the balancer takes to turn away after the health check fails.
 	BalancerMS int64 `validate:"min=0,max=600000"`
 	// CallerKeys maps a caller's name to the file that holds its key; empty lets everyone in.
-	CallerKeys map[string]string
+	CallerKeys map[string]string `validate:"dive,keys,required,max=64,endkeys,required"`
 	// ServeStale serves on without a lease.
 	ServeStale bool
 	// RetryRatio is the share of requests that may be retried.
@@ -66,11 +66,11 @@
 	// MemoryMB is the accelerator memory that models may take.
 	MemoryMB uint64 `validate:"max=100000000"`
 	// Slots is how many requests run at once.
-	Slots int `validate:"min=0,max=4096"`
+	Slots int `validate:"min=1,max=4096"`
 	// PlatformURL is the platform's list of VMs.
 	PlatformURL string `validate:"omitempty,http_url"`
 	// PlatformPollMS is how often the list is read.
-	PlatformPollMS int64 `validate:"min=0,max=60000"`
+	PlatformPollMS int64 `validate:"min=1,max=60000"`
 	// AnswerBytes and AnswerKeepMS bound the answers kept for resends.
 	AnswerBytes  int64 `validate:"min=0,max=1073741824"`
 	AnswerKeepMS int64 `validate:"min=0,max=604800000"`
@@ -87,14 +87,14 @@
 	// ReplaceAfterMS is how long a voter is gone before a spare replaces it.
 	ReplaceAfterMS int64 `validate:"min=0,max=86400000"`
 	// SnapshotEntries is how many log entries pass between snapshots.
-	SnapshotEntries int `validate:"min=0,max=10000000"`
+	SnapshotEntries int `validate:"min=1,max=10000000"`
 	// CatalogFile is applied once, when the state is empty.
 	CatalogFile string
 	// StoreRate is loads a second, StoreSlots loads at once at full speed.
-	StoreRate  float64 `validate:"min=0,max=1000"`
-	StoreSlots int     `validate:"min=0,max=1000"`
+	StoreRate  float64 `validate:"gt=0,max=1000"`
+	StoreSlots int     `validate:"min=1,max=1000"`
 	// AdapterBudget is the adapters in transit over all workers.
-	AdapterBudget int `validate:"min=0,max=100000"`
+	AdapterBudget int `validate:"min=1,max=100000"`
 }
 
 // Operator holds the settings of the operator API, dumps and metrics.
@@ -102,7 +102,7 @@
 	// Listen is the HOST:PORT for operators.
 	Listen string `validate:"omitempty,hostname_port"`
 	// TokenFiles maps an operator's name to the file that holds its token.
-	TokenFiles map[string]string
+	TokenFiles map[string]string `validate:"dive,keys,required,max=64,endkeys,required"`
 }
 
 // TLS holds the files by which peers show who they are.
@@ -125,5 +125,5 @@
 // Lease holds the times of the configuration lease.
 type Lease struct {
 	// LengthMS is how long a node serves after it last heard from the quorum.
-	LengthMS int64 `validate:"min=0,max=60000"`
+	LengthMS int64 `validate:"min=100,max=60000"`
 }
