--- a/engineapi/engine.go
+++ b/engineapi/engine.go
@@ -29,9 +29,11 @@
 	Model    string
 	Version  string
 	MemoryMB uint64 `json:",omitempty"`
-	Fence    uint64
-	Role     string `json:",omitempty"`
-	Adapter  string `json:",omitempty"`
+	// CheckpointMB is what the load fetches from the weight store; 0 means MemoryMB.
+	CheckpointMB uint64 `json:",omitempty"`
+	Fence        uint64
+	Role         string `json:",omitempty"`
+	Adapter      string `json:",omitempty"`
 }
 
 // HeldState is the state of one model in an engine.
