Run the stand-ins from the command line

Cause: trials by hand need an engine, a service, a store and a VM list. Change: standin engine, service, store and platform serve until they are stopped and print the address; their faults stay settable over HTTP.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -28,6 +28,7 @@
 			settingsCommand(),
 			catalogCommand(),
 			ctlCommand(),
+			standinCommand(),
 		},
 	})
 	quiet(root)
