--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -25,10 +25,11 @@
 	}
 	w = httptest.NewRecorder()
 	defer func() {
-		if err, _ := recover().(error); errors.Is(err, http.ErrAbortHandler) {
+		cause := recover()
+		if err, _ := cause.(error); errors.Is(err, http.ErrAbortHandler) {
 			w.Code = 0
-		} else if err != nil {
-			panic(err)
+		} else if cause != nil {
+			panic(cause)
 		}
 	}()
 	h.ServeHTTP(w, r)
