Serve a request along the whole path

Cause: every later part needs a path that runs from caller to engine and back. Change: wire sessions over yamux, a single control member with fleet, ledger and a plain placement policy, watch streams with leases, the agent with its order and dispatch duties, the entry, the callers' and operators' HTTP APIs, run and demo.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"burdocksaddle/setting"
+	"burdocksaddle/view"
+	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
+)
+
+const registerRetry = 200 * time.Millisecond
+
+// Agent guards one endpoint.
+type Agent struct {
+	settings setting.Settings
+	log      logr.Logger
+	pool     *wire.Pool
+	http     *http.Client
+	process  string
+
+	watch  *view.Client
+	orders chan []*wirepb.ReplicaOrder
+	// sent holds when each order went to the engine, by fence; the holder owns it.
+	sent map[uint64]time.Time
+
+	mu          sync.Mutex
+	incarnation uint64
+	leaving     bool
+	running     int
+	starts      map[string]*start
+}
+
+// Option sets one property of an Agent.
+type Option func(*Agent)
+
+// WithLog sets where events are logged.
+func WithLog(log logr.Logger) Option { return func(a *Agent) { a.log = log } }
+
+// WithHTTP replaces the client that talks to the endpoint.
+func WithHTTP(client *http.Client) Option { return func(a *Agent) { a.http = client } }
+
+// New makes an Agent; process is the random name of this process.
+func New(settings setting.Settings, pool *wire.Pool, process string, options ...Option) *Agent {
+	a := &Agent{
+		settings: settings, pool: pool, process: process, log: logr.Discard(), http: &http.Client{},
+		orders: make(chan []*wirepb.ReplicaOrder, 1), starts: map[string]*start{}, sent: map[uint64]time.Time{},
+	}
+	for _, option := range options {
+		option(a)
+	}
+	return a
+}
+
+// Run registers and then carries the duties out until the context ends; the channel gives the end.
+func (a *Agent) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- a.run(ctx) }()
+	return ended
+}
+
+func (a *Agent) run(ctx context.Context) error {
+	incarnation, err := a.register(ctx)
+	if err != nil {
+		return err
+	}
+	s := a.settings
+	watch := view.New(a.pool, s.Controls, &wirepb.Watch{
+		Node: s.Node, Role: string(setting.RoleAgent), DataCentre: s.DataCentre,
+		Endpoint: s.Agent.Endpoint, Incarnation: incarnation,
+	}, view.WithLog(a.log), view.WithOrders(a.takeOrders))
+	a.mu.Lock()
+	a.incarnation, a.watch = incarnation, watch
+	a.mu.Unlock()
+	watched, held := watch.Run(ctx), a.hold(ctx)
+	for _, end := range []<-chan error{watched, held} {
+		if err := <-end; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// register asks control members in turn until one gives an incarnation.
+func (a *Agent) register(ctx context.Context) (uint64, error) {
+	s := a.settings
+	frame := &wirepb.Frame{Body: &wirepb.Frame_Register{Register: &wirepb.Register{
+		Endpoint: s.Agent.Endpoint, Service: s.Agent.Service, DataCentre: s.DataCentre, Address: s.Advertise,
+		Process: a.process, MemoryMb: s.Agent.MemoryMB, Slots: uint32(s.Agent.Slots),
+	}}}
+	for next := 0; ; next++ {
+		reply, err := a.pool.Call(ctx, s.Controls[next%len(s.Controls)], frame, callTimeout)
+		if incarnation := reply.GetRegistered().GetIncarnation(); err == nil && incarnation > 0 {
+			a.log.Info("registered", "endpoint", s.Agent.Endpoint, "incarnation", incarnation)
+			return incarnation, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+// takeOrders hands the newest orders to the holder; older ones it has not seen are replaced.
+func (a *Agent) takeOrders(orders []*wirepb.ReplicaOrder) {
+	select {
+	case <-a.orders:
+	default:
+	}
+	select {
+	case a.orders <- orders:
+	default:
+	}
+}
+
+func (a *Agent) catalogVersion() uint64 {
+	a.mu.Lock()
+	watch := a.watch
+	a.mu.Unlock()
+	if watch == nil {
+		return 0
+	}
+	return watch.Version()
+}
+
+// Handlers returns what serves other processes' calls.
+func (a *Agent) Handlers() wire.Handlers {
+	return wire.Handlers{Dispatch: a.Dispatch, Enquiry: a.Enquiry}
+}
+
+// Dump is an agent's state.
+type Dump struct {
+	Endpoint    string
+	Incarnation uint64
+	Leaving     bool
+	Running     int
+	Starts      int
+}
+
+// Dump returns the agent's state for operators, without secrets.
+func (a *Agent) Dump() Dump {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Dump{Endpoint: a.settings.Agent.Endpoint, Incarnation: a.incarnation, Leaving: a.leaving, Running: a.running, Starts: len(a.starts)}
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -25,6 +25,8 @@
 		Name:  programName,
 		Usage: "serve rarely used language models on few accelerators",
 		Commands: []*cli.Command{
+			runCommand(),
+			demoCommand(),
 			settingsCommand(),
 			catalogCommand(),
 			ctlCommand(),
--- /dev/null
+++ b/cmd/demo.go
@@ -0,0 +1,42 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"burdocksaddle/demo"
+)
+
+// demoCommand returns the command that runs everything in one process.
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run all roles and the stand-ins in one process on loopback",
+		Flags: []cli.Flag{&cli.IntFlag{Name: "verbosity", Usage: "log detail, 0 to 2"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			d, err := demo.Start(ctx, newLog(c.Int("verbosity")))
+			if err != nil {
+				return err
+			}
+			explain(c, d)
+			select {
+			case err = <-d.Done():
+			case <-ctx.Done():
+				d.Wait()
+			}
+			return err
+		},
+	}
+}
+
+func explain(c *cli.Command, d *demo.Demo) {
+	caller := d.Callers[0]
+	printf(c, "callers:   %s\noperators: %s\n\n", d.Callers, d.Operator)
+	printf(c, "curl %s/v1/models\n", caller)
+	printf(c, "curl %s/v1/chat/completions -d '{\"model\":\"quotes\",\"messages\":[{\"role\":\"user\",\"content\":\"a quote for two hoses\"}]}'\n", caller)
+	printf(c, "curl -N %s/v1/chat/completions -d '{\"model\":\"fault-notes\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"the boom leaks\"}]}'\n", caller)
+	printf(c, "curl %s/services/dispatch-desk/bookings -H 'Idempotency-Key: van-1' -d '{\"van\":1}'\n", caller)
+	printf(c, "curl %s/operator/v1/catalog\n", d.Operator)
+	printf(c, "curl %s/debug/state\n\nstop with Ctrl-C\n", d.Operator)
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"burdocksaddle/catalog"
+	"burdocksaddle/fleet"
+	"burdocksaddle/ledger"
+	"burdocksaddle/wirepb"
+)
+
+// Machine is the state that the log's commands make; applying is deterministic.
+type Machine struct {
+	index      uint64
+	catalog    catalog.Catalog
+	history    []Change
+	fleet      *fleet.Fleet
+	ledger     *ledger.Ledger
+	operations map[string]*wirepb.CommandResult
+}
+
+// Change is one accepted change of the catalog.
+type Change struct {
+	Version     uint64
+	Operator    string
+	OperationID string
+	AtMS        int64
+	Catalog     catalog.Catalog
+}
+
+// NewMachine makes the empty state.
+func NewMachine() *Machine {
+	return &Machine{fleet: fleet.New(), ledger: ledger.New(), operations: map[string]*wirepb.CommandResult{}}
+}
+
+// Apply carries one committed command out and returns its result.
+func (m *Machine) Apply(index uint64, command *wirepb.Command) *wirepb.CommandResult {
+	m.index = index
+	result := &wirepb.CommandResult{}
+	atMS := int64(command.GetAtMs())
+	switch kind := command.GetKind().(type) {
+	case *wirepb.Command_CatalogChange:
+		result = m.changeCatalog(kind.CatalogChange, atMS)
+	case *wirepb.Command_Register:
+		result.Incarnation = m.register(kind.Register, atMS)
+	case *wirepb.Command_Report:
+		fail(result, m.fleet.Report(kind.Report.GetEndpoint(), kind.Report.GetIncarnation(), held(kind.Report), atMS))
+	case *wirepb.Command_Decide:
+		m.decide(kind.Decide, result, atMS)
+	case *wirepb.Command_ClaimOpen:
+		m.openClaim(kind.ClaimOpen, result, atMS)
+	case *wirepb.Command_ClaimClose:
+		m.closeClaim(kind.ClaimClose, result)
+	case *wirepb.Command_EndpointChange:
+		m.changeEndpoint(kind.EndpointChange)
+	}
+	result.Index = index
+	result.CatalogVersion = m.catalog.Version
+	return result
+}
+
+func (m *Machine) changeCatalog(c *wirepb.CatalogChange, atMS int64) *wirepb.CommandResult {
+	operation := c.GetOperator() + "\x00" + c.GetOperationId()
+	if first, ok := m.operations[operation]; ok {
+		return first
+	}
+	result := &wirepb.CommandResult{}
+	if c.GetBaseVersion() != m.catalog.Version {
+		result.ErrorCode, result.ErrorDetail = CodeVersionConflict, "the catalog has another version by now"
+		if len(m.history) > 0 {
+			result.Holder = m.history[len(m.history)-1].Operator
+		}
+	} else if next, err := changed(m.catalog, c.GetChange()); err != nil {
+		result.ErrorCode, result.ErrorDetail = CodeChangeInvalid, err.Error()
+	} else {
+		m.catalog = next
+		m.history = append(m.history, Change{Version: next.Version, Operator: c.GetOperator(), OperationID: c.GetOperationId(), AtMS: atMS, Catalog: next})
+	}
+	result.CatalogVersion = m.catalog.Version
+	m.operations[operation] = result
+	return result
+}
+
+func (m *Machine) register(r *wirepb.Register, atMS int64) uint64 {
+	return m.fleet.Register(fleet.Endpoint{
+		Name: r.GetEndpoint(), Service: r.GetService(), DataCentre: r.GetDataCentre(), Address: r.GetAddress(),
+		Process: r.GetProcess(), MemoryMB: r.GetMemoryMb(), Slots: r.GetSlots(),
+	}, m.index, atMS)
+}
+
+func (m *Machine) decide(d *wirepb.Decide, result *wirepb.CommandResult, atMS int64) {
+	for _, one := range d.GetDecisions() {
+		if one.GetUnload() > 0 {
+			fail(result, m.fleet.Unload(one.GetUnload(), one.GetReason(), atMS))
+			continue
+		}
+		replica, err := m.fleet.Decide(fleet.Replica{
+			Endpoint: one.GetEndpoint(), Incarnation: one.GetIncarnation(), Model: one.GetModel(),
+			Version: one.GetVersion(), MemoryMB: one.GetMemoryMb(), Reason: one.GetReason(),
+		}, int(one.GetLimit()), atMS)
+		fail(result, err)
+		result.Replicas = append(result.Replicas, replica.ID)
+	}
+}
+
+func (m *Machine) openClaim(c *wirepb.ClaimOpen, result *wirepb.CommandResult, atMS int64) {
+	claim, fresh, err := m.ledger.Open(ledger.Claim{
+		Caller: c.GetCaller(), Key: c.GetKey(), RequestID: c.GetRequestId(), Service: c.GetService(),
+		Endpoint: c.GetEndpoint(), Incarnation: c.GetIncarnation(), BodyHash: c.GetBodyHash(),
+	}, m.index, atMS)
+	fail(result, err)
+	result.Claim = claimView(claim, fresh)
+}
+
+func (m *Machine) closeClaim(c *wirepb.ClaimClose, result *wirepb.CommandResult) {
+	var answer *ledger.Answer
+	if a := c.GetAnswer(); a != nil {
+		answer = &ledger.Answer{Status: a.GetStatus(), ContentType: a.GetContentType(), Body: a.GetBody()}
+	}
+	claim, ok := m.ledger.Close(c.GetClaim(), outcomes[c.GetRun()], answer, c.GetAnswerOnAgent())
+	if ok {
+		result.Claim = claimView(claim, false)
+	}
+}
+
+func (m *Machine) changeEndpoint(c *wirepb.EndpointChange) {
+	if c.GetGone() {
+		m.fleet.Remove(c.GetEndpoint(), c.GetIncarnation())
+		return
+	}
+	m.fleet.Mark(c.GetEndpoint(), c.GetIncarnation(), c.GetLeaving(), c.GetSilent())
+}
+
+var outcomes = map[wirepb.Run]ledger.Outcome{
+	wirepb.Run_RUN_NOT_RUN: ledger.NotRun, wirepb.Run_RUN_RAN: ledger.Ran, wirepb.Run_RUN_UNKNOWN: ledger.Unknown,
+}
+
+var runs = map[ledger.Outcome]wirepb.Run{
+	ledger.NotRun: wirepb.Run_RUN_NOT_RUN, ledger.Ran: wirepb.Run_RUN_RAN,
+	ledger.Unknown: wirepb.Run_RUN_UNKNOWN, ledger.Open: wirepb.Run_RUN_UNKNOWN,
+}
+
+func claimView(c ledger.Claim, fresh bool) *wirepb.ClaimView {
+	view := &wirepb.ClaimView{
+		Claim: c.ID, Fresh: fresh, RequestId: c.RequestID, Endpoint: c.Endpoint, Incarnation: c.Incarnation,
+		Closed: c.Outcome != ledger.Open, Run: runs[c.Outcome], AnswerOnAgent: c.OnAgent,
+	}
+	if c.Answer != nil {
+		view.Answer = &wirepb.Answer{Status: c.Answer.Status, ContentType: c.Answer.ContentType, Body: c.Answer.Body}
+	}
+	return view
+}
+
+func held(r *wirepb.Report) []fleet.Replica {
+	replicas := make([]fleet.Replica, 0, len(r.GetReplicas()))
+	for _, view := range r.GetReplicas() {
+		replicas = append(replicas, fleet.Replica{ID: view.GetId(), State: StateOf(view.GetState())})
+	}
+	return replicas
+}
--- /dev/null
+++ b/control/operate.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"burdocksaddle/catalog"
+	"burdocksaddle/wirepb"
+)
+
+// Change puts an operator's change forward, based on a version and under an operation id.
+func (m *Member) Change(ctx context.Context, operator, operationID string, base uint64, change catalog.Change) (*wirepb.CommandResult, error) {
+	data, err := json.Marshal(change)
+	if err != nil {
+		return nil, err
+	}
+	result, err := m.Propose(ctx, &wirepb.Command{Kind: &wirepb.Command_CatalogChange{CatalogChange: &wirepb.CatalogChange{
+		OperationId: operationID, Operator: operator, BaseVersion: base, Change: data,
+	}}})
+	if err == nil {
+		m.log.Info("change answered", "operator", operator, "operation", operationID, "version", result.GetCatalogVersion(), "refusal", result.GetErrorCode())
+	}
+	return result, err
+}
+
+// Force tells how far a version is in force.
+type Force struct {
+	Version uint64
+	InForce bool
+	// Waiting lists live nodes that have not confirmed the version.
+	Waiting []string
+}
+
+// Wait returns once a version is in force everywhere or the context ends.
+func (m *Member) Wait(ctx context.Context, version uint64) Force {
+	for {
+		force := m.force(version)
+		if force.InForce {
+			return force
+		}
+		select {
+		case <-ctx.Done():
+			return force
+		case <-time.After(waitPoll):
+		}
+	}
+}
+
+const waitPoll = 20 * time.Millisecond
+
+func (m *Member) force(version uint64) Force {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	force := Force{Version: version, InForce: m.machine.catalog.Version >= version, Waiting: []string{}}
+	for w := range m.watchers {
+		if w.confirmed < version && time.Now().Before(w.until) {
+			force.InForce = false
+			force.Waiting = append(force.Waiting, w.node)
+		}
+	}
+	return force
+}
+
+// History returns the accepted changes, oldest first.
+func (m *Member) History() []Change {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return append([]Change{}, m.machine.history...)
+}
+
+// At returns the catalog of a version that is still in the history.
+func (m *Member) At(version uint64) (catalog.Catalog, bool) {
+	for _, change := range m.History() {
+		if change.Version == version {
+			return change.Catalog, true
+		}
+	}
+	return catalog.Catalog{}, false
+}
+
+// MemberInfo describes one control member to operators.
+type MemberInfo struct {
+	Name   string
+	Leader bool
+	Voter  bool
+	Index  uint64
+}
+
+// Members returns the control members as this one knows them.
+func (m *Member) Members() []MemberInfo {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return []MemberInfo{{Name: "self", Leader: true, Voter: true, Index: m.machine.index}}
+}
+
+// Dump is a control member's state.
+type Dump struct {
+	Index    uint64
+	Catalog  uint64
+	Preset   string
+	Fleet    uint64
+	Claims   int
+	Watchers int
+	Replicas []ReplicaDump
+}
+
+// ReplicaDump describes one replica.
+type ReplicaDump struct {
+	ID       uint64
+	Model    string
+	Endpoint string
+	State    string
+	Fence    uint64
+	Reason   string
+}
+
+// Dump returns the member's state for operators, without secrets.
+func (m *Member) Dump() Dump {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	d := Dump{
+		Index: m.machine.index, Catalog: m.machine.catalog.Version, Preset: m.machine.catalog.Preset,
+		Fleet: m.machine.fleet.Version(), Claims: m.machine.ledger.Len(), Watchers: len(m.watchers), Replicas: []ReplicaDump{},
+	}
+	for _, endpoint := range m.machine.fleet.Endpoints() {
+		for _, r := range m.machine.fleet.Replicas(endpoint.Name) {
+			d.Replicas = append(d.Replicas, ReplicaDump{ID: r.ID, Model: r.Model, Endpoint: r.Endpoint, State: string(r.State), Fence: r.Fence, Reason: r.Reason})
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,234 @@
+package demo
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"burdocksaddle/engineapi"
+	"burdocksaddle/node"
+	"burdocksaddle/setting"
+	"burdocksaddle/standin"
+)
+
+const (
+	engines      = 3
+	services     = 2
+	entries      = 2
+	engineMB     = 80_000
+	engineSlots  = 16
+	serviceSlots = 16
+	// A demo's load takes about two seconds.
+	storeMBPerSecond = 10_000
+	readyPoll        = 20 * time.Millisecond
+	readHeaders      = 5 * time.Second
+)
+
+// Demo is a running system with its stand-ins.
+type Demo struct {
+	// Callers are the base URLs of the entries' caller APIs.
+	Callers []string
+	// Operator is the base URL of the operators' API.
+	Operator string
+	Engines  []*standin.Engine
+	Services []*standin.Service
+	Platform *standin.Platform
+
+	log       logr.Logger
+	mu        sync.Mutex
+	listeners map[string]net.Listener
+	ends      []<-chan error
+	control   string
+}
+
+// Start brings everything up and returns once callers are served.
+func Start(ctx context.Context, log logr.Logger) (*Demo, error) {
+	d := &Demo{log: log, listeners: map[string]net.Listener{}}
+	if err := d.startControl(ctx); err != nil {
+		return nil, err
+	}
+	platform, err := d.startEndpoints(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for i := range entries {
+		if err := d.startEntry(ctx, i); err != nil {
+			return nil, err
+		}
+	}
+	d.log.Info("stand-ins started", "platform", platform)
+	return d, d.awaitReady(ctx)
+}
+
+// Done returns a channel that gives the first end of a node.
+func (d *Demo) Done() <-chan error {
+	first := make(chan error, len(d.ends))
+	for _, end := range d.ends {
+		go func() { first <- <-end }()
+	}
+	return first
+}
+
+// Wait returns once every node has ended.
+func (d *Demo) Wait() {
+	for _, end := range d.ends {
+		if err := <-end; err != nil {
+			d.log.V(1).Info("ended", "error", err.Error())
+		}
+	}
+}
+
+func (d *Demo) startControl(ctx context.Context) error {
+	s := setting.Defaults()
+	s.Node, s.DataCentre, s.Roles = "control-1", "first", []setting.Role{setting.RoleControl}
+	addresses, err := d.reserve(ctx, 2)
+	if err != nil {
+		return err
+	}
+	s.Listen, s.Operator.Listen = addresses[0], addresses[1]
+	s.Controls = []string{s.Listen}
+	d.control, d.Operator = s.Listen, "http://"+s.Operator.Listen
+	n := d.node(s)
+	d.ends = append(d.ends, n.Run(ctx))
+	return nil
+}
+
+func (d *Demo) startEndpoints(ctx context.Context) (string, error) {
+	d.Platform = standin.NewPlatform(ctx)
+	platform, err := d.serve(ctx, d.Platform)
+	if err != nil {
+		return "", err
+	}
+	store, err := d.serve(ctx, standin.NewStore(ctx, standin.LoadSpeed(storeMBPerSecond)))
+	if err != nil {
+		return "", err
+	}
+	for i := range engines {
+		engine := standin.NewEngine(ctx, standin.Memory(engineMB), standin.Slots(engineSlots), standin.WeightStore(store, http.DefaultClient), standin.CheckFencing(i > 0))
+		d.Engines = append(d.Engines, engine)
+		if err := d.startAgent(ctx, "engine-"+strconv.Itoa(i+1), modelService, setting.KindModel, platform, engine); err != nil {
+			return "", err
+		}
+	}
+	for i := range services {
+		service := standin.NewService(ctx)
+		d.Services = append(d.Services, service)
+		if err := d.startAgent(ctx, "desk-"+strconv.Itoa(i+1), plainService, setting.KindPlain, platform, service); err != nil {
+			return "", err
+		}
+	}
+	return platform, nil
+}
+
+func (d *Demo) startAgent(ctx context.Context, name, service string, kind setting.Kind, platform string, handler http.Handler) error {
+	url, err := d.serve(ctx, handler)
+	if err != nil {
+		return err
+	}
+	d.Platform.SetVM(name, false)
+	addresses, err := d.reserve(ctx, 1)
+	if err != nil {
+		return err
+	}
+	s := setting.Defaults()
+	s.Node, s.DataCentre, s.Roles, s.Listen, s.Controls = name, "first", []setting.Role{setting.RoleAgent}, addresses[0], []string{d.control}
+	s.Advertise = s.Listen
+	s.Agent.Endpoint, s.Agent.Service, s.Agent.EndpointURL, s.Agent.Kind = name, service, url, string(kind)
+	s.Agent.MemoryMB, s.Agent.Slots, s.Agent.PlatformURL = engineMB, engineSlots, platform+engineapi.PathVMs
+	d.ends = append(d.ends, d.node(s).Run(ctx))
+	return nil
+}
+
+func (d *Demo) startEntry(ctx context.Context, i int) error {
+	addresses, err := d.reserve(ctx, 2)
+	if err != nil {
+		return err
+	}
+	s := setting.Defaults()
+	s.Node, s.DataCentre, s.Roles, s.Controls = "entry-"+strconv.Itoa(i+1), "first", []setting.Role{setting.RoleEntry}, []string{d.control}
+	s.Entry.CallerListen, s.Operator.Listen = addresses[0], addresses[1]
+	d.Callers = append(d.Callers, "http://"+s.Entry.CallerListen)
+	d.ends = append(d.ends, d.node(s).Run(ctx))
+	return nil
+}
+
+func (d *Demo) node(s setting.Settings) *node.Node {
+	first := Catalog()
+	return node.New(s, node.WithLog(d.log), node.WithListen(d.listen), node.WithFirstCatalog(first))
+}
+
+// reserve listens on free ports ahead, so that settings can name them.
+func (d *Demo) reserve(ctx context.Context, count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		var config net.ListenConfig
+		listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		address := listener.Addr().String()
+		d.mu.Lock()
+		d.listeners[address] = listener
+		d.mu.Unlock()
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
+func (d *Demo) listen(_ context.Context, address string) (net.Listener, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listeners[address], nil
+}
+
+// serve runs a stand-in on a free port and returns its base URL.
+func (d *Demo) serve(ctx context.Context, handler http.Handler) (string, error) {
+	addresses, err := d.reserve(ctx, 1)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaders}
+	if faulty, ok := handler.(interface {
+		ConnContext(context.Context, net.Conn) context.Context
+	}); ok {
+		server.ConnContext = faulty.ConnContext
+	}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	listener, _ := d.listen(ctx, addresses[0])
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	d.ends = append(d.ends, served)
+	return "http://" + addresses[0], nil
+}
+
+// awaitReady asks the entries' health until all take work.
+func (d *Demo) awaitReady(ctx context.Context) error {
+	for _, caller := range d.Callers {
+		for !healthy(ctx, caller) {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func healthy(ctx context.Context, base string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+engineapi.PathHealth, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry takes callers' requests, queues them, sends them to agents and
+// passes the answers back.
+package entry
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -127,3 +127,12 @@
 	// LengthMS is how long a node serves after it last heard from the quorum.
 	LengthMS int64 `validate:"min=100,max=60000"`
 }
+
+// Kind says what stands behind an agent.
+type Kind string
+
+// Kinds of endpoints.
+const (
+	KindModel Kind = "Model"
+	KindPlain Kind = "Plain"
+)
--- /dev/null
+++ b/web/caller.go
@@ -0,0 +1,291 @@
+package web
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"burdocksaddle/catalog"
+	"burdocksaddle/engineapi"
+	"burdocksaddle/entry"
+	"burdocksaddle/setting"
+)
+
+// Headers that callers use.
+const (
+	HeaderDeadline    = "Deadline-Ms"
+	HeaderKey         = "Idempotency-Key"
+	HeaderPriority    = "Priority"
+	HeaderRequestID   = "X-Request-Id"
+	defaultUrgency    = 3
+	lowestUrgency     = 7
+	maxKeyBytes       = 200
+	defaultBodyBytes  = 4 << 20
+	defaultDeadlineMS = 120_000
+	maxDeadlineMS     = 600_000
+)
+
+// Caller is the callers' API.
+type Caller struct {
+	entry    *entry.Entry
+	settings setting.Entry
+	log      logr.Logger
+	newID    func() string
+}
+
+// NewCaller makes the callers' API over an entry; newID gives request ids.
+func NewCaller(e *entry.Entry, settings setting.Entry, log logr.Logger, newID func() string) *Caller {
+	if settings.MaxBodyBytes == 0 {
+		settings.MaxBodyBytes = defaultBodyBytes
+	}
+	if settings.DefaultDeadlineMS == 0 {
+		settings.DefaultDeadlineMS = defaultDeadlineMS
+	}
+	if settings.MaxDeadlineMS == 0 {
+		settings.MaxDeadlineMS = maxDeadlineMS
+	}
+	return &Caller{entry: e, settings: settings, log: log, newID: newID}
+}
+
+// Handler returns the routes of the callers' API.
+func (c *Caller) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engineapi.PathCompletions, c.complete)
+	mux.HandleFunc("GET /v1/models", c.models)
+	mux.HandleFunc("/services/{service}/{path...}", c.service)
+	mux.HandleFunc("GET /healthz", c.health)
+	return mux
+}
+
+func (c *Caller) health(w http.ResponseWriter, _ *http.Request) {
+	if !c.entry.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (c *Caller) models(w http.ResponseWriter, _ *http.Request) {
+	now := c.entry.Catalog()
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, model := range now.Models {
+		list.Data = append(list.Data, modelEntry{ID: model.Name, Object: "model", OwnedBy: model.Service})
+	}
+	for _, adapter := range now.Adapters {
+		list.Data = append(list.Data, modelEntry{ID: adapter.Name, Object: "model", OwnedBy: adapter.Model})
+	}
+	writeJSON(w, list)
+}
+
+// completion is what the entry needs to know of a chat request's body.
+type completion struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+func (c *Caller) complete(w http.ResponseWriter, r *http.Request) {
+	request, problem := c.parse(w, r)
+	if problem != nil {
+		writeProblem(w, *problem, 0)
+		return
+	}
+	var body completion
+	if err := json.Unmarshal(request.Body, &body); err != nil || body.Model == "" {
+		writeProblem(w, badRequest("the body must be JSON with a member model"), 0)
+		return
+	}
+	if err := target(c.entry.Catalog(), body.Model, &request); err != nil {
+		c.refuse(w, request, err)
+		return
+	}
+	request.Path, request.Stream, request.Repeatable = engineapi.PathCompletions, body.Stream, true
+	c.serve(w, r, request)
+}
+
+// target finds the model, or the adapter and its model, that a caller names.
+func target(now catalog.Catalog, name string, request *entry.Request) error {
+	model, ok := now.Model(name)
+	if adapter, isAdapter := now.Adapter(name); !ok && isAdapter {
+		request.Adapter = adapter.Name
+		model, ok = now.Model(adapter.Model)
+	}
+	if !ok {
+		return entry.ErrRefused{Code: entry.CodeModelNotExist, Detail: "no model or adapter is named " + strconv.Quote(name)}
+	}
+	request.Model, request.Service = model.Name, model.Service
+	return nil
+}
+
+func (c *Caller) service(w http.ResponseWriter, r *http.Request) {
+	request, problem := c.parse(w, r)
+	if problem != nil {
+		writeProblem(w, *problem, 0)
+		return
+	}
+	service, ok := c.entry.Catalog().Service(r.PathValue("service"))
+	if !ok || service.Kind != catalog.KindPlain {
+		c.refuse(w, request, entry.ErrRefused{Code: entry.CodeServiceNotExist, Detail: "no plain service is named " + strconv.Quote(r.PathValue("service"))})
+		return
+	}
+	request.Service = service.Name
+	request.Path = "/" + r.PathValue("path")
+	request.Repeatable = repeatable(service, r.Method, request.Path)
+	if r.URL.RawQuery != "" {
+		request.Path += "?" + r.URL.RawQuery
+	}
+	if !request.Repeatable && request.Key == "" {
+		request.Key = request.ID
+	}
+	c.serve(w, r, request)
+}
+
+// repeatable tells whether a call may run twice: the methods that RFC 9110 calls idempotent, unless listed.
+func repeatable(service catalog.Service, method, path string) bool {
+	if slices.Contains(service.NonIdempotent, method+" "+path) {
+		return false
+	}
+	return method != http.MethodPost && method != http.MethodPatch
+}
+
+// parse reads what every request has in common.
+func (c *Caller) parse(w http.ResponseWriter, r *http.Request) (entry.Request, *Problem) {
+	id := c.newID()
+	w.Header().Set(HeaderRequestID, id)
+	request := entry.Request{ID: id, Caller: callerOf(r), Method: r.Method, ContentType: r.Header.Get("Content-Type"), Key: r.Header.Get(HeaderKey)}
+	if len(request.Key) > maxKeyBytes {
+		p := badRequest("Idempotency-Key may have at most " + strconv.Itoa(maxKeyBytes) + " bytes")
+		return request, &p
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return request, &Problem{Type: "about:blank", Title: "Content Too Large", Status: http.StatusRequestEntityTooLarge, Code: "BodyTooLarge", Run: "NotRun", Detail: "a body may have at most " + strconv.FormatInt(c.settings.MaxBodyBytes, 10) + " bytes"}
+	}
+	if err != nil {
+		p := badRequest("the body could not be read whole")
+		return request, &p
+	}
+	request.Body = body
+	deadline, err := c.deadline(r.Header.Get(HeaderDeadline))
+	if err != nil {
+		p := badRequest("Deadline-Ms must be a positive number of milliseconds")
+		return request, &p
+	}
+	request.Deadline = time.Now().Add(deadline)
+	request.Urgency = urgency(r.Header.Get(HeaderPriority))
+	return request, nil
+}
+
+func (c *Caller) deadline(header string) (time.Duration, error) {
+	ms := c.settings.DefaultDeadlineMS
+	if header != "" {
+		asked, err := strconv.ParseInt(header, 10, 64)
+		if err != nil || asked <= 0 {
+			return 0, strconv.ErrSyntax
+		}
+		ms = min(asked, c.settings.MaxDeadlineMS)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// urgency reads the u member of an RFC 9218 Priority header.
+func urgency(header string) int {
+	for part := range strings.SplitSeq(header, ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(part), "u="); ok {
+			if u, err := strconv.Atoi(value); err == nil && u >= 0 && u <= lowestUrgency {
+				return u
+			}
+		}
+	}
+	return defaultUrgency
+}
+
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+func (c *Caller) serve(w http.ResponseWriter, r *http.Request, request entry.Request) {
+	begin := time.Now()
+	flusher := http.NewResponseController(w)
+	started := false
+	sink := entry.Sink{
+		Start: func(status int, contentType string) error {
+			started = true
+			w.Header().Set("Content-Type", contentType)
+			w.WriteHeader(status)
+			return nil
+		},
+		Part: func(data []byte) error {
+			if _, err := w.Write(data); err != nil {
+				return err
+			}
+			return flusher.Flush()
+		},
+	}
+	err := c.entry.Serve(r.Context(), request, sink)
+	c.log.Info("request answered", "request", request.ID, "caller", request.Caller, "service", request.Service,
+		"model", request.Model, "ms", time.Since(begin).Milliseconds(), "error", errorCode(err))
+	if err == nil {
+		return
+	}
+	if !started {
+		c.refuse(w, request, err)
+		return
+	}
+	c.abort(w, request, err)
+}
+
+// abort tells a caller in the middle of a stream that the answer is not whole.
+func (c *Caller) abort(w http.ResponseWriter, request entry.Request, err error) {
+	if refused, ok := entry.AsErrRefused(err); ok && request.Stream {
+		var event bytes.Buffer
+		event.WriteString("event: error\ndata: ")
+		_ = json.NewEncoder(&event).Encode(refusalProblem(refused, request.ID))
+		event.WriteString("\n")
+		_, _ = w.Write(event.Bytes())
+		_ = http.NewResponseController(w).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (c *Caller) refuse(w http.ResponseWriter, request entry.Request, err error) {
+	refused, ok := entry.AsErrRefused(err)
+	if !ok {
+		refused = entry.ErrRefused{Code: "Internal", Detail: err.Error()}
+	}
+	writeProblem(w, refusalProblem(refused, request.ID), refused.RetryAfter)
+}
+
+func errorCode(err error) string {
+	if refused, ok := entry.AsErrRefused(err); ok {
+		return refused.Code
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
--- /dev/null
+++ b/web/operator.go
@@ -0,0 +1,207 @@
+package web
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"burdocksaddle/catalog"
+	"burdocksaddle/control"
+	"burdocksaddle/wirepb"
+)
+
+// Headers that operators use.
+const (
+	HeaderOperation = "Operation-Id"
+	HeaderIfMatch   = "If-Match"
+
+	maxChangeBytes  = 16 << 20
+	maxWait         = time.Minute
+	changeTimeout   = 10 * time.Second
+	defaultOperator = "local"
+)
+
+// Operator is the operators' API.
+type Operator struct {
+	member *control.Member
+	tokens map[string]string
+}
+
+// NewOperator makes the operators' API; tokens maps an operator's name to the token, empty lets everyone in.
+func NewOperator(member *control.Member, tokens map[string]string) *Operator {
+	return &Operator{member: member, tokens: tokens}
+}
+
+// Register adds the routes of the operators' API.
+func (o *Operator) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /operator/v1/catalog", o.guard(o.catalog))
+	mux.HandleFunc("POST /operator/v1/changes", o.guard(o.change))
+	mux.HandleFunc("POST /operator/v1/preset", o.guard(o.preset))
+	mux.HandleFunc("POST /operator/v1/rollback", o.guard(o.rollback))
+	mux.HandleFunc("GET /operator/v1/members", o.guard(o.members))
+	mux.HandleFunc("GET /operator/v1/wait", o.guard(o.wait))
+	mux.HandleFunc("GET /operator/v1/history", o.guard(o.history))
+	mux.HandleFunc("GET /operator/v1/diff", o.guard(o.diff))
+}
+
+type guarded func(w http.ResponseWriter, r *http.Request, operator string)
+
+// guard lets only known operators in; tokens are compared in constant time.
+func (o *Operator) guard(next guarded) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if len(o.tokens) == 0 {
+			next(w, r, defaultOperator)
+			return
+		}
+		token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		found := ""
+		for name, want := range o.tokens {
+			if subtle.ConstantTimeCompare([]byte(token), []byte(want)) == 1 {
+				found = name
+			}
+		}
+		if found == "" {
+			writeProblem(w, Problem{Type: "about:blank", Title: "Unauthorized", Status: http.StatusUnauthorized, Code: "TokenInvalid"}, 0)
+			return
+		}
+		next(w, r, found)
+	}
+}
+
+func (o *Operator) catalog(w http.ResponseWriter, _ *http.Request, _ string) {
+	now := o.member.Catalog()
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(now.Version, 10)))
+	writeJSON(w, now)
+}
+
+func (o *Operator) change(w http.ResponseWriter, r *http.Request, operator string) {
+	var change catalog.Change
+	if o.read(w, r, &change) {
+		o.apply(w, r, operator, change)
+	}
+}
+
+type presetChange struct{ Preset string }
+
+func (o *Operator) preset(w http.ResponseWriter, r *http.Request, operator string) {
+	var body presetChange
+	if o.read(w, r, &body) {
+		o.apply(w, r, operator, catalog.Change{Preset: body.Preset})
+	}
+}
+
+type rollbackChange struct{ Version uint64 }
+
+func (o *Operator) rollback(w http.ResponseWriter, r *http.Request, operator string) {
+	var body rollbackChange
+	if !o.read(w, r, &body) {
+		return
+	}
+	old, ok := o.member.At(body.Version)
+	if !ok {
+		writeProblem(w, Problem{Type: "about:blank", Title: "Not Found", Status: http.StatusNotFound, Code: "VersionNotExist", Detail: "the history has no version " + strconv.FormatUint(body.Version, 10)}, 0)
+		return
+	}
+	o.apply(w, r, operator, catalog.Change{Set: &old})
+}
+
+func (o *Operator) read(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxChangeBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		writeProblem(w, badRequest(err.Error()), 0)
+		return false
+	}
+	return true
+}
+
+type versionAnswer struct{ Version uint64 }
+
+func (o *Operator) apply(w http.ResponseWriter, r *http.Request, operator string, change catalog.Change) {
+	operation := r.Header.Get(HeaderOperation)
+	base, err := strconv.ParseUint(strings.Trim(r.Header.Get(HeaderIfMatch), `"`), 10, 64)
+	if operation == "" || err != nil {
+		writeProblem(w, badRequest("a change needs the headers Operation-Id and If-Match with the version it is based on"), 0)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	result, err := o.member.Change(ctx, operator, operation, base, change)
+	if err != nil {
+		writeProblem(w, Problem{Type: "about:blank", Title: "Service Unavailable", Status: http.StatusServiceUnavailable, Code: "NotCommitted", Detail: err.Error()}, time.Second)
+		return
+	}
+	if result.GetErrorCode() != "" {
+		writeProblem(w, changeProblem(result), 0)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(result.GetCatalogVersion(), 10)))
+	writeJSON(w, versionAnswer{Version: result.GetCatalogVersion()})
+}
+
+func changeProblem(result *wirepb.CommandResult) Problem {
+	status := http.StatusUnprocessableEntity
+	if result.GetErrorCode() == control.CodeVersionConflict {
+		status = http.StatusPreconditionFailed
+	}
+	return Problem{
+		Type: "about:blank", Title: http.StatusText(status), Status: status, Code: result.GetErrorCode(),
+		Detail: result.GetErrorDetail(), CurrentVersion: result.GetCatalogVersion(), Holder: result.GetHolder(),
+	}
+}
+
+func (o *Operator) members(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, o.member.Members())
+}
+
+func (o *Operator) wait(w http.ResponseWriter, r *http.Request, _ string) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		writeProblem(w, badRequest("version must be a number"), 0)
+		return
+	}
+	timeout := maxWait
+	if ms, err := strconv.ParseInt(r.URL.Query().Get("timeout_ms"), 10, 64); err == nil && ms >= 0 {
+		timeout = min(maxWait, time.Duration(ms)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	writeJSON(w, o.member.Wait(ctx, version))
+}
+
+type historyEntry struct {
+	Version     uint64
+	Operator    string
+	OperationID string
+	At          time.Time
+	Preset      string
+}
+
+func (o *Operator) history(w http.ResponseWriter, _ *http.Request, _ string) {
+	entries := []historyEntry{}
+	for _, c := range o.member.History() {
+		entries = append(entries, historyEntry{Version: c.Version, Operator: c.Operator, OperationID: c.OperationID, At: time.UnixMilli(c.AtMS).UTC(), Preset: c.Catalog.Preset})
+	}
+	writeJSON(w, entries)
+}
+
+func (o *Operator) diff(w http.ResponseWriter, r *http.Request, _ string) {
+	from, errFrom := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	to, errTo := strconv.ParseUint(r.URL.Query().Get("to"), 10, 64)
+	if errFrom != nil || errTo != nil {
+		writeProblem(w, badRequest("from and to must be versions"), 0)
+		return
+	}
+	a, okA := o.member.At(from)
+	b, okB := o.member.At(to)
+	if (!okA && from != 0) || !okB {
+		writeProblem(w, Problem{Type: "about:blank", Title: "Not Found", Status: http.StatusNotFound, Code: "VersionNotExist"}, 0)
+		return
+	}
+	writeJSON(w, catalog.Diff(a, b))
+}
--- /dev/null
+++ b/wire/server.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"burdocksaddle/wirepb"
+)
+
+const (
+	firstFrameTimeout = 5 * time.Second
+	replyTimeout      = 5 * time.Second
+	maxSessions       = 4096
+)
+
+// Handlers holds what serves each kind of call; a nil one closes the stream.
+type Handlers struct {
+	Dispatch func(context.Context, *wirepb.Frame, *Stream)
+	Enquiry  func(context.Context, *wirepb.Enquiry) *wirepb.Frame
+	Watch    func(context.Context, *wirepb.Watch, *Stream)
+	Report   func(context.Context, *wirepb.Report) *wirepb.Frame
+	Register func(context.Context, *wirepb.Register) *wirepb.Frame
+	Demand   func(context.Context, *wirepb.Demand) *wirepb.Frame
+	Propose  func(context.Context, *wirepb.Propose) *wirepb.Frame
+	Peer     func(context.Context, *wirepb.PeerMessage, *Stream)
+	Members  func(context.Context) *wirepb.Frame
+}
+
+// Serve accepts sessions until the context ends; the channel gives the reason, once.
+func Serve(ctx context.Context, listener net.Listener, handlers Handlers) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, listener, handlers) }()
+	return ended
+}
+
+func serve(ctx context.Context, listener net.Listener, handlers Handlers) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	slots := make(chan struct{}, maxSessions)
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			_ = conn.Close()
+			continue
+		}
+		sessions.Go(func() {
+			defer func() { <-slots }()
+			serveSession(ctx, conn, handlers)
+		})
+	}
+}
+
+func serveSession(ctx context.Context, conn net.Conn, handlers Handlers) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	defer cancel()
+	for {
+		accepted, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		streams.Go(func() {
+			streamCtx, done := context.WithCancel(ctx)
+			defer done()
+			stream := newStream(streamCtx, accepted, conn.RemoteAddr().String())
+			defer stream.Close()
+			serveStream(streamCtx, stream, handlers)
+		})
+	}
+}
+
+func serveStream(ctx context.Context, stream *Stream, handlers Handlers) {
+	first, err := stream.Receive(firstFrameTimeout)
+	if err != nil {
+		return
+	}
+	switch body := first.GetBody().(type) {
+	case *wirepb.Frame_Dispatch:
+		if handlers.Dispatch != nil {
+			handlers.Dispatch(ctx, first, stream)
+		}
+	case *wirepb.Frame_Watch:
+		if handlers.Watch != nil {
+			handlers.Watch(ctx, body.Watch, stream)
+		}
+	case *wirepb.Frame_PeerMessage:
+		if handlers.Peer != nil {
+			handlers.Peer(ctx, body.PeerMessage, stream)
+		}
+	default:
+		if reply := replyTo(ctx, first, handlers); reply != nil {
+			_ = stream.Send(reply, replyTimeout)
+		}
+	}
+}
+
+// replyTo answers the calls of one frame each way.
+func replyTo(ctx context.Context, first *wirepb.Frame, handlers Handlers) *wirepb.Frame {
+	switch body := first.GetBody().(type) {
+	case *wirepb.Frame_Enquiry:
+		return call(ctx, handlers.Enquiry, body.Enquiry)
+	case *wirepb.Frame_Report:
+		return call(ctx, handlers.Report, body.Report)
+	case *wirepb.Frame_Register:
+		return call(ctx, handlers.Register, body.Register)
+	case *wirepb.Frame_Demand:
+		return call(ctx, handlers.Demand, body.Demand)
+	case *wirepb.Frame_Propose:
+		return call(ctx, handlers.Propose, body.Propose)
+	case *wirepb.Frame_MemberQuery:
+		if handlers.Members != nil {
+			return handlers.Members(ctx)
+		}
+	case *wirepb.Frame_Ping:
+		return &wirepb.Frame{Body: &wirepb.Frame_Pong{Pong: &wirepb.Pong{}}}
+	}
+	return nil
+}
+
+func call[T any](ctx context.Context, handler func(context.Context, T) *wirepb.Frame, message T) *wirepb.Frame {
+	if handler == nil {
+		return nil
+	}
+	return handler(ctx, message)
+}
--- /dev/null
+++ b/wire/stream.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"burdocksaddle/wirepb"
+)
+
+// MaxFrameBytes bounds one frame, the largest body a caller may send included.
+const MaxFrameBytes = 72 << 20
+
+const readBufferBytes = 8 << 10
+
+// Stream is one call; it closes when the context of its opening ends.
+type Stream struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	send   sync.Mutex
+	stop   func() bool
+	peer   string
+}
+
+func newStream(ctx context.Context, conn net.Conn, peer string) *Stream {
+	s := &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), peer: peer}
+	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return s
+}
+
+// Peer returns the address of the other side.
+func (s *Stream) Peer() string { return s.peer }
+
+// Send writes one frame within the timeout, 0 waits for the stream's context; it fails with ErrStreamBroken.
+func (s *Stream) Send(frame *wirepb.Frame, timeout time.Duration) error {
+	s.send.Lock()
+	defer s.send.Unlock()
+	if err := s.conn.SetWriteDeadline(deadline(timeout)); err != nil {
+		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
+	}
+	if _, err := protodelim.MarshalTo(s.conn, frame); err != nil {
+		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
+	}
+	return nil
+}
+
+// Receive reads one frame within the timeout, 0 waits for the stream's context; it fails with ErrStreamBroken.
+func (s *Stream) Receive(timeout time.Duration) (*wirepb.Frame, error) {
+	if err := s.conn.SetReadDeadline(deadline(timeout)); err != nil {
+		return nil, ErrStreamBroken{Peer: s.peer, Step: "receive", Cause: err}
+	}
+	frame := &wirepb.Frame{}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
+	if err := options.UnmarshalFrom(s.reader, frame); err != nil {
+		return nil, ErrStreamBroken{Peer: s.peer, Step: "receive", Cause: err}
+	}
+	return frame, nil
+}
+
+// Close ends the call in both directions.
+func (s *Stream) Close() {
+	s.stop()
+	_ = s.conn.Close()
+}
+
+func deadline(timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(timeout)
+}
