Test that silence stalls open streams

Only new requests to a silent stand-in were tested. An open stream is now seen to stall at its second event, and the table of the service's runs holds its own expectations.

--- a/standin/fault_test.go
+++ b/standin/fault_test.go
@@ -27,6 +27,20 @@
 	return w.Result(), nil
 }
 
+func TestSilentStallsOpenStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := loadedEngine(t, PrefillSteps(0), TokenTime(time.Second))
+		defer e.Close()
+		time.AfterFunc(2500*time.Millisecond, func() { e.SetFault(Fault{Silent: true}) })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		w := ask(ctx, e, http.MethodPost, engineapi.PathCompletions, streamBody, nil)
+		if _, events, done := streamed(t, w.Body.String()); events != 2 || done || ctx.Err() == nil {
+			t.Errorf("the stalled stream has %d events, done %t, its context ends with %v", events, done, ctx.Err())
+		}
+	})
+}
+
 func TestStallOpenStallsOldConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := loadedEngine(t, PrefillSteps(0), TokenTime(time.Second))
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -19,14 +19,14 @@
 		name  string
 		fault Fault
 		code  int
+		runs  map[string]int
 	}{
-		{name: "sound", code: http.StatusOK},
-		{name: "answer lost after the run", fault: Fault{LoseAnswer: true}},
-		{name: "silent", fault: Fault{Silent: true}},
-		{name: "refused", fault: Fault{Refuse: true}},
+		{name: "sound", code: http.StatusOK, runs: map[string]int{"k": 2}},
+		{name: "answer lost after the run", fault: Fault{LoseAnswer: true}, runs: map[string]int{"k": 2}},
+		{name: "silent", fault: Fault{Silent: true}, runs: map[string]int{}},
+		{name: "refused", fault: Fault{Refuse: true}, runs: map[string]int{}},
 	}
-	wantRuns := []map[string]int{{"k": 2}, {"k": 2}, {}, {}}
-	for i, test := range tests {
+	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := NewService(t.Context())
@@ -40,7 +40,7 @@
 						t.Errorf("status %d, want %d", w.Code, test.code)
 					}
 				}
-				if diff := cmp.Diff(wantRuns[i], s.Runs()); diff != "" {
+				if diff := cmp.Diff(test.runs, s.Runs()); diff != "" {
 					t.Error(diff)
 				}
 			})
