Keep the index of lists that a change leaves alone

Cause: each change and each delta rebuilt every index and checked names by pattern, so a switch of preset cost as much as a new list of adapters. Change: a list keeps its index while it is the same in memory; deltas compare by index; names are checked by byte; ctl names the operation id after a 5xx.

--- a/catalog/adapter.go
+++ b/catalog/adapter.go
@@ -11,6 +11,9 @@
 }
 
 func (one Adapter) check(c Catalog, r *report) {
+	if one.fits(c) {
+		return
+	}
 	key := "Adapters[" + one.Name + "]"
 	r.name(key, one.Name)
 	if _, known := c.Model(one.Model); !known {
@@ -21,6 +24,13 @@
 	}
 }
 
+// fits says without building keys whether check finds nothing, since adapters are many.
+func (one Adapter) fits(c Catalog) bool {
+	_, known := c.Model(one.Model)
+	_, taken := c.Model(one.Name)
+	return known && !taken && validName(one.Name)
+}
+
 // WithAdapter returns the catalog with an adapter put in or replaced.
 func (c Catalog) WithAdapter(one Adapter) Catalog {
 	c.Adapters = put(c.Adapters, []Adapter{one}, Adapter.key)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,11 +7,11 @@
 // Catalog is the whole configuration at one version.
 type Catalog struct {
 	Version   uint64
-	Services  []Service
-	Models    []Model
+	Services  []Service  `json:",omitempty"`
+	Models    []Model    `json:",omitempty"`
 	Adapters  []Adapter  `json:",omitempty"`
 	Endpoints []Endpoint `json:",omitempty"`
-	Presets   []Preset
+	Presets   []Preset   `json:",omitempty"`
 	// Preset names the preset in force.
 	Preset string
 
@@ -42,22 +42,22 @@
 
 // Model returns the model of a name.
 func (c Catalog) Model(name string) (Model, bool) {
-	return find(c.Models, c.index.models(), name, Model.key)
+	return find(c.Models, c.places().models, name, Model.key)
 }
 
 // Service returns the service of a name.
 func (c Catalog) Service(name string) (Service, bool) {
-	return find(c.Services, c.index.services(), name, Service.key)
+	return find(c.Services, c.places().services, name, Service.key)
 }
 
 // Adapter returns the adapter of a name.
 func (c Catalog) Adapter(name string) (Adapter, bool) {
-	return find(c.Adapters, c.index.adapters(), name, Adapter.key)
+	return find(c.Adapters, c.places().adapters, name, Adapter.key)
 }
 
 // Endpoint returns the operator's facts about an endpoint.
 func (c Catalog) Endpoint(name string) (Endpoint, bool) {
-	return find(c.Endpoints, c.index.endpoints(), name, Endpoint.key)
+	return find(c.Endpoints, c.places().endpoints, name, Endpoint.key)
 }
 
 // InForce returns the preset in force.
@@ -67,5 +67,5 @@
 }
 
 func (c Catalog) preset(name string) (Preset, bool) {
-	return find(c.Presets, nil, name, Preset.key)
+	return find(c.Presets, c.places().presets, name, Preset.key)
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -64,6 +65,18 @@
 	}
 }
 
+func TestValidName(t *testing.T) {
+	tests := map[string]bool{
+		"a": true, "9.b_c-D": true, strings.Repeat("z", 64): true,
+		"": false, strings.Repeat("z", 65): false, "-a": false, ".": false, "_x": false, "a b": false, "a/b": false, "a@b": false, "\u00e9": false,
+	}
+	for name, want := range tests {
+		if got := validName(name); got != want {
+			t.Errorf("%q is valid: %v", name, got)
+		}
+	}
+}
+
 func TestApplyRefuses(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -256,3 +269,39 @@
 		})
 	}
 }
+
+func BenchmarkChange(b *testing.B) {
+	for _, size := range []int{100, 12_000} {
+		var items Items
+		for i := range size {
+			items.Adapters = append(items.Adapters, Adapter{Name: fmt.Sprintf("a-%d", i), Model: "m1"})
+		}
+		c, err := Change{Put: items}.Apply(small())
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, change := range []Change{{Preset: "Peak"}, {Put: Items{Adapters: []Adapter{{Name: "a-50", Model: "m2"}}}}} {
+			next, err := change.Apply(c)
+			if err != nil {
+				b.Fatal(err)
+			}
+			name := fmt.Sprintf("%d/Put%d", size, len(change.Put.Adapters))
+			b.Run("Apply/"+name, func(b *testing.B) {
+				for b.Loop() {
+					_, _ = change.Apply(c)
+				}
+			})
+			b.Run("DeltaOf/"+name, func(b *testing.B) {
+				for b.Loop() {
+					DeltaOf(c, next)
+				}
+			})
+			delta := DeltaOf(c, next)
+			b.Run("DeltaApply/"+name, func(b *testing.B) {
+				for b.Loop() {
+					_, _ = delta.Apply(c)
+				}
+			})
+		}
+	}
+}
--- a/catalog/delta.go
+++ b/catalog/delta.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"reflect"
 )
 
 // Delta is what a node at version Base lacks to be at Version.
@@ -18,30 +17,37 @@
 // DeltaOf returns what leads from a to b.
 func DeltaOf(a, b Catalog) Delta {
 	d := Delta{Base: a.Version, Version: b.Version, Preset: b.Preset}
-	d.Delete.Services, d.Put.Services = changed(a.Services, b.Services, Service.key)
-	d.Delete.Models, d.Put.Models = changed(a.Models, b.Models, Model.key)
-	d.Delete.Adapters, d.Put.Adapters = changed(a.Adapters, b.Adapters, Adapter.key)
-	d.Delete.Endpoints, d.Put.Endpoints = changed(a.Endpoints, b.Endpoints, Endpoint.key)
-	d.Delete.Presets, d.Put.Presets = changed(a.Presets, b.Presets, Preset.key)
+	was, now := a.indexed().index, b.indexed().index
+	d.Delete.Services, d.Put.Services = changed(was.services, now.services, Service.key, Service.equal)
+	d.Delete.Models, d.Put.Models = changed(was.models, now.models, Model.key, equal)
+	d.Delete.Adapters, d.Put.Adapters = changed(was.adapters, now.adapters, Adapter.key, equal)
+	d.Delete.Endpoints, d.Put.Endpoints = changed(was.endpoints, now.endpoints, Endpoint.key, equal)
+	d.Delete.Presets, d.Put.Presets = changed(was.presets, now.presets, Preset.key, equal)
 	return d
 }
 
-func changed[T any](before, after []T, key func(T) string) (gone []string, items []T) {
-	then, now := places(before, key), places(after, key)
-	for _, old := range before {
-		if _, kept := now[key(old)]; !kept {
+func changed[T any](was, now list[T], key func(T) string, same func(a, b T) bool) (gone []string, items []T) {
+	if identical(was.all, now.all) {
+		return nil, nil
+	}
+	for _, old := range was.all {
+		if _, kept := now.at[key(old)]; !kept {
 			gone = append(gone, key(old))
 		}
 	}
-	for _, one := range after {
-		i, had := then[key(one)]
-		if !had || !reflect.DeepEqual(before[i], one) {
+	for _, one := range now.all {
+		i, had := was.at[key(one)]
+		if !had || !same(was.all[i], one) {
 			items = append(items, one)
 		}
 	}
 	return gone, items
 }
 
+func equal[T comparable](a, b T) bool {
+	return a == b
+}
+
 // Apply returns the catalog at the delta's version; a base other than a's is refused with ErrVersionMismatch.
 func (d Delta) Apply(a Catalog) (Catalog, error) {
 	if a.Version != d.Base {
--- a/catalog/index.go
+++ b/catalog/index.go
@@ -7,51 +7,57 @@
 
 // index maps names to places in the lists; it is built once and never changed.
 type index struct {
-	service, model, adapter, endpoint map[string]int
+	services  list[Service]
+	models    list[Model]
+	adapters  list[Adapter]
+	endpoints list[Endpoint]
+	presets   list[Preset]
 }
 
-func (i *index) services() map[string]int {
-	if i == nil {
-		return nil
-	}
-	return i.service
+// list is one sorted list with the places of its names.
+type list[T any] struct {
+	all []T
+	at  map[string]int
 }
 
-func (i *index) models() map[string]int {
-	if i == nil {
-		return nil
+var noIndex = &index{}
+
+// places returns the catalog's index, an empty one for a literal.
+func (c Catalog) places() *index {
+	if c.index == nil {
+		return noIndex
 	}
-	return i.model
+	return c.index
 }
 
-func (i *index) adapters() map[string]int {
-	if i == nil {
-		return nil
+// indexed returns the catalog with sorted lists and an index; lists that didn't change keep theirs.
+func (c Catalog) indexed() Catalog {
+	was := c.places()
+	now := &index{
+		services:  was.services.of(c.Services, Service.key),
+		models:    was.models.of(c.Models, Model.key),
+		adapters:  was.adapters.of(c.Adapters, Adapter.key),
+		endpoints: was.endpoints.of(c.Endpoints, Endpoint.key),
+		presets:   was.presets.of(c.Presets, Preset.key),
 	}
-	return i.adapter
+	c.Services, c.Models, c.Adapters = now.services.all, now.models.all, now.adapters.all
+	c.Endpoints, c.Presets = now.endpoints.all, now.presets.all
+	c.index = now
+	return c
 }
 
-func (i *index) endpoints() map[string]int {
-	if i == nil {
-		return nil
+// of returns the sorted list of all; it is l itself where all is l's own.
+func (l list[T]) of(all []T, key func(T) string) list[T] {
+	if l.at != nil && identical(l.all, all) {
+		return l
 	}
-	return i.endpoint
+	all = sorted(all, key)
+	return list[T]{all: all, at: places(all, key)}
 }
 
-// indexed returns the catalog with sorted lists and an index.
-func (c Catalog) indexed() Catalog {
-	c.Services = sorted(c.Services, Service.key)
-	c.Models = sorted(c.Models, Model.key)
-	c.Adapters = sorted(c.Adapters, Adapter.key)
-	c.Endpoints = sorted(c.Endpoints, Endpoint.key)
-	c.Presets = sorted(c.Presets, Preset.key)
-	c.index = &index{
-		service:  places(c.Services, Service.key),
-		model:    places(c.Models, Model.key),
-		adapter:  places(c.Adapters, Adapter.key),
-		endpoint: places(c.Endpoints, Endpoint.key),
-	}
-	return c
+// identical reports whether both are one list in memory.
+func identical[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 func sorted[T any](all []T, key func(T) string) []T {
@@ -72,17 +78,15 @@
 	return at
 }
 
-// find trusts an index only where it fits the list, since a literal has none.
-func find[T any](all []T, at map[string]int, name string, key func(T) string) (T, bool) {
+// find trusts an index only where it is the list's own, since a literal has none.
+func find[T any](all []T, l list[T], name string, key func(T) string) (T, bool) {
 	var none T
-	if at != nil && len(at) == len(all) {
-		i, known := at[name]
+	if l.at != nil && identical(l.all, all) {
+		i, known := l.at[name]
 		if !known {
 			return none, false
 		}
-		if key(all[i]) == name {
-			return all[i], true
-		}
+		return all[i], true
 	}
 	i := slices.IndexFunc(all, func(one T) bool { return key(one) == name })
 	if i < 0 {
@@ -93,21 +97,30 @@
 
 // put returns a new list with items put in or replaced by their key.
 func put[T any](all, items []T, key func(T) string) []T {
-	at := places(all, key)
+	if len(items) == 0 {
+		return all
+	}
+	at := places(items, key)
 	list := slices.Clone(all)
-	for _, one := range items {
-		if i, known := at[key(one)]; known {
-			list[i] = one
-			continue
+	for i, one := range list {
+		if from, known := at[key(one)]; known {
+			list[i] = items[from]
+			delete(at, key(one))
+		}
+	}
+	for i, one := range items {
+		if from, known := at[key(one)]; known && from == i {
+			list = append(list, one)
 		}
-		at[key(one)] = len(list)
-		list = append(list, one)
 	}
 	return list
 }
 
 // without returns a new list without the named items, and the names that it didn't hold.
 func without[T any](all []T, names []string, key func(T) string) ([]T, []string) {
+	if len(names) == 0 {
+		return all, nil
+	}
 	gone := make(map[string]bool, len(names))
 	for _, name := range names {
 		gone[name] = true
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"regexp"
+	"slices"
 )
 
 // ServiceKind says what stands behind a service.
@@ -51,6 +52,10 @@
 	return c.indexed(), nil
 }
 
+func (one Service) equal(other Service) bool {
+	return one.Name == other.Name && one.Kind == other.Kind && slices.Equal(one.NonIdempotent, other.NonIdempotent)
+}
+
 func (one Service) key() string { return one.Name }
 
 // ErrServiceNotExist says that By refers to a service that the catalog doesn't hold.
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -5,29 +5,26 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strings"
 )
 
 const (
-	byChange   = "the change"
-	namePolicy = "1 to 64 of letters, digits, '.', '_' and '-', the first a letter or digit"
+	byChange      = "the change"
+	maxNameLength = 64
+	namePolicy    = "1 to 64 of letters, digits, '.', '_' and '-', the first a letter or digit"
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
-	badVersion  = regexp.MustCompile(`[\s/@]`)
-)
+var badVersion = regexp.MustCompile(`[\s/@]`)
 
 // Validate checks the whole catalog; the error joins one typed error for each fault.
 func (c Catalog) Validate() error {
-	if c.index == nil {
-		c = c.indexed()
-	}
+	c = c.indexed()
 	r := &report{}
-	unique(r, "Services", c.Services, Service.key)
-	unique(r, "Models", c.Models, Model.key)
-	unique(r, "Adapters", c.Adapters, Adapter.key)
-	unique(r, "Endpoints", c.Endpoints, Endpoint.key)
-	unique(r, "Presets", c.Presets, Preset.key)
+	unique(r, "Services", c.index.services, Service.key)
+	unique(r, "Models", c.index.models, Model.key)
+	unique(r, "Adapters", c.index.adapters, Adapter.key)
+	unique(r, "Endpoints", c.index.endpoints, Endpoint.key)
+	unique(r, "Presets", c.index.presets, Preset.key)
 	for _, one := range c.Services {
 		one.check(r)
 	}
@@ -66,17 +63,34 @@
 }
 
 func (r *report) name(key, name string) {
-	r.need(namePattern.MatchString(name), key+".Name", name, namePolicy)
+	r.need(validName(name), key+".Name", name, namePolicy)
+}
+
+func unique[T any](r *report, name string, l list[T], key func(T) string) {
+	if len(l.at) == len(l.all) {
+		return
+	}
+	for i, one := range l.all {
+		if l.at[key(one)] != i {
+			r.add(ErrNameTaken{Name: key(one), By: name})
+		}
+	}
 }
 
-func unique[T any](r *report, list string, all []T, key func(T) string) {
-	seen := make(map[string]bool, len(all))
-	for _, one := range all {
-		if seen[key(one)] {
-			r.add(ErrNameTaken{Name: key(one), By: list})
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameLength || strings.ContainsRune("._-", rune(name[0])) {
+		return false
+	}
+	for i := range len(name) {
+		if !validByte(name[i]) {
+			return false
 		}
-		seen[key(one)] = true
 	}
+	return true
+}
+
+func validByte(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '.' || b == '_' || b == '-'
 }
 
 func show(value any) string {
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -88,7 +88,7 @@
 		return answer{}, errLost{cause: err}
 	}
 	if response.StatusCode/100 != 2 {
-		return answer{}, refusal(response, body)
+		return answer{}, refusal(response, body, one.operationID)
 	}
 	version, _ := strconv.ParseUint(strings.Trim(response.Header.Get("ETag"), `"`), 10, 64)
 	return answer{version: version, body: body}, nil
@@ -111,13 +111,13 @@
 }
 
 // refusal reads a problem; only a control that cannot answer now is asked again.
-func refusal(response *http.Response, body []byte) error {
+func refusal(response *http.Response, body []byte, operationID string) error {
 	problem := operatorapi.Problem{}
 	if json.Unmarshal(body, &problem) != nil || problem.Title == "" {
 		problem = operatorapi.Problem{Title: http.StatusText(response.StatusCode)}
 	}
 	problem.Status = response.StatusCode
-	refused := ErrRefused{Problem: problem}
+	refused := ErrRefused{Problem: problem, OperationID: operationID}
 	switch response.StatusCode {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
 		return refused
--- a/cmd/client_error.go
+++ b/cmd/client_error.go
@@ -53,9 +53,10 @@
 	return errors.As(err, &lost)
 }
 
-// ErrRefused is the control's refusal.
+// ErrRefused is the control's refusal; OperationID is the change's, if it was one.
 type ErrRefused struct {
-	Problem operatorapi.Problem
+	Problem     operatorapi.Problem
+	OperationID string
 }
 
 // Error puts the refusal into one line.
@@ -77,6 +78,10 @@
 	if p.Holder != "" {
 		line.WriteString(" (held by " + p.Holder + ")")
 	}
+	// A control that fails may still commit the change that it has taken.
+	if p.Status >= http.StatusInternalServerError && err.OperationID != "" {
+		line.WriteString("; send the change again with --operation-id " + err.OperationID)
+	}
 	return line.String()
 }
 
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -186,6 +186,8 @@
 			requests: []string{`POST /operator/v1/preset "4"`, `POST /operator/v1/preset "4"`, `POST /operator/v1/preset "4"`}},
 		{name: "busy control", busy: 1, args: "ctl preset Peak --base 4", want: result{Stdout: "accepted as version 5\n"}, version: 5,
 			requests: []string{`POST /operator/v1/preset "4"`, `POST /operator/v1/preset "4"`}},
+		{name: "no quorum", busy: 1 << 30, args: "ctl --timeout 1ns preset Peak --base 4 --operation-id op-1", version: 4, requests: []string{`POST /operator/v1/preset "4"`},
+			want: result{Code: exitFailure, Stderr: "refused with 503 No quorum; send the change again with --operation-id op-1\n"}},
 		{name: "conflict", args: "ctl preset Peak --base 3", version: 4, requests: []string{`POST /operator/v1/preset "3"`},
 			want: result{Code: exitFailure, Stderr: "conflict: the catalog is at version 4, not at the version that the change is based on; look at the current one with ctl get and apply the change again [VersionConflict]\n"}},
 		{name: "refused", args: "ctl preset None --base 4", version: 4, requests: []string{`POST /operator/v1/preset "4"`},
