Check addresses and names of members by rules of our own

Cause: the library refused IPv6 numbers as HOST:PORT, and a member such as n=10.0.0.1:x passed; two packages read files with the same error type. Change: addresses, members and node names have checks of their own, tested in tables; jsonc reads files for all. The test of a bad member now names its place in the list, and a repeated name has a test to itself. Conclusion: [::1]:7300 is taken and 10.0.0.1:x is refused.

--- a/cmd/catalog.go
+++ b/cmd/catalog.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"os"
 
 	"burdocksaddle/catalog"
+	"burdocksaddle/jsonc"
 
 	"github.com/urfave/cli/v3"
 )
@@ -29,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := readFile(path)
+	data, err := jsonc.ReadFile(path)
 	if err != nil {
 		return err
 	}
@@ -41,33 +40,3 @@
 		path, len(read.Services), len(read.Models), len(read.Adapters), read.Preset)
 	return err
 }
-
-func readFile(path string) ([]byte, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, ErrFileUnreadable{File: path, Cause: errors.Unwrap(err)}
-	}
-	return data, nil
-}
-
-// ErrFileUnreadable says that a file named on the command line could not be read.
-type ErrFileUnreadable struct {
-	File  string
-	Cause error
-}
-
-// Error names the file and the cause.
-func (err ErrFileUnreadable) Error() string {
-	return fmt.Sprintf("%s: cannot be read: %v", err.File, err.Cause)
-}
-
-// Unwrap returns the cause.
-func (err ErrFileUnreadable) Unwrap() error {
-	return err.Cause
-}
-
-// IsErrFileUnreadable reports whether err holds an ErrFileUnreadable.
-func IsErrFileUnreadable(err error) bool {
-	var unreadable ErrFileUnreadable
-	return errors.As(err, &unreadable)
-}
--- a/cmd/ctl.go
+++ b/cmd/ctl.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"burdocksaddle/jsonc"
 	"burdocksaddle/operatorapi"
 
 	"github.com/urfave/cli/v3"
@@ -94,7 +95,7 @@
 	if path == "" {
 		return to, nil
 	}
-	token, err := readFile(path)
+	token, err := jsonc.ReadFile(path)
 	if err != nil {
 		return to, err
 	}
--- a/cmd/ctl_change.go
+++ b/cmd/ctl_change.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"burdocksaddle/catalog"
+	"burdocksaddle/jsonc"
 	"burdocksaddle/operatorapi"
 
 	"github.com/urfave/cli/v3"
@@ -65,7 +66,7 @@
 	if path == "" {
 		return ErrUsage{Command: c.FullName(), Reason: "needs -f FILE"}
 	}
-	data, err := readFile(path)
+	data, err := jsonc.ReadFile(path)
 	if err != nil {
 		return err
 	}
--- a/setting/check.go
+++ b/setting/check.go
@@ -3,16 +3,56 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"reflect"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
+	"unicode"
 
 	"burdocksaddle/jsonc"
 
 	"github.com/go-playground/validator/v10"
 )
 
-var checker = validator.New(validator.WithRequiredStructEnabled())
+var checker = newChecker()
+
+var hostPattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9-]{0,62})(\.[A-Za-z0-9][A-Za-z0-9-]{0,62})*$`)
+
+func newChecker() *validator.Validate {
+	c := validator.New(validator.WithRequiredStructEnabled())
+	rules := map[string]func(string) bool{"address": isAddress, "member": isMember, "node": isNode}
+	for tag, holds := range rules {
+		rule := func(field validator.FieldLevel) bool { return holds(field.Field().String()) }
+		if err := c.RegisterValidation(tag, rule); err != nil {
+			panic(err)
+		}
+	}
+	return c
+}
+
+// isAddress holds for HOST:PORT with a name or an IP number; an empty host is every address of the VM.
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 {
+		return false
+	}
+	return host == "" || net.ParseIP(host) != nil || hostPattern.MatchString(host)
+}
+
+func isNode(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return r == '=' || unicode.IsSpace(r) || unicode.IsControl(r) })
+}
+
+func isMember(text string) bool {
+	name, address, found := strings.Cut(text, "=")
+	return found && name != "" && isNode(name) && isAddress(address) && !strings.HasPrefix(address, ":")
+}
 
 // Has reports whether the process plays a role.
 func (s Settings) Has(role Role) bool {
@@ -75,7 +115,11 @@
 		return "more than " + fault.Param()
 	case "oneof":
 		return "one of " + strings.ReplaceAll(fault.Param(), " ", ", ")
-	case "hostname_port":
+	case "node":
+		return "a name without space, = and control characters"
+	case "member":
+		return "NAME=HOST:PORT"
+	case "address":
 		return "HOST:PORT with a port from 1 to 65535"
 	case "http_url":
 		return "a URL with http or https"
--- a/setting/error.go
+++ b/setting/error.go
@@ -23,25 +23,3 @@
 	var invalid ErrSettingInvalid
 	return errors.As(err, &invalid)
 }
-
-// ErrFileUnreadable says that a settings file could not be read.
-type ErrFileUnreadable struct {
-	File  string
-	Cause error
-}
-
-// Error names the file and the cause.
-func (err ErrFileUnreadable) Error() string {
-	return fmt.Sprintf("%s: cannot be read: %v", err.File, err.Cause)
-}
-
-// Unwrap returns the cause.
-func (err ErrFileUnreadable) Unwrap() error {
-	return err.Cause
-}
-
-// IsErrFileUnreadable reports whether err holds an ErrFileUnreadable.
-func IsErrFileUnreadable(err error) bool {
-	var unreadable ErrFileUnreadable
-	return errors.As(err, &unreadable)
-}
--- a/setting/load.go
+++ b/setting/load.go
@@ -4,16 +4,15 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"os"
 
 	"burdocksaddle/jsonc"
 )
 
-// Load reads and checks the settings file at path; errors are ErrFileUnreadable and ErrSettingInvalid.
+// Load reads and checks the settings file at path; errors are jsonc.ErrFileUnreadable and ErrSettingInvalid.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := jsonc.ReadFile(path)
 	if err != nil {
-		return Settings{}, ErrFileUnreadable{File: path, Cause: errors.Unwrap(err)}
+		return Settings{}, err
 	}
 	return Parse(path, data)
 }
--- a/setting/load_test.go
+++ b/setting/load_test.go
@@ -101,7 +101,11 @@
 		{"open operator", whole + `"Operator": {"Listen": "10.0.0.1:1"}}`, `f: Operator.Listen is "10.0.0.1:1"; allowed: a loopback address, or at least one operator in Operator.TokenFiles`},
 		{"entry", strings.Replace(whole, `"Control"]`, `"Control", "Entry"]`, 1) + `}`, `f: Entry.CallerListen is missing or empty; allowed: HOST:PORT, since the role Entry serves callers`},
 		{"agent", strings.Replace(whole, `"Control"]`, `"Control", "Agent"]`, 1) + `"Agent": {"Endpoint": "e", "Service": "s", "Kind": "Model", "MemoryMB": 1}}`, `f: Agent.EndpointURL is missing or empty; allowed: a URL with http or https`},
-		{"bootstrap", strings.Replace(whole, `n=127`, `127`, 1) + `}`, `f: Control.Bootstrap is "127.0.0.1:1"; allowed: NAME=HOST:PORT, each name once`},
+		{"bootstrap", strings.Replace(whole, `n=127`, `127`, 1) + `}`, `f: Control.Bootstrap[0] is "127.0.0.1:1"; allowed: NAME=HOST:PORT`},
+		{"bootstrap name twice", strings.Replace(whole, `["n=127.0.0.1:1"]`, `["n=127.0.0.1:1", "n=127.0.0.1:2"]`, 1) + `}`, `f: Control.Bootstrap is "n=127.0.0.1:2"; allowed: each name once`},
+		{"node", strings.Replace(whole, `"Node": "n"`, `"Node": "n=1"`, 1) + `}`, `f: Node is "n=1"; allowed: a name without space, = and control characters`},
+		{"token file", whole + `"Operator": {"TokenFiles": {"ann": ""}}}`, `f: Operator.TokenFiles[ann] is missing or empty; allowed: a value, since it has no default`},
+		{"address", whole + `"Advertise": "127.0.0.1:0"}`, `f: Advertise is "127.0.0.1:0"; allowed: HOST:PORT with a port from 1 to 65535`},
 		{"deadlines", strings.Replace(whole, `"Control"]`, `"Control", "Entry"]`, 1) + `"Entry": {"DefaultDeadlineMS": 3, "MaxDeadlineMS": 2, "CallerListen": "127.0.0.1:2"}}`, `f: Entry.DefaultDeadlineMS is 3; allowed: at most Entry.MaxDeadlineMS, 2`},
 	}
 	for _, test := range tests {
@@ -117,10 +121,22 @@
 	}
 }
 
+func TestIsAddress(t *testing.T) {
+	tests := map[string]bool{
+		"127.0.0.1:1": true, "[::1]:65535": true, "vm-1.example:80": true, "localhost:80": true, ":80": true,
+		"": false, "127.0.0.1": false, "127.0.0.1:65536": false, "127.0.0.1:x": false, "::1:80": false, "-a:80": false, "a b:80": false,
+	}
+	for text, want := range tests {
+		if got := isAddress(text); got != want {
+			t.Errorf("%q is an address: %v", text, got)
+		}
+	}
+}
+
 func TestLoadMissingFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "none.json")
 	_, err := Load(path)
-	if !IsErrFileUnreadable(err) {
+	if !jsonc.IsErrFileUnreadable(err) {
 		t.Fatalf("got %v", err)
 	}
 	if diff := cmp.Diff(path+": cannot be read: no such file or directory", err.Error()); diff != "" {
--- a/setting/rules.go
+++ b/setting/rules.go
@@ -78,10 +78,8 @@
 	r.need(len(first) > 0, "Control.Bootstrap", missing, "the first members as NAME=HOST:PORT")
 	names := make(map[string]bool, len(first))
 	for _, member := range first {
-		name, address, found := strings.Cut(member, "=")
-		_, port, err := net.SplitHostPort(address)
-		whole := found && name != "" && err == nil && port != ""
-		r.need(whole && !names[name], "Control.Bootstrap", show(member), "NAME=HOST:PORT, each name once")
+		name, _, _ := strings.Cut(member, "=")
+		r.need(!names[name], "Control.Bootstrap", show(member), "each name once")
 		names[name] = true
 	}
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -13,17 +13,17 @@
 // Settings holds everything that a process is told at its start.
 type Settings struct {
 	// Node is the process's name, unique in the deployment.
-	Node string `validate:"required,max=64"`
+	Node string `validate:"required,max=64,node"`
 	// Region and DataCentre say where the VM stands.
 	Region     string `validate:"max=64"`
 	DataCentre string `validate:"required,max=64"`
 	Roles      []Role `validate:"required,min=1,unique,dive,oneof=Entry Agent Control"`
 	// Listen is the HOST:PORT for the system's own processes.
-	Listen string `validate:"omitempty,hostname_port"`
+	Listen string `validate:"omitempty,address"`
 	// Advertise is what others dial; Listen when empty.
-	Advertise string `validate:"omitempty,hostname_port"`
+	Advertise string `validate:"omitempty,address"`
 	// Controls are the HOST:PORTs of the control members.
-	Controls []string `validate:"required,min=1,max=9,unique,dive,hostname_port"`
+	Controls []string `validate:"required,min=1,max=9,unique,dive,address"`
 	Entry    Entry
 	Agent    Agent
 	Control  Control
@@ -36,7 +36,7 @@
 // Entry holds the settings of the entry role.
 type Entry struct {
 	// CallerListen is the HOST:PORT for callers and the balancer.
-	CallerListen string `validate:"omitempty,hostname_port"`
+	CallerListen string `validate:"omitempty,address"`
 	// MaxBodyBytes bounds a caller's body.
 	MaxBodyBytes int64 `validate:"min=1,max=67108864"`
 	// DefaultDeadlineMS holds where a caller names none; MaxDeadlineMS bounds what they ask.
@@ -81,7 +81,7 @@
 	// DataFolder holds the log and snapshots; empty keeps them in memory.
 	DataFolder string
 	// Bootstrap lists the first members as NAME=HOST:PORT; the same on each.
-	Bootstrap []string `validate:"max=9,unique"`
+	Bootstrap []string `validate:"max=9,unique,dive,member"`
 	// StandingLearner makes this VM a spare that replaces a voter that stays gone.
 	StandingLearner bool
 	// ReplaceAfterMS is how long a voter is gone before a spare replaces it.
@@ -100,7 +100,7 @@
 // Operator holds the settings of the operator API, dumps and metrics.
 type Operator struct {
 	// Listen is the HOST:PORT for operators.
-	Listen string `validate:"omitempty,hostname_port"`
+	Listen string `validate:"omitempty,address"`
 	// TokenFiles maps an operator's name to the file that holds its token.
 	TokenFiles map[string]string `validate:"dive,keys,required,max=64,endkeys,required"`
 }
