Give the demo the addresses that the pages name

Cause: README's first request named a port and a model that the demo did not have, and ctl's default address reached nothing.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -15,7 +15,7 @@
 		Usage: "run all roles and the stand-ins in one process on loopback",
 		Flags: []cli.Flag{&cli.IntFlag{Name: "verbosity", Usage: "log detail, 0 to 2"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			d, err := demo.Start(ctx, newLog(c.Int("verbosity")))
+			d, err := demo.Start(ctx, newLog(c.Int("verbosity")), demo.WithAddresses(demoOperator, demoCaller))
 			if err != nil {
 				return err
 			}
@@ -30,6 +30,12 @@
 	}
 }
 
+// Addresses of the demo where they are free; ctl takes the first by default.
+const (
+	demoOperator = "127.0.0.1:7400"
+	demoCaller   = "127.0.0.1:8080"
+)
+
 func explain(c *cli.Command, d *demo.Demo) {
 	caller := d.Callers[0]
 	printf(c, "callers:   %s\noperators: %s\n\n", d.Callers, d.Operator)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -40,15 +40,27 @@
 	Platform *standin.Platform
 
 	log       logr.Logger
+	preferred []string
 	mu        sync.Mutex
 	listeners map[string]net.Listener
 	ends      []<-chan error
 	control   string
 }
 
+// Option sets one property of a Demo.
+type Option func(*Demo)
+
+// WithAddresses asks for the operators' and the first entry's address; taken ones are replaced by free ones.
+func WithAddresses(operator, caller string) Option {
+	return func(d *Demo) { d.preferred = []string{operator, caller} }
+}
+
 // Start brings everything up and returns once callers are served.
-func Start(ctx context.Context, log logr.Logger) (*Demo, error) {
+func Start(ctx context.Context, log logr.Logger, options ...Option) (*Demo, error) {
 	d := &Demo{log: log, listeners: map[string]net.Listener{}}
+	for _, option := range options {
+		option(d)
+	}
 	if err := d.startControl(ctx); err != nil {
 		return nil, err
 	}
@@ -90,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	s.Listen, s.Operator.Listen = addresses[0], addresses[1]
+	s.Listen, s.Operator.Listen = addresses[0], d.prefer(ctx, 0, addresses[1])
 	s.Controls = []string{s.Listen}
 	d.control, d.Operator = s.Listen, "http://"+s.Operator.Listen
 	n := d.node(s)
@@ -152,6 +164,9 @@
 	s := setting.Defaults()
 	s.Node, s.DataCentre, s.Roles, s.Controls = "entry-"+strconv.Itoa(i+1), "first", []setting.Role{setting.RoleEntry}, []string{d.control}
 	s.Entry.CallerListen, s.Operator.Listen = addresses[0], addresses[1]
+	if i == 0 {
+		s.Entry.CallerListen = d.prefer(ctx, 1, addresses[0])
+	}
 	d.Callers = append(d.Callers, "http://"+s.Entry.CallerListen)
 	d.ends = append(d.ends, d.node(s).Run(ctx))
 	return nil
@@ -180,6 +195,24 @@
 	return addresses, nil
 }
 
+// prefer returns the address that was asked for, or the free one where it is taken.
+func (d *Demo) prefer(ctx context.Context, i int, free string) string {
+	if i >= len(d.preferred) {
+		return free
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", d.preferred[i])
+	if err != nil {
+		return free
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.listeners[free].Close()
+	delete(d.listeners, free)
+	d.listeners[d.preferred[i]] = listener
+	return d.preferred[i]
+}
+
 func (d *Demo) listen(_ context.Context, address string) (net.Listener, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
