--- a/control/machine.go
+++ b/control/machine.go
@@ -1,6 +1,10 @@
 package control
 
 import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
 	"burdocksaddle/catalog"
 	"burdocksaddle/fleet"
 	"burdocksaddle/ledger"
@@ -14,31 +18,51 @@
 	history    []Change
 	fleet      *fleet.Fleet
 	ledger     *ledger.Ledger
-	operations map[string]*wirepb.CommandResult
+	operations *answers
+	proposals  *answers
+	// nowMS is the latest of the commands' times, so that time never goes back with a new leader's clock.
+	nowMS int64
 }
 
-// Change is one accepted change of the catalog.
-type Change struct {
-	Version     uint64
-	Operator    string
-	OperationID string
-	AtMS        int64
-	Catalog     catalog.Catalog
-}
+const (
+	maxOperations = 10_000
+	operationKeep = 24 * time.Hour
+	maxProposals  = 10_000
+	proposalKeep  = 2 * time.Minute
+)
 
 // NewMachine makes the empty state.
 func NewMachine() *Machine {
-	return &Machine{fleet: fleet.New(), ledger: ledger.New(), operations: map[string]*wirepb.CommandResult{}}
+	return &Machine{
+		fleet: fleet.New(), ledger: ledger.New(),
+		operations: newAnswers(maxOperations, operationKeep.Milliseconds()),
+		proposals:  newAnswers(maxProposals, proposalKeep.Milliseconds()),
+	}
 }
 
-// Apply carries one committed command out and returns its result.
+// Apply carries one committed command out and returns its result; a resent proposal gets its first one.
 func (m *Machine) Apply(index uint64, command *wirepb.Command) *wirepb.CommandResult {
 	m.index = index
-	result := &wirepb.CommandResult{}
-	atMS := int64(command.GetAtMs())
+	m.nowMS = max(m.nowMS, int64(command.GetAtMs()))
+	m.operations.forget(m.nowMS)
+	m.proposals.forget(m.nowMS)
+	if first, _, known := m.proposals.find(command.GetProposal(), 0); known {
+		return first
+	}
+	result := m.carryOut(command)
+	// A replayed claim may hold a large answer, which the ledger keeps.
+	if command.GetProposal() != "" && result.GetClaim().GetAnswer() == nil {
+		m.proposals.keep(command.GetProposal(), 0, m.nowMS, result)
+	}
+	return result
+}
+
+func (m *Machine) carryOut(command *wirepb.Command) *wirepb.CommandResult {
+	result := &wirepb.CommandResult{Index: m.index}
+	atMS := m.nowMS
 	switch kind := command.GetKind().(type) {
 	case *wirepb.Command_CatalogChange:
-		result = m.changeCatalog(kind.CatalogChange, atMS)
+		return m.changeCatalog(kind.CatalogChange, atMS)
 	case *wirepb.Command_Register:
 		result.Incarnation = m.register(kind.Register, atMS)
 	case *wirepb.Command_Report:
@@ -52,17 +76,21 @@
 	case *wirepb.Command_EndpointChange:
 		m.changeEndpoint(kind.EndpointChange)
 	}
-	result.Index = index
 	result.CatalogVersion = m.catalog.Version
 	return result
 }
 
+// changeCatalog answers a resent operation as the first time, whatever changed since.
 func (m *Machine) changeCatalog(c *wirepb.CatalogChange, atMS int64) *wirepb.CommandResult {
 	operation := c.GetOperator() + "\x00" + c.GetOperationId()
-	if first, ok := m.operations[operation]; ok {
+	hash := changeHash(c)
+	if first, same, known := m.operations.find(operation, hash); known && same {
 		return first
+	} else if known {
+		return &wirepb.CommandResult{Index: m.index, CatalogVersion: m.catalog.Version, ErrorCode: CodeOperationReused,
+			ErrorDetail: "the operation id " + c.GetOperationId() + " was used for another change"}
 	}
-	result := &wirepb.CommandResult{}
+	result := &wirepb.CommandResult{Index: m.index}
 	if c.GetBaseVersion() != m.catalog.Version {
 		result.ErrorCode, result.ErrorDetail = CodeVersionConflict, "the catalog has another version by now"
 		if len(m.history) > 0 {
@@ -71,14 +99,21 @@
 	} else if next, err := changed(m.catalog, c.GetChange()); err != nil {
 		result.ErrorCode, result.ErrorDetail = CodeChangeInvalid, err.Error()
 	} else {
+		m.record(Change{
+			Version: next.Version, Operator: c.GetOperator(), OperationID: c.GetOperationId(), AtMS: atMS,
+			Preset: next.Preset, Back: catalog.DeltaOf(next, m.catalog),
+		})
 		m.catalog = next
-		m.history = append(m.history, Change{Version: next.Version, Operator: c.GetOperator(), OperationID: c.GetOperationId(), AtMS: atMS, Catalog: next})
 	}
 	result.CatalogVersion = m.catalog.Version
-	m.operations[operation] = result
+	m.operations.keep(operation, hash, atMS, result)
 	return result
 }
 
+func changeHash(c *wirepb.CatalogChange) uint64 {
+	return xxhash.Sum64(c.GetChange()) ^ c.GetBaseVersion()
+}
+
 func (m *Machine) register(r *wirepb.Register, atMS int64) uint64 {
 	return m.fleet.Register(fleet.Endpoint{
 		Name: r.GetEndpoint(), Service: r.GetService(), DataCentre: r.GetDataCentre(), Address: r.GetAddress(),
--- a/control/operate.go
+++ b/control/operate.go
@@ -69,14 +69,11 @@
 	return append([]Change{}, m.machine.history...)
 }
 
-// At returns the catalog of a version that is still in the history.
+// At returns the catalog of a version that the history still reaches.
 func (m *Member) At(version uint64) (catalog.Catalog, bool) {
-	for _, change := range m.History() {
-		if change.Version == version {
-			return change.Catalog, true
-		}
-	}
-	return catalog.Catalog{}, false
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.machine.At(version)
 }
 
 // MemberInfo describes one control member to operators.
--- a/control/state.go
+++ b/control/state.go
@@ -12,6 +12,7 @@
 const (
 	CodeVersionConflict = "VersionConflict"
 	CodeChangeInvalid   = "ChangeInvalid"
+	CodeOperationReused = "OperationReused"
 	CodeRefused         = "Refused"
 )
 
--- a/web/operator.go
+++ b/web/operator.go
@@ -185,7 +185,7 @@
 func (o *Operator) history(w http.ResponseWriter, _ *http.Request, _ string) {
 	entries := []historyEntry{}
 	for _, c := range o.member.History() {
-		entries = append(entries, historyEntry{Version: c.Version, Operator: c.Operator, OperationID: c.OperationID, At: time.UnixMilli(c.AtMS).UTC(), Preset: c.Catalog.Preset})
+		entries = append(entries, historyEntry{Version: c.Version, Operator: c.Operator, OperationID: c.OperationID, At: time.UnixMilli(c.AtMS).UTC(), Preset: c.Preset})
 	}
 	writeJSON(w, entries)
 }
