--- a/standin/engine.go
+++ b/standin/engine.go
@@ -25,8 +25,8 @@
 	defaultEventLag     = time.Second
 	defaultKeepRuns     = 30 * time.Second
 	remoteLoadTime      = 4 * time.Second
-	diskLoadTime        = time.Second
-	memoryLoadTime      = 200 * time.Millisecond
+	diskShare           = 4
+	memoryShare         = 20
 )
 
 // Counts is what an engine has seen, for tests to judge.
@@ -164,7 +164,7 @@
 		maxTokens: defaultMaxTokens, prefillSteps: defaultPrefillSteps,
 		tokenTime: defaultTokenTime, unloadTime: defaultUnloadTime,
 		reportLag: defaultReportLag, eventLag: defaultEventLag, keepRuns: defaultKeepRuns,
-		client: http.DefaultClient, loadTime: defaultLoadTime,
+		client: http.DefaultClient, loadTime: LoadTimes(remoteLoadTime),
 		adapterTime: func(engineapi.Order) time.Duration { return defaultAdapterTime },
 		wake:        make(chan struct{}, 1),
 		runs:        map[string]*run{},
@@ -228,13 +228,16 @@
 	}
 }
 
-func defaultLoadTime(_ engineapi.Order, cachedIn string) time.Duration {
-	switch cachedIn {
-	case engineapi.CacheMemory:
-		return memoryLoadTime
-	case engineapi.CacheDisk:
-		return diskLoadTime
-	default:
-		return remoteLoadTime
+// LoadTimes returns load times for a checkpoint that takes remote from the store: a quarter from disk, a twentieth from memory.
+func LoadTimes(remote time.Duration) func(order engineapi.Order, cachedIn string) time.Duration {
+	return func(_ engineapi.Order, cachedIn string) time.Duration {
+		switch cachedIn {
+		case engineapi.CacheMemory:
+			return remote / memoryShare
+		case engineapi.CacheDisk:
+			return remote / diskShare
+		default:
+			return remote
+		}
 	}
 }
--- a/standin/fault_test.go
+++ b/standin/fault_test.go
@@ -124,10 +124,10 @@
 			cachedIn string
 			want     time.Duration
 		}{
-			{"a", engineapi.CacheRemote, 2*time.Second + memoryLoadTime},
-			{"a", engineapi.CacheMemory, memoryLoadTime},
-			{"b", engineapi.CacheRemote, 2*time.Second + memoryLoadTime},
-			{"a", engineapi.CacheDisk, diskLoadTime},
+			{"a", engineapi.CacheRemote, 2*time.Second + remoteLoadTime/memoryShare},
+			{"a", engineapi.CacheMemory, remoteLoadTime / memoryShare},
+			{"b", engineapi.CacheRemote, 2*time.Second + remoteLoadTime/memoryShare},
+			{"a", engineapi.CacheDisk, remoteLoadTime / diskShare},
 		}
 		for i, test := range tests {
 			start := time.Now()
