Bound the ledger and keep late copies of claims harmless

A claim whose reply was lost could be opened twice after it was closed as not run, and claims were held for ever. Claims now carry the attempt that opened them, so a late copy opens nothing; the same copy of an open claim is fresh again for its own sender only. Claims are forgotten 24 h after their last change, by the latest leader's time seen; at most 262144 are held and recorded answers are bounded to 16 KiB. Run told as both Ran and NotRun is an error.

--- a/control/machine.go
+++ b/control/machine.go
@@ -72,7 +72,7 @@
 	case *wirepb.Command_ClaimOpen:
 		m.openClaim(kind.ClaimOpen, result, atMS)
 	case *wirepb.Command_ClaimClose:
-		m.closeClaim(kind.ClaimClose, result)
+		m.closeClaim(kind.ClaimClose, result, atMS)
 	case *wirepb.Command_EndpointChange:
 		m.changeEndpoint(kind.EndpointChange)
 	}
@@ -137,20 +137,32 @@
 }
 
 func (m *Machine) openClaim(c *wirepb.ClaimOpen, result *wirepb.CommandResult, atMS int64) {
-	claim, fresh, err := m.ledger.Open(ledger.Claim{
-		Caller: c.GetCaller(), Key: c.GetKey(), RequestID: c.GetRequestId(), Service: c.GetService(),
+	asked := ledger.Claim{
+		Caller: c.GetCaller(), Key: c.GetKey(), RequestID: c.GetRequestId(), Attempt: c.GetAttempt(), Service: c.GetService(),
 		Endpoint: c.GetEndpoint(), Incarnation: c.GetIncarnation(), BodyHash: c.GetBodyHash(),
-	}, m.index, atMS)
+	}
+	var claim ledger.Claim
+	var fresh bool
+	var err error
+	if c.GetPeek() {
+		claim, err = m.ledger.Peek(asked, atMS)
+	} else {
+		claim, fresh, err = m.ledger.Open(asked, m.index, atMS)
+	}
 	fail(result, err)
+	if ledger.IsErrKeyReused(err) {
+		result.ErrorCode = CodeKeyReused
+	}
 	result.Claim = claimView(claim, fresh)
 }
 
-func (m *Machine) closeClaim(c *wirepb.ClaimClose, result *wirepb.CommandResult) {
+func (m *Machine) closeClaim(c *wirepb.ClaimClose, result *wirepb.CommandResult, atMS int64) {
 	var answer *ledger.Answer
 	if a := c.GetAnswer(); a != nil {
 		answer = &ledger.Answer{Status: a.GetStatus(), ContentType: a.GetContentType(), Body: a.GetBody()}
 	}
-	claim, ok := m.ledger.Close(c.GetClaim(), outcomes[c.GetRun()], answer, c.GetAnswerOnAgent())
+	claim, ok, err := m.ledger.Close(c.GetClaim(), outcomes[c.GetRun()], answer, c.GetAnswerOnAgent(), atMS)
+	fail(result, err)
 	if ok {
 		result.Claim = claimView(claim, false)
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -14,6 +14,7 @@
 	CodeChangeInvalid   = "ChangeInvalid"
 	CodeOperationReused = "OperationReused"
 	CodeRefused         = "Refused"
+	CodeKeyReused       = "KeyReused"
 )
 
 var stateNumbers = map[fleet.State]wirepb.ReplicaState{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "time"
+
 // Outcome is what is known of a claimed request.
 type Outcome string
 
@@ -11,6 +13,15 @@
 	Unknown Outcome = "Unknown"
 )
 
+const (
+	// Retention is how long a key is remembered after its claim last changed.
+	Retention = 24 * time.Hour
+	// MaxAnswerBytes bounds a recorded answer's body; a larger one stays on its agent.
+	MaxAnswerBytes = 16 << 10
+	// MaxClaims bounds the claims held; further ones are refused until old ones expire.
+	MaxClaims = 1 << 18
+)
+
 // Answer is a recorded whole answer.
 type Answer struct {
 	Status      uint32
@@ -24,11 +35,13 @@
 	Caller      string
 	Key         string
 	RequestID   string
+	Attempt     uint32
 	Service     string
 	Endpoint    string
 	Incarnation uint64
 	BodyHash    uint64
 	OpenedMS    int64
+	ChangedMS   int64
 	Outcome     Outcome
 	Answer      *Answer `json:",omitempty"`
 	OnAgent     bool    `json:",omitempty"`
@@ -38,49 +51,116 @@
 type Ledger struct {
 	byID  map[uint64]Claim
 	byKey map[key]uint64
+	// nowMS is the latest time seen; a leader whose clock is behind doesn't turn it back.
+	nowMS int64
+	due   []due
 }
 
 type key struct{ caller, service, key string }
 
+// due names a claim that may expire, in the order of time.
+type due struct {
+	id   uint64
+	atMS int64
+}
+
 // New makes an empty Ledger.
 func New() *Ledger {
 	return &Ledger{byID: map[uint64]Claim{}, byKey: map[key]uint64{}}
 }
 
 // Open claims a request under a new number, or returns the claim that holds its key.
+// Fresh tells the claim's own request that it may dispatch; the errors are ErrKeyReused and ErrLedgerFull.
 func (l *Ledger) Open(c Claim, id uint64, atMS int64) (claim Claim, fresh bool, err error) {
-	k := key{c.Caller, c.Service, c.Key}
+	l.advance(atMS)
+	k := c.key()
 	if held, ok := l.byKey[k]; ok {
 		claim := l.byID[held]
 		if claim.BodyHash != c.BodyHash {
 			return claim, false, ErrKeyReused{Key: c.Key}
 		}
-		if claim.Outcome != NotRun {
-			return claim, false, nil
+		if !claim.replacedBy(c) {
+			return claim, claim.sameAs(c), nil
 		}
 		delete(l.byID, held)
+	} else if len(l.byID) >= MaxClaims {
+		return Claim{}, false, ErrLedgerFull{Claims: len(l.byID)}
 	}
-	c.ID, c.OpenedMS, c.Outcome = id, atMS, Open
-	l.byID[id], l.byKey[k] = c, id
-	return c, true, nil
+	c.ID, c.OpenedMS, c.Outcome = id, l.nowMS, Open
+	l.byKey[k] = id
+	return l.put(c), true, nil
 }
 
-// Close records the outcome of an open claim and returns what holds.
-func (l *Ledger) Close(id uint64, outcome Outcome, answer *Answer, onAgent bool) (Claim, bool) {
+// Peek returns the claim that holds a key, if there is one; the error is ErrKeyReused.
+func (l *Ledger) Peek(c Claim, atMS int64) (Claim, error) {
+	l.advance(atMS)
+	held, ok := l.byKey[c.key()]
+	if !ok {
+		return Claim{}, nil
+	}
+	claim := l.byID[held]
+	if claim.BodyHash != c.BodyHash {
+		return claim, ErrKeyReused{Key: c.Key}
+	}
+	return claim, nil
+}
+
+// Close records the outcome of a claim that has none yet and returns what holds; the error is ErrOutcomeConflict.
+func (l *Ledger) Close(id uint64, outcome Outcome, answer *Answer, onAgent bool, atMS int64) (Claim, bool, error) {
+	l.advance(atMS)
 	claim, ok := l.byID[id]
-	if !ok || (claim.Outcome != Open && claim.Outcome != Unknown) {
-		return claim, ok
+	if !ok {
+		return Claim{}, false, nil
+	}
+	if claim.Outcome == Ran && outcome == NotRun || claim.Outcome == NotRun && outcome == Ran {
+		return claim, true, ErrOutcomeConflict{Claim: id, Held: claim.Outcome, Told: outcome}
+	}
+	if claim.Outcome == NotRun || claim.Outcome == Ran || outcome == Open {
+		return claim, true, nil
+	}
+	if answer != nil && len(answer.Body) > MaxAnswerBytes {
+		answer, onAgent = nil, true
 	}
 	claim.Outcome, claim.Answer, claim.OnAgent = outcome, answer, onAgent
-	l.byID[id] = claim
-	return claim, true
+	return l.put(claim), true, nil
 }
 
 // Len returns how many claims are held.
 func (l *Ledger) Len() int { return len(l.byID) }
 
-// ErrKeyReused tells that a caller used a key for another body.
-type ErrKeyReused struct{ Key string }
+func (l *Ledger) put(c Claim) Claim {
+	c.ChangedMS = l.nowMS
+	l.byID[c.ID] = c
+	l.due = append(l.due, due{id: c.ID, atMS: l.nowMS + Retention.Milliseconds()})
+	return c
+}
 
-// Error implements error.
-func (e ErrKeyReused) Error() string { return "key " + e.Key + " was used with another body" }
+// advance takes the time forward and forgets what is past its retention.
+func (l *Ledger) advance(atMS int64) {
+	l.nowMS = max(l.nowMS, atMS)
+	for len(l.due) > 0 && l.due[0].atMS <= l.nowMS {
+		id := l.due[0].id
+		l.due = l.due[1:]
+		claim, ok := l.byID[id]
+		if !ok || claim.ChangedMS+Retention.Milliseconds() > l.nowMS {
+			continue
+		}
+		delete(l.byID, id)
+		if l.byKey[claim.key()] == id {
+			delete(l.byKey, claim.key())
+		}
+	}
+}
+
+func (c Claim) key() key { return key{c.Caller, c.Service, c.Key} }
+
+// replacedBy tells whether a key whose claim never ran is free for another attempt.
+func (c Claim) replacedBy(next Claim) bool {
+	return c.Outcome == NotRun && (c.RequestID != next.RequestID || next.Attempt > c.Attempt)
+}
+
+// sameAs tells whether a claim is the copy of one that is still open: its sender lost the reply.
+func (c Claim) sameAs(next Claim) bool {
+	return c.Outcome == Open && c.RequestID == next.RequestID && c.Attempt == next.Attempt &&
+		c.Endpoint == next.Endpoint && c.Incarnation == next.Incarnation
+}
