Free a replica only on its engine's own report

A report named the orders that an agent knew, so that what an engine held without a decision counted nowhere, a load that died stayed forever, and an unload counted as done at the first look, although an engine that ignores fencing numbers may still carry an older load out. A report is now the engine's whole inventory with a sequence. What nobody decided is adopted and counts; what a report lacks turns Unknown and ends only when the agent confirms that nothing older can come back: the engine refuses older fences, or all orders have outlived their lifetime. A lost load gets a new fence. The agent sends orders lowest fence first, reads the platform's list, marks its endpoint leaving, witnesses VMs that are listed no more, and loads adapters within leased permits. Lookups by endpoint, model and service go through indexes. Not yet wired: portions are granted by nobody, missing VMs not taken up.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,14 +26,17 @@
 
 	watch  *view.Client
 	orders chan []*wirepb.ReplicaOrder
-	// sent holds when each order went to the engine, by fence; the holder owns it.
-	sent map[uint64]time.Time
+	nudged chan struct{}
 
 	mu          sync.Mutex
 	incarnation uint64
 	leaving     bool
 	running     int
 	starts      map[string]*start
+	// What the engine and the platform said last.
+	adapters adapters
+	cached   []*wirepb.CachedCheckpoint
+	missing  []string
 }
 
 // Option sets one property of an Agent.
@@ -49,7 +52,8 @@
 func New(settings setting.Settings, pool *wire.Pool, process string, options ...Option) *Agent {
 	a := &Agent{
 		settings: settings, pool: pool, process: process, log: logr.Discard(), http: &http.Client{},
-		orders: make(chan []*wirepb.ReplicaOrder, 1), starts: map[string]*start{}, sent: map[uint64]time.Time{},
+		orders: make(chan []*wirepb.ReplicaOrder, 1), starts: map[string]*start{},
+		nudged: make(chan struct{}, 1), adapters: adapters{underWay: map[string]chan struct{}{}},
 	}
 	for _, option := range options {
 		option(a)
@@ -73,12 +77,11 @@
 	watch := view.New(a.pool, s.Controls, &wirepb.Watch{
 		Node: s.Node, Role: string(setting.RoleAgent), DataCentre: s.DataCentre,
 		Endpoint: s.Agent.Endpoint, Incarnation: incarnation,
-	}, view.WithLog(a.log), view.WithOrders(a.takeOrders))
+	}, view.WithLog(a.log), view.WithOrders(a.takeOrders), view.WithPermits(a.takePermits))
 	a.mu.Lock()
 	a.incarnation, a.watch = incarnation, watch
 	a.mu.Unlock()
-	watched, held := watch.Run(ctx), a.hold(ctx)
-	for _, end := range []<-chan error{watched, held} {
+	for _, end := range []<-chan error{watch.Run(ctx), a.hold(ctx), a.pollPlatform(ctx)} {
 		if err := <-end; err != nil {
 			return err
 		}
--- a/agent/error.go
+++ b/agent/error.go
@@ -1,6 +1,9 @@
 package agent
 
-import "strconv"
+import (
+	"errors"
+	"strconv"
+)
 
 // ErrEngineRefused tells that an engine answered a call with an HTTP error.
 type ErrEngineRefused struct {
@@ -12,3 +15,9 @@
 func (e ErrEngineRefused) Error() string {
 	return "engine refused " + e.Path + " with status " + strconv.Itoa(e.Status)
 }
+
+// isRefused returns the engine's refusal that err holds, if any.
+func isRefused(err error) (ErrEngineRefused, bool) {
+	var refusal ErrEngineRefused
+	return refusal, errors.As(err, &refusal)
+}
--- a/agent/hold.go
+++ b/agent/hold.go
@@ -1,11 +1,7 @@
 package agent
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
 	"time"
 
 	"burdocksaddle/engineapi"
@@ -16,157 +12,112 @@
 const (
 	callTimeout = 2 * time.Second
 	pollBusy    = 50 * time.Millisecond
-	// An order that the engine still does not show is sent again after this.
+	pollIdle    = 500 * time.Millisecond
+	// An order without a sign in the engine's state counts as lost after this.
+	lostAfter = 2 * time.Second
+	// An unload that the engine does not show is sent again after this.
 	resendInterval = 5 * time.Second
-	pollIdle       = 500 * time.Millisecond
-	engineTimeout  = 2 * time.Second
-	maxStateBytes  = 8 << 20
+	// Control hears from a quiet agent this often.
+	heartbeatInterval = 5 * time.Second
+	reportRetry       = 200 * time.Millisecond
+	defaultLifetime   = 10 * time.Second
 )
 
+// order is an order with the time at which the agent got it.
+type order struct {
+	*wirepb.ReplicaOrder
+	received time.Time
+}
+
+func (o order) key() string { return o.GetModel() + "@" + o.GetVersion() }
+
+func (o order) lifetime() time.Duration {
+	if o.GetLifetimeMs() == 0 {
+		return defaultLifetime
+	}
+	return time.Duration(o.GetLifetimeMs()) * time.Millisecond
+}
+
+func (o order) load() bool { return !o.GetUnload() && !o.GetVerify() }
+
+// holder is what the holding duty knows; one goroutine owns it.
+type holder struct {
+	orders map[uint64]order
+	// sent holds when an order of a fence went to the engine, loads when a load of a checkpoint did.
+	sent    map[uint64]time.Time
+	loads   map[string]time.Time
+	refused map[uint64]bool
+	// since is when the agent registered: an older process may have sent orders until then.
+	since    time.Time
+	told     string
+	toldAt   time.Time
+	triedAt  time.Time
+	sequence uint64
+}
+
 // hold is the duty that brings the engine to what the orders say and reports what it holds.
 func (a *Agent) hold(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
-		known := map[uint64]*wirepb.ReplicaOrder{}
+		h := &holder{
+			orders: map[uint64]order{}, sent: map[uint64]time.Time{}, loads: map[string]time.Time{},
+			refused: map[uint64]bool{}, since: time.Now(),
+		}
 		for ctx.Err() == nil {
+			a.holdOnce(ctx, h)
 			wait := pollIdle
-			if len(known) > 0 {
+			if len(h.orders) > 0 {
 				wait = pollBusy
 			}
 			select {
 			case <-ctx.Done():
 			case orders := <-a.orders:
-				known = a.accept(ctx, orders)
+				h.take(orders, a.incarnation, time.Now())
+			case <-a.nudged:
 			case <-time.After(wait):
 			}
-			if a.settings.Agent.Kind == string(setting.KindModel) {
-				a.report(ctx, known)
-			}
 		}
 		ended <- nil
 	}()
 	return ended
 }
 
-// accept sends each new order on to the engine.
-func (a *Agent) accept(ctx context.Context, orders []*wirepb.ReplicaOrder) map[uint64]*wirepb.ReplicaOrder {
-	known := map[uint64]*wirepb.ReplicaOrder{}
-	for _, order := range orders {
-		if order.GetIncarnation() != a.incarnation {
-			continue
-		}
-		known[order.GetReplica()] = order
-		if at, ok := a.sent[order.GetFence()]; ok && time.Since(at) < resendInterval {
-			continue
-		}
-		a.sent[order.GetFence()] = time.Now()
-		path := engineapi.PathLoad
-		if order.GetUnload() {
-			path = engineapi.PathUnload
-		}
-		err := a.post(ctx, path, engineapi.Order{
-			Model: order.GetModel(), Version: order.GetVersion(), MemoryMB: order.GetMemoryMb(),
-			Fence: order.GetFence(), Role: order.GetRole(),
-		})
-		a.log.Info("order sent", "replica", order.GetReplica(), "model", order.GetModel(), "unload", order.GetUnload(), "error", errorText(err))
-	}
-	return known
-}
-
-// report asks the engine what it holds and tells control about the ordered replicas.
-func (a *Agent) report(ctx context.Context, known map[uint64]*wirepb.ReplicaOrder) {
-	if len(known) == 0 {
+// holdOnce asks the engine once, carries out what is due and reports.
+func (a *Agent) holdOnce(ctx context.Context, h *holder) {
+	if a.settings.Agent.Kind != string(setting.KindModel) {
+		a.tellPlain(ctx, h)
 		return
 	}
+	asked := time.Now()
 	var state engineapi.State
 	if err := a.get(ctx, engineapi.PathState, &state); err != nil {
+		a.log.V(1).Info("engine not asked", "error", err.Error())
 		return
 	}
-	report := &wirepb.Report{Endpoint: a.settings.Agent.Endpoint, Incarnation: a.incarnation, Fresh: true}
-	for id, order := range known {
-		report.Replicas = append(report.Replicas, &wirepb.ReplicaView{Id: id, State: stateOf(order, state.Held)})
-	}
-	for _, address := range a.settings.Controls {
-		reply, err := a.pool.Call(ctx, address, &wirepb.Frame{Body: &wirepb.Frame_Report{Report: report}}, callTimeout)
-		if err == nil && reply.GetProposeReply().GetCommitted() {
-			a.settle(known, report)
-			return
-		}
-	}
+	a.noteAdapters(state)
+	a.carryOut(ctx, h, state, asked)
+	a.tell(ctx, h, a.report(h, state, asked))
 }
 
-// settle forgets orders that are done.
-func (a *Agent) settle(known map[uint64]*wirepb.ReplicaOrder, report *wirepb.Report) {
-	for _, view := range report.GetReplicas() {
-		state := view.GetState()
-		if state == wirepb.ReplicaState_REPLICA_LOADED || state == wirepb.ReplicaState_REPLICA_GONE {
-			a.log.Info("order done", "replica", view.GetId(), "model", known[view.GetId()].GetModel(), "state", state.String())
-			delete(a.sent, known[view.GetId()].GetFence())
-			delete(known, view.GetId())
+// take replaces the orders; an order that is still given keeps no older arrival.
+func (h *holder) take(orders []*wirepb.ReplicaOrder, incarnation uint64, now time.Time) {
+	h.orders = make(map[uint64]order, len(orders))
+	fences := make(map[uint64]bool, len(orders))
+	for _, one := range orders {
+		if one.GetIncarnation() == incarnation {
+			h.orders[one.GetReplica()] = order{ReplicaOrder: one, received: now}
+			fences[one.GetFence()] = true
 		}
 	}
-}
-
-// stateOf says what the engine's word means for an order.
-func stateOf(order *wirepb.ReplicaOrder, held []engineapi.Held) wirepb.ReplicaState {
-	for _, one := range held {
-		if one.Model != order.GetModel() || one.Version != order.GetVersion() {
-			continue
+	for fence := range h.sent {
+		if !fences[fence] {
+			delete(h.sent, fence)
+			delete(h.refused, fence)
 		}
-		switch one.State {
-		case engineapi.HeldLoading:
-			return wirepb.ReplicaState_REPLICA_LOADING
-		case engineapi.HeldUnloading:
-			return wirepb.ReplicaState_REPLICA_UNLOADING
-		default:
-			if order.GetUnload() {
-				return wirepb.ReplicaState_REPLICA_UNLOADING
-			}
-			return wirepb.ReplicaState_REPLICA_LOADED
-		}
-	}
-	if order.GetUnload() {
-		return wirepb.ReplicaState_REPLICA_GONE
 	}
-	return wirepb.ReplicaState_REPLICA_DECIDED
-}
-
-func (a *Agent) post(ctx context.Context, path string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	return a.ask(ctx, http.MethodPost, path, bytes.NewReader(data), nil)
-}
-
-func (a *Agent) get(ctx context.Context, path string, into any) error {
-	return a.ask(ctx, http.MethodGet, path, nil, into)
-}
-
-func (a *Agent) ask(ctx context.Context, method, path string, body io.Reader, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, a.settings.Agent.EndpointURL+path, body)
-	if err != nil {
-		return err
-	}
-	response, err := a.http.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return ErrEngineRefused{Path: path, Status: response.StatusCode}
-	}
-	if into == nil {
-		return nil
-	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(into)
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
+	for key, at := range h.loads {
+		if now.Sub(at) > time.Hour {
+			delete(h.loads, key)
+		}
 	}
-	return err.Error()
 }
--- a/control/demand.go
+++ b/control/demand.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"burdocksaddle/fleet"
 	"burdocksaddle/placement"
 	"burdocksaddle/wirepb"
 )
@@ -130,16 +129,7 @@
 func (m *Member) reportChanges(r *wirepb.Report) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	states := map[uint64]fleet.State{}
-	for _, replica := range m.machine.fleet.Replicas(r.GetEndpoint()) {
-		states[replica.ID] = replica.State
-	}
-	for _, view := range r.GetReplicas() {
-		if state, ok := states[view.GetId()]; ok && state != StateOf(view.GetState()) {
-			return true
-		}
-	}
-	return false
+	return len(m.machine.fleet.Changes(inventory(r), 0)) > 0
 }
 
 // Register gives an agent its incarnation.
--- a/control/machine.go
+++ b/control/machine.go
@@ -66,7 +66,7 @@
 	case *wirepb.Command_Register:
 		result.Incarnation = m.register(kind.Register, atMS)
 	case *wirepb.Command_Report:
-		fail(result, m.fleet.Report(kind.Report.GetEndpoint(), kind.Report.GetIncarnation(), held(kind.Report), atMS))
+		fail(result, m.fleet.Report(inventory(kind.Report), atMS))
 	case *wirepb.Command_Decide:
 		m.decide(kind.Decide, result, atMS)
 	case *wirepb.Command_ClaimOpen:
@@ -75,6 +75,8 @@
 		m.closeClaim(kind.ClaimClose, result, atMS)
 	case *wirepb.Command_EndpointChange:
 		m.changeEndpoint(kind.EndpointChange)
+	case *wirepb.Command_PortionGrant:
+		m.grant(kind.PortionGrant, atMS)
 	}
 	result.CatalogVersion = m.catalog.Version
 	return result
@@ -130,6 +132,7 @@
 		replica, err := m.fleet.Decide(fleet.Replica{
 			Endpoint: one.GetEndpoint(), Incarnation: one.GetIncarnation(), Model: one.GetModel(),
 			Version: one.GetVersion(), MemoryMB: one.GetMemoryMb(), Reason: one.GetReason(),
+			Role: one.GetRole(), Source: one.GetSource(), ExpectedMS: int64(one.GetExpectedMs()),
 		}, int(one.GetLimit()), atMS)
 		fail(result, err)
 		result.Replicas = append(result.Replicas, replica.ID)
@@ -195,11 +198,3 @@
 	}
 	return view
 }
-
-func held(r *wirepb.Report) []fleet.Replica {
-	replicas := make([]fleet.Replica, 0, len(r.GetReplicas()))
-	for _, view := range r.GetReplicas() {
-		replicas = append(replicas, fleet.Replica{ID: view.GetId(), State: StateOf(view.GetState())})
-	}
-	return replicas
-}
--- a/control/watch.go
+++ b/control/watch.go
@@ -5,14 +5,12 @@
 	"encoding/json"
 	"time"
 
-	"burdocksaddle/fleet"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
 
 const (
 	watchSendTimeout = 2 * time.Second
-	orderLifetime    = 10 * time.Second
 )
 
 // watcher is one node's open stream.
@@ -87,26 +85,7 @@
 	u.GoneEndpoints = m.machine.fleet.Gone(fleetVersion)
 	if own.endpoint != "" {
 		u.Orders = m.orders(own.endpoint, incarnation)
+		m.addPermits(u, own.endpoint, incarnation)
 	}
 	return u
 }
-
-// orders derives what an agent should do from the state, so that a lost order is simply sent again.
-func (m *Member) orders(endpoint string, incarnation uint64) []*wirepb.ReplicaOrder {
-	known, ok := m.machine.fleet.Endpoint(endpoint)
-	if !ok || known.Incarnation != incarnation {
-		return nil
-	}
-	var orders []*wirepb.ReplicaOrder
-	for _, replica := range m.machine.fleet.Replicas(endpoint) {
-		if replica.State == fleet.Loaded {
-			continue
-		}
-		orders = append(orders, &wirepb.ReplicaOrder{
-			Replica: replica.ID, Model: replica.Model, Version: replica.Version, Fence: replica.Fence,
-			Incarnation: incarnation, Unload: replica.State == fleet.Unloading, MemoryMb: replica.MemoryMB,
-			LifetimeMs: uint64(orderLifetime.Milliseconds()),
-		})
-	}
-	return orders
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,8 +1,9 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
 	"slices"
-	"strconv"
 )
 
 // Endpoint is one endpoint as its agent registered it.
@@ -19,21 +20,37 @@
 	Silent      bool
 	// Changed is the fleet version at which the endpoint or its replicas changed last.
 	Changed uint64
+	// Reported is the sequence of the last report taken from this incarnation.
+	Reported uint64
 }
 
+// usable tells whether new replicas may be decided for the endpoint.
+func (e Endpoint) usable() bool { return !e.Leaving && !e.Silent }
+
 // Fleet is the aggregate; one owner changes it.
 type Fleet struct {
 	version   uint64
 	fence     uint64
 	replicaID uint64
-	endpoints map[string]Endpoint
 	replicas  map[uint64]Replica
 	gone      map[string]uint64
+	portions  map[string]Portion
+
+	// The indexes below follow from endpoints and replicas.
+	endpoints  map[string]Endpoint
+	byEndpoint map[string]map[uint64]struct{}
+	byModel    map[string]map[uint64]struct{}
+	byService  map[string][]string
+	reserved   map[string]uint64
 }
 
 // New makes an empty Fleet.
 func New() *Fleet {
-	return &Fleet{endpoints: map[string]Endpoint{}, replicas: map[uint64]Replica{}, gone: map[string]uint64{}}
+	return &Fleet{
+		endpoints: map[string]Endpoint{}, replicas: map[uint64]Replica{}, gone: map[string]uint64{}, portions: map[string]Portion{},
+		byEndpoint: map[string]map[uint64]struct{}{}, byModel: map[string]map[uint64]struct{}{},
+		byService: map[string][]string{}, reserved: map[string]uint64{},
+	}
 }
 
 // Version returns the number of the last change.
@@ -47,46 +64,57 @@
 
 // Endpoints returns all endpoints by name.
 func (f *Fleet) Endpoints() []Endpoint {
-	all := make([]Endpoint, 0, len(f.endpoints))
-	for _, endpoint := range f.endpoints {
-		all = append(all, endpoint)
-	}
-	slices.SortFunc(all, func(a, b Endpoint) int { return compare(a.Name, b.Name) })
-	return all
+	return slices.SortedFunc(maps.Values(f.endpoints), func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// Replicas returns the replicas on an endpoint by number.
-func (f *Fleet) Replicas(endpoint string) []Replica {
-	var all []Replica
-	for _, replica := range f.replicas {
-		if replica.Endpoint == endpoint {
-			all = append(all, replica)
-		}
-	}
-	slices.SortFunc(all, func(a, b Replica) int { return compare(a.ID, b.ID) })
-	return all
+// EndpointsOf returns the names of a service's endpoints in order; the list is not to be changed.
+func (f *Fleet) EndpointsOf(service string) []string { return f.byService[service] }
+
+// Replica returns the replica of a number.
+func (f *Fleet) Replica(id uint64) (Replica, bool) {
+	replica, ok := f.replicas[id]
+	return replica, ok
 }
 
+// Replicas returns the replicas on an endpoint by number.
+func (f *Fleet) Replicas(endpoint string) []Replica { return f.listed(f.byEndpoint[endpoint]) }
+
+// OfModel returns the replicas of a model that are not confirmed gone, by number.
+func (f *Fleet) OfModel(model string) []Replica { return f.listed(f.byModel[model]) }
+
 // ReplicasOf returns how many replicas of a model are not confirmed gone.
-func (f *Fleet) ReplicasOf(model string) int {
-	count := 0
-	for _, replica := range f.replicas {
-		if replica.Model == model {
-			count++
-		}
+func (f *Fleet) ReplicasOf(model string) int { return len(f.byModel[model]) }
+
+// Models returns the names of the models that have replicas, in order.
+func (f *Fleet) Models() []string { return slices.Sorted(maps.Keys(f.byModel)) }
+
+// Len returns how many replicas are not confirmed gone.
+func (f *Fleet) Len() int { return len(f.replicas) }
+
+// ReservedMB returns the memory that an endpoint's replicas hold.
+func (f *Fleet) ReservedMB(endpoint string) uint64 { return f.reserved[endpoint] }
+
+// FreeMB returns the memory of an endpoint that no replica holds.
+func (f *Fleet) FreeMB(endpoint string) uint64 {
+	known := f.endpoints[endpoint]
+	if f.reserved[endpoint] >= known.MemoryMB {
+		return 0
 	}
-	return count
+	return known.MemoryMB - f.reserved[endpoint]
 }
 
-// ReservedMB returns the memory that an endpoint's replicas hold.
-func (f *Fleet) ReservedMB(endpoint string) uint64 {
-	var sum uint64
-	for _, replica := range f.replicas {
-		if replica.Endpoint == endpoint {
-			sum += replica.MemoryMB
-		}
+func (f *Fleet) listed(ids map[uint64]struct{}) []Replica {
+	if len(ids) == 0 {
+		return nil
+	}
+	all := make([]Replica, 0, len(ids))
+	for id := range ids {
+		all = append(all, f.replicas[id])
 	}
-	return sum
+	if len(all) > 1 {
+		slices.SortFunc(all, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return all
 }
 
 // Register takes an agent in and returns its incarnation; a resend of the same process gets the same one.
@@ -95,14 +123,21 @@
 	if known && old.Process == e.Process {
 		return old.Incarnation
 	}
+	if known && old.Service != e.Service {
+		f.unlist(old)
+	}
 	e.Incarnation = index
+	f.list(e)
 	f.touch(e)
 	delete(f.gone, e.Name)
 	for _, replica := range f.Replicas(e.Name) {
 		// The new process has not seen the engine yet, so nothing is certain.
+		f.fence++
+		replica.Fence, replica.Incarnation = f.fence, index
 		if next, err := replica.With(Unknown, atMS); err == nil {
-			f.replicas[replica.ID] = next
+			replica = next
 		}
+		f.put(replica)
 	}
 	return index
 }
@@ -110,27 +145,36 @@
 // Decide reserves a new replica, or names the rule against it.
 func (f *Fleet) Decide(r Replica, limit int, atMS int64) (Replica, error) {
 	endpoint, ok := f.endpoints[r.Endpoint]
-	if !ok || endpoint.Incarnation != r.Incarnation || endpoint.Leaving {
+	if !ok || endpoint.Incarnation != r.Incarnation || !endpoint.usable() {
 		return r, ErrEndpointNotUsable{Endpoint: r.Endpoint}
 	}
 	if f.ReplicasOf(r.Model) >= limit {
 		return r, ErrReplicaLimit{Model: r.Model, Limit: limit}
 	}
-	if f.ReservedMB(r.Endpoint)+r.MemoryMB > endpoint.MemoryMB {
+	for id := range f.byEndpoint[r.Endpoint] {
+		if other := f.replicas[id]; other.Model == r.Model && other.Version == r.Version {
+			return r, ErrReplicaExists{Endpoint: r.Endpoint, Model: r.Model, Version: r.Version}
+		}
+	}
+	if r.MemoryMB > f.FreeMB(r.Endpoint) {
 		return r, ErrMemoryExceeded{Endpoint: r.Endpoint, WantMB: r.MemoryMB}
 	}
 	f.replicaID++
 	f.fence++
-	r.ID, r.Fence, r.State, r.DecidedMS, r.SinceMS = f.replicaID, f.fence, Decided, atMS, atMS
-	f.replicas[r.ID] = r
+	r.ID, r.Fence, r.State, r.DecidedMS, r.SinceMS, r.Adopted = f.replicaID, f.fence, Decided, atMS, atMS, false
+	f.put(r)
+	if f.ReplicasOf(r.Model) > limit {
+		panic(ErrInvariant{Endpoint: r.Endpoint, Rule: "more replicas of " + r.Model + " than decided"})
+	}
+	f.assert(r.Endpoint)
 	f.touch(endpoint)
 	return r, nil
 }
 
-// Unload turns a replica to Unloading with a new fencing number.
+// Unload turns a replica to Unloading with a new fencing number; a replica already gone is no error.
 func (f *Fleet) Unload(id uint64, reason string, atMS int64) error {
 	replica, ok := f.replicas[id]
-	if !ok {
+	if !ok || replica.State == Unloading {
 		return nil
 	}
 	next, err := replica.With(Unloading, atMS)
@@ -139,48 +183,22 @@
 	}
 	f.fence++
 	next.Fence, next.Reason = f.fence, reason
-	f.replicas[id] = next
+	f.put(next)
 	f.touch(f.endpoints[next.Endpoint])
 	return nil
 }
 
-// Report takes over what an agent's engine really holds.
-func (f *Fleet) Report(endpoint string, incarnation uint64, held []Replica, atMS int64) error {
-	known, ok := f.endpoints[endpoint]
-	if !ok || known.Incarnation != incarnation {
-		return ErrEndpointNotUsable{Endpoint: endpoint}
-	}
-	changed := false
-	for _, seen := range held {
-		replica, ok := f.replicas[seen.ID]
-		if !ok || replica.Endpoint != endpoint || replica.State == seen.State {
-			continue
-		}
-		next, err := replica.With(seen.State, atMS)
-		if err != nil {
-			continue // late word on a state already left
-		}
-		changed = true
-		if next.State == Gone {
-			delete(f.replicas, seen.ID)
-			continue
-		}
-		f.replicas[seen.ID] = next
-	}
-	if changed {
-		f.touch(known)
-	}
-	return nil
-}
-
-// Mark records that an endpoint is leaving or silent.
+// Mark records that an endpoint is leaving, for good in this incarnation, or silent.
 func (f *Fleet) Mark(endpoint string, incarnation uint64, leaving, silent bool) {
 	known, ok := f.endpoints[endpoint]
-	if !ok || known.Incarnation != incarnation || (known.Leaving == leaving && known.Silent == silent) {
+	if !ok || known.Incarnation != incarnation {
 		return
 	}
-	known.Leaving, known.Silent = known.Leaving || leaving, silent
-	f.touch(known)
+	next := known
+	next.Leaving, next.Silent = known.Leaving || leaving, silent
+	if next != known {
+		f.touch(next)
+	}
 }
 
 // Remove forgets an endpoint whose VM is gone for good, with its replicas.
@@ -190,9 +208,11 @@
 		return
 	}
 	for _, replica := range f.Replicas(endpoint) {
-		delete(f.replicas, replica.ID)
+		f.drop(replica)
 	}
+	f.unlist(known)
 	delete(f.endpoints, endpoint)
+	delete(f.reserved, endpoint)
 	f.version++
 	f.gone[endpoint] = f.version
 }
@@ -214,43 +234,3 @@
 	e.Changed = f.version
 	f.endpoints[e.Name] = e
 }
-
-func compare[T string | uint64](a, b T) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
-// ErrEndpointNotUsable tells that an endpoint is unknown, leaving or of another incarnation.
-type ErrEndpointNotUsable struct{ Endpoint string }
-
-// Error implements error.
-func (e ErrEndpointNotUsable) Error() string {
-	return "endpoint " + e.Endpoint + " is unknown, leaving or of another incarnation"
-}
-
-// ErrReplicaLimit tells that a model has all replicas that were allowed.
-type ErrReplicaLimit struct {
-	Model string
-	Limit int
-}
-
-// Error implements error.
-func (e ErrReplicaLimit) Error() string {
-	return "model " + e.Model + " already has " + strconv.Itoa(e.Limit) + " replicas"
-}
-
-// ErrMemoryExceeded tells that an endpoint lacks the memory for a replica.
-type ErrMemoryExceeded struct {
-	Endpoint string
-	WantMB   uint64
-}
-
-// Error implements error.
-func (e ErrMemoryExceeded) Error() string {
-	return "endpoint " + e.Endpoint + " has no " + strconv.FormatUint(e.WantMB, 10) + " MB left"
-}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,241 @@
+package fleet
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const (
+	memoryMB = 80
+	atMS     = 1000
+)
+
+func registered(names ...string) *Fleet {
+	f := New()
+	for i, name := range names {
+		f.Register(Endpoint{Name: name, Service: "lm", Process: "first", MemoryMB: memoryMB}, uint64(i+1), atMS)
+	}
+	return f
+}
+
+func decided(t *testing.T, f *Fleet, endpoint, model string, mb uint64) Replica {
+	t.Helper()
+	known, _ := f.Endpoint(endpoint)
+	replica, err := f.Decide(Replica{Endpoint: endpoint, Incarnation: known.Incarnation, Model: model, Version: "1", MemoryMB: mb}, 9, atMS)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return replica
+}
+
+func stateOf(f *Fleet, id uint64) State {
+	replica, ok := f.Replica(id)
+	if !ok {
+		return Gone
+	}
+	return replica.State
+}
+
+func TestDecideRefusals(t *testing.T) {
+	cases := []struct {
+		name  string
+		edit  func(*Fleet, *Replica)
+		limit int
+		want  error
+	}{
+		{"fits", func(*Fleet, *Replica) {}, 2, nil},
+		{"limit counts what is unknown", func(f *Fleet, _ *Replica) {
+			f.Register(Endpoint{Name: "a", Service: "lm", Process: "next", MemoryMB: memoryMB}, 7, atMS)
+		}, 1, ErrReplicaLimit{Model: "m", Limit: 1}},
+		{"memory counts what unloads", func(f *Fleet, r *Replica) {
+			_ = f.Unload(1, "Evicted", atMS)
+			r.Endpoint, r.Incarnation, r.Model = "a", 1, "n"
+		}, 2, ErrMemoryExceeded{Endpoint: "a", WantMB: 50}},
+		{"other incarnation", func(_ *Fleet, r *Replica) { r.Incarnation = 99 }, 2, ErrEndpointNotUsable{Endpoint: "b"}},
+		{"leaving", func(f *Fleet, _ *Replica) { f.Mark("b", 2, true, false) }, 2, ErrEndpointNotUsable{Endpoint: "b"}},
+		{"silent", func(f *Fleet, _ *Replica) { f.Mark("b", 2, false, true) }, 2, ErrEndpointNotUsable{Endpoint: "b"}},
+		{"same version twice", func(_ *Fleet, r *Replica) { r.Endpoint, r.Incarnation, r.MemoryMB = "a", 1, 10 }, 2, ErrReplicaExists{Endpoint: "a", Model: "m", Version: "1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := registered("a", "b")
+			decided(t, f, "a", "m", 50)
+			r := Replica{Endpoint: "b", Incarnation: 2, Model: "m", Version: "1", MemoryMB: 50}
+			c.edit(f, &r)
+			_, err := f.Decide(r, c.limit, atMS)
+			if diff := cmp.Diff(c.want, err); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestReport says what an engine's word makes of a replica in each state.
+func TestReport(t *testing.T) {
+	held := func(state State) Held { return Held{Model: "m", Version: "1", MemoryMB: 50, State: state} }
+	cases := []struct {
+		name string
+		from State
+		line Held
+		want State
+	}{
+		{"load begins", Decided, held(Loading), Loading},
+		{"load done", Loading, held(Loaded), Loaded},
+		{"late word of a load", Loaded, held(Loading), Loaded},
+		{"late word of an absence", Loading, Held{}, Loading},
+		{"load lost", Loading, Held{ID: 1, State: Decided}, Decided},
+		{"engine lost it", Loaded, Held{}, Unknown},
+		{"engine unloads unasked", Loaded, held(Unloading), Unloading},
+		{"unload not done", Unloading, held(Loaded), Unloading},
+		{"absence unconfirmed", Unloading, Held{}, Unloading},
+		{"absence confirmed", Unloading, Held{ID: 1, State: Gone}, Gone},
+		{"confirmed for an older order", Unloading, Held{ID: 1, State: Gone, Fence: 77}, Unloading},
+		{"still held after a restart", Unknown, held(Loaded), Loaded},
+		{"still loading after a restart", Unknown, held(Loading), Loading},
+		{"unknown unconfirmed", Unknown, Held{}, Unknown},
+		{"unknown confirmed absent", Unknown, Held{ID: 1, State: Gone}, Gone},
+		{"confirmed against what is held", Unloading, held(Loading), Unloading},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := registered("a")
+			replica := decided(t, f, "a", "m", 50)
+			replica.State = c.from
+			f.put(replica)
+			if c.line.ID > 0 && c.line.Fence == 0 {
+				c.line.Fence = replica.Fence
+			}
+			inventory := Inventory{Endpoint: "a", Incarnation: 1, Sequence: 1}
+			if c.line.State != "" {
+				inventory.Held = []Held{c.line}
+			}
+			if err := f.Report(inventory, atMS); err != nil {
+				t.Fatal(err)
+			}
+			if got := stateOf(f, replica.ID); got != c.want {
+				t.Errorf("state = %s, want %s", got, c.want)
+			}
+			if want := uint64(50); c.want != Gone && f.ReservedMB("a") != want {
+				t.Errorf("reserved = %d, want %d", f.ReservedMB("a"), want)
+			}
+		})
+	}
+}
+
+func TestReportRefusals(t *testing.T) {
+	f := registered("a")
+	for _, c := range []struct {
+		inventory Inventory
+		want      error
+	}{
+		{Inventory{Endpoint: "a", Incarnation: 9, Sequence: 1}, ErrEndpointNotUsable{Endpoint: "a"}},
+		{Inventory{Endpoint: "a", Incarnation: 1, Sequence: 2}, nil},
+		{Inventory{Endpoint: "a", Incarnation: 1, Sequence: 1}, ErrReportOld{Endpoint: "a", Sequence: 1}},
+		{Inventory{Endpoint: "a", Incarnation: 1, Sequence: 2}, ErrReportOld{Endpoint: "a", Sequence: 2}},
+	} {
+		if diff := cmp.Diff(c.want, f.Report(c.inventory, atMS)); diff != "" {
+			t.Errorf("%+v (-want +got):\n%s", c.inventory, diff)
+		}
+	}
+}
+
+// TestAdopted shows that what an engine holds on its own counts and can block decisions.
+func TestAdopted(t *testing.T) {
+	f := registered("a")
+	decided(t, f, "a", "m", 50)
+	stray := Held{Model: "n", Version: "3", MemoryMB: 60, State: Loaded}
+	if err := f.Report(Inventory{Endpoint: "a", Incarnation: 1, Sequence: 1, Held: []Held{stray}}, atMS); err != nil {
+		t.Fatal(err)
+	}
+	if f.ReservedMB("a") != 110 || f.FreeMB("a") != 0 || f.ReplicasOf("n") != 1 {
+		t.Errorf("reserved %d, free %d, replicas %d", f.ReservedMB("a"), f.FreeMB("a"), f.ReplicasOf("n"))
+	}
+	_, err := f.Decide(Replica{Endpoint: "a", Incarnation: 1, Model: "o", MemoryMB: 1}, 1, atMS)
+	if !IsErrMemoryExceeded(err) {
+		t.Errorf("error = %v", err)
+	}
+}
+
+// TestRandom drives the aggregate at random and compares its indexes with its replicas.
+func TestRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := registered("a", "b", "c")
+		index, sequence := uint64(10), uint64(0)
+		names := rapid.SampledFrom([]string{"a", "b", "c"})
+		models := rapid.SampledFrom([]string{"m", "n", "o", "p"})
+		t.Repeat(map[string]func(*rapid.T){
+			"decide": func(t *rapid.T) {
+				name, limit := names.Draw(t, "endpoint"), rapid.IntRange(1, 3).Draw(t, "limit")
+				known, _ := f.Endpoint(name)
+				replica := Replica{Endpoint: name, Incarnation: known.Incarnation, Model: models.Draw(t, "model"), Version: "1", MemoryMB: rapid.Uint64Range(1, 60).Draw(t, "mb")}
+				if _, err := f.Decide(replica, limit, atMS); err == nil && f.ReplicasOf(replica.Model) > limit {
+					t.Fatalf("%d replicas of %s, limit %d", f.ReplicasOf(replica.Model), replica.Model, limit)
+				}
+			},
+			"unload":   func(t *rapid.T) { _ = f.Unload(rapid.Uint64Range(1, 30).Draw(t, "id"), "Idle", atMS) },
+			"register": func(t *rapid.T) { index++; registerAgain(f, names.Draw(t, "endpoint"), index) },
+			"remove": func(t *rapid.T) {
+				known, _ := f.Endpoint(names.Draw(t, "endpoint"))
+				f.Remove(known.Name, known.Incarnation)
+			},
+			"report": func(t *rapid.T) {
+				sequence++
+				known, _ := f.Endpoint(names.Draw(t, "endpoint"))
+				_ = f.Report(Inventory{Endpoint: known.Name, Incarnation: known.Incarnation, Sequence: sequence, Held: drawHeld(t, f, known.Name)}, atMS)
+			},
+			"grant": func(t *rapid.T) {
+				known, _ := f.Endpoint(names.Draw(t, "endpoint"))
+				at := rapid.Int64Range(0, 100).Draw(t, "at")
+				f.Grant([]Portion{{Endpoint: known.Name, Incarnation: known.Incarnation, Permits: rapid.IntRange(1, 6).Draw(t, "permits")}}, 8, at+20, at)
+				if f.Permits() > 8 {
+					t.Fatalf("%d permits", f.Permits())
+				}
+			},
+			"": func(t *rapid.T) { check(t, f) },
+		})
+	})
+}
+
+func registerAgain(f *Fleet, name string, index uint64) {
+	f.Register(Endpoint{Name: name, Service: "lm", Process: strconv.FormatUint(index, 10), MemoryMB: memoryMB}, index, atMS)
+}
+
+func drawHeld(t *rapid.T, f *Fleet, endpoint string) []Held {
+	var lines []Held
+	states := rapid.SampledFrom([]State{Loading, Loaded, Unloading, Gone, Decided, ""})
+	for _, replica := range f.Replicas(endpoint) {
+		line := Held{ID: replica.ID, Fence: replica.Fence, Model: replica.Model, Version: replica.Version, MemoryMB: replica.MemoryMB, State: states.Draw(t, "state")}
+		if line.State != "" {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// check compares what the indexes say with the replicas themselves.
+func check(t *rapid.T, f *Fleet) {
+	reserved, byModel := map[string]uint64{}, map[string]int{}
+	for _, endpoint := range f.Endpoints() {
+		for _, replica := range f.Replicas(endpoint.Name) {
+			if replica.Incarnation != endpoint.Incarnation || replica.State == Gone {
+				t.Fatalf("replica %+v on %+v", replica, endpoint)
+			}
+			reserved[endpoint.Name] += replica.MemoryMB
+			byModel[replica.Model]++
+		}
+		if reserved[endpoint.Name] != f.ReservedMB(endpoint.Name) || reserved[endpoint.Name] > endpoint.MemoryMB {
+			t.Fatalf("endpoint %s: reserved %d, counted %d of %d", endpoint.Name, f.ReservedMB(endpoint.Name), reserved[endpoint.Name], endpoint.MemoryMB)
+		}
+	}
+	for model, count := range byModel {
+		if f.ReplicasOf(model) != count || len(f.OfModel(model)) != count {
+			t.Fatalf("model %s: %d, counted %d", model, f.ReplicasOf(model), count)
+		}
+	}
+	if diff := cmp.Diff(f.Export(), Import(f.Export()).Export()); diff != "" {
+		t.Fatalf("restored (-want +got):\n%s", diff)
+	}
+}
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -18,9 +18,9 @@
 // transitions is the one table of what may follow what.
 var transitions = map[State][]State{
 	Decided:   {Loading, Loaded, Unloading, Unknown, Gone},
-	Loading:   {Loaded, Unloading, Unknown, Gone},
+	Loading:   {Decided, Loaded, Unloading, Unknown, Gone}, // Decided again once the load was lost
 	Loaded:    {Unloading, Unknown, Gone},
-	Unloading: {Unknown, Gone},
+	Unloading: {Gone},
 	Unknown:   {Loading, Loaded, Unloading, Gone},
 }
 
@@ -32,12 +32,23 @@
 	Model       string
 	Version     string
 	MemoryMB    uint64
-	Fence       uint64
-	State       State
+	// Fence is the fencing number of the newest order for the replica.
+	Fence uint64
+	State State
 	// DecidedMS and SinceMS are the leader's clock in milliseconds.
 	DecidedMS int64
 	SinceMS   int64
-	Reason    string
+	// Role is the role that the engine plays for the replica.
+	Role string
+	// Source says where the checkpoint was expected at the decision: Memory, Disk or Remote.
+	Source string
+	// ExpectedMS is how long the load was expected to take.
+	ExpectedMS int64
+	// Adopted marks a replica that the engine held without a decision.
+	Adopted bool
+	// Attempts counts the load orders that were lost or refused.
+	Attempts int
+	Reason   string
 }
 
 // With returns the replica in another state, or ErrTransitionNotAllowed.
@@ -55,6 +66,9 @@
 	return r, ErrTransitionNotAllowed{Replica: r.ID, From: r.State, To: state}
 }
 
+// Pending tells whether the replica is on its way to being loaded.
+func (r Replica) Pending() bool { return r.State == Decided || r.State == Loading }
+
 // ErrTransitionNotAllowed tells that a replica cannot go from one state to another.
 type ErrTransitionNotAllowed struct {
 	Replica uint64
--- a/fleet/snapshot.go
+++ b/fleet/snapshot.go
@@ -1,11 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
 
-// Snapshot is the whole state of a Fleet as plain values, in a fixed order.
+// Snapshot is the whole state of a Fleet as plain values for storage.
 type Snapshot struct {
 	Version   uint64
 	Fence     uint64
@@ -13,27 +14,32 @@
 	Endpoints []Endpoint
 	Replicas  []Replica
 	Gone      map[string]uint64
+	Portions  []Portion
 }
 
-// Export returns the whole state.
+// Export returns the state, in an order that depends on the state alone.
 func (f *Fleet) Export() Snapshot {
-	replicas := slices.SortedFunc(maps.Values(f.replicas), func(a, b Replica) int { return compare(a.ID, b.ID) })
+	replicas := slices.SortedFunc(maps.Values(f.replicas), func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return Snapshot{
 		Version: f.version, Fence: f.fence, ReplicaID: f.replicaID,
-		Endpoints: f.Endpoints(), Replicas: replicas, Gone: maps.Clone(f.gone),
+		Endpoints: f.Endpoints(), Replicas: replicas, Gone: maps.Clone(f.gone), Portions: f.Portions(),
 	}
 }
 
-// Import makes a Fleet of a state that Export returned.
+// Import makes the Fleet of a state that Export returned.
 func Import(s Snapshot) *Fleet {
 	f := New()
 	f.version, f.fence, f.replicaID = s.Version, s.Fence, s.ReplicaID
+	maps.Copy(f.gone, s.Gone)
 	for _, endpoint := range s.Endpoints {
 		f.endpoints[endpoint.Name] = endpoint
+		f.list(endpoint)
 	}
 	for _, replica := range s.Replicas {
-		f.replicas[replica.ID] = replica
+		f.put(replica)
+	}
+	for _, portion := range s.Portions {
+		f.portions[portion.Endpoint] = portion
 	}
-	maps.Copy(f.gone, s.Gone)
 	return f
 }
--- a/view/client.go
+++ b/view/client.go
@@ -28,6 +28,7 @@
 	node      *wirepb.Watch
 	log       logr.Logger
 	onOrders  func([]*wirepb.ReplicaOrder)
+	onPermits func(permits int, length time.Duration)
 	mu        sync.RWMutex
 	catalog   catalog.Catalog
 	fleet     uint64
@@ -47,12 +48,17 @@
 	return func(c *Client) { c.onOrders = take }
 }
 
+// WithPermits sets what takes an agent's portion of the adapter transit budget.
+func WithPermits(take func(permits int, length time.Duration)) Option {
+	return func(c *Client) { c.onPermits = take }
+}
+
 // New makes a Client that watches one of the control members as the given node.
 func New(pool *wire.Pool, controls []string, node *wirepb.Watch, options ...Option) *Client {
 	c := &Client{
 		pool: pool, controls: controls, node: node, log: logr.Discard(),
 		endpoints: map[string]*wirepb.EndpointView{}, changed: make(chan struct{}),
-		onOrders: func([]*wirepb.ReplicaOrder) {},
+		onOrders: func([]*wirepb.ReplicaOrder) {}, onPermits: func(int, time.Duration) {},
 	}
 	for _, option := range options {
 		option(c)
@@ -111,6 +117,7 @@
 			return err
 		}
 		c.onOrders(update.GetOrders())
+		c.onPermits(int(update.GetAdapterPermits()), time.Duration(update.GetAdapterPermitsMs())*time.Millisecond)
 	}
 }
 
