--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -18,6 +18,8 @@
 	Retention = 24 * time.Hour
 	// MaxAnswerBytes bounds a recorded answer's body; a larger one stays on its agent.
 	MaxAnswerBytes = 16 << 10
+	// MaxAnswersBytes bounds all recorded answers; beyond it the oldest are dropped, their claims stay.
+	MaxAnswersBytes = 32 << 20
 	// MaxClaims bounds the claims held; further ones are refused until old ones expire.
 	MaxClaims = 1 << 18
 )
@@ -42,9 +44,11 @@
 	BodyHash    uint64
 	OpenedMS    int64
 	ChangedMS   int64
-	Outcome     Outcome
-	Answer      *Answer `json:",omitempty"`
-	OnAgent     bool    `json:",omitempty"`
+	// Change numbers the ledger's changes.
+	Change  uint64
+	Outcome Outcome
+	Answer  *Answer `json:",omitempty"`
+	OnAgent bool    `json:",omitempty"`
 }
 
 // Ledger is the aggregate; one owner changes it.
@@ -52,8 +56,12 @@
 	byID  map[uint64]Claim
 	byKey map[key]uint64
 	// nowMS is the latest time seen; a leader whose clock is behind doesn't turn it back.
-	nowMS int64
-	due   []due
+	nowMS  int64
+	change uint64
+	due    []due
+	// answered holds the claims with recorded answers, the oldest first.
+	answered    []uint64
+	answerBytes int
 }
 
 type key struct{ caller, service, key string }
@@ -129,12 +137,33 @@
 func (l *Ledger) Len() int { return len(l.byID) }
 
 func (l *Ledger) put(c Claim) Claim {
-	c.ChangedMS = l.nowMS
-	l.byID[c.ID] = c
-	l.due = append(l.due, due{id: c.ID, atMS: l.nowMS + Retention.Milliseconds()})
+	l.change++
+	c.ChangedMS, c.Change = l.nowMS, l.change
+	l.hold(c)
+	for l.answerBytes > MaxAnswersBytes {
+		l.dropAnswer(l.answered[0])
+		l.answered = l.answered[1:]
+	}
 	return c
 }
 
+func (l *Ledger) hold(c Claim) {
+	l.byID[c.ID] = c
+	l.due = append(l.due, due{id: c.ID, atMS: c.ChangedMS + Retention.Milliseconds()})
+	if c.Answer != nil {
+		l.answered = append(l.answered, c.ID)
+		l.answerBytes += len(c.Answer.Body)
+	}
+}
+
+func (l *Ledger) dropAnswer(id uint64) {
+	if claim := l.byID[id]; claim.Answer != nil {
+		l.answerBytes -= len(claim.Answer.Body)
+		claim.Answer = nil
+		l.byID[id] = claim
+	}
+}
+
 // advance takes the time forward and forgets what is past its retention.
 func (l *Ledger) advance(atMS int64) {
 	l.nowMS = max(l.nowMS, atMS)
@@ -145,6 +174,7 @@
 		if !ok || claim.ChangedMS+Retention.Milliseconds() > l.nowMS {
 			continue
 		}
+		l.dropAnswer(id)
 		delete(l.byID, id)
 		if l.byKey[claim.key()] == id {
 			delete(l.byKey, claim.key())
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -82,6 +83,27 @@
 	}
 }
 
+func TestAnswersAreBounded(t *testing.T) {
+	l := New()
+	for id := uint64(1); id <= MaxAnswersBytes/MaxAnswerBytes+3; id++ {
+		c := claim("a", 1)
+		c.Key = strconv.FormatUint(id, 10)
+		_, _, _ = l.Open(c, id, 0)
+		if _, _, err := l.Close(id, Ran, &Answer{Body: make([]byte, MaxAnswerBytes)}, false, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	dropped := 0
+	for _, c := range l.Export().Claims {
+		if c.Answer == nil {
+			dropped++
+		}
+	}
+	if diff := cmp.Diff([]any{3, Ran, Ran}, []any{dropped, l.byID[1].Outcome, Import(l.Export()).byID[1].Outcome}); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestRetention(t *testing.T) {
 	l := New()
 	_, _, _ = l.Open(claim("a", 1), 1, 1_000)
--- a/wire/error.go
+++ b/wire/error.go
@@ -62,3 +62,9 @@
 func (e ErrUnexpectedFrame) Error() string {
 	return "unexpected frame from " + e.Peer + ", want " + e.Want
 }
+
+// ErrPoolClosed tells that the pool was closed.
+type ErrPoolClosed struct{}
+
+// Error implements error.
+func (ErrPoolClosed) Error() string { return "the pool is closed" }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -28,8 +28,9 @@
 	closed   bool
 }
 
-// slot serialises the dialling of one address.
+// slot holds the session of one address; the token lets one dial at a time.
 type slot struct {
+	token   chan struct{}
 	mu      sync.Mutex
 	session *yamux.Session
 }
@@ -59,24 +60,51 @@
 
 // Open opens a stream that lives as long as the context; it fails with ErrNotReached, nothing sent.
 func (p *Pool) Open(ctx context.Context, address string) (*Stream, error) {
-	s := p.slot(address)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.session == nil || s.session.IsClosed() {
-		if err := p.connect(ctx, s, address); err != nil {
-			return nil, ErrNotReached{Address: address, Cause: err}
-		}
+	session, err := p.session(ctx, address)
+	if err != nil {
+		return nil, ErrNotReached{Address: address, Cause: err}
 	}
-	conn, err := s.session.OpenStream()
+	conn, err := openStream(ctx, session)
 	if err != nil {
-		_ = s.session.Close()
+		if ctx.Err() == nil {
+			p.drop(address, session)
+		}
 		return nil, ErrNotReached{Address: address, Cause: err}
 	}
 	return newStream(ctx, conn, address), nil
 }
 
+// openStream returns when the context ends, although a session whose peer is silent blocks longer.
+func openStream(ctx context.Context, session *yamux.Session) (net.Conn, error) {
+	type opened struct {
+		conn *yamux.Stream
+		err  error
+	}
+	done := make(chan opened, 1)
+	go func() {
+		conn, err := session.OpenStream()
+		done <- opened{conn, err}
+	}()
+	select {
+	case o := <-done:
+		if o.err != nil {
+			return nil, o.err
+		}
+		return o.conn, nil
+	case <-ctx.Done():
+		go func() {
+			if o := <-done; o.err == nil {
+				_ = o.conn.Close()
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
+
 // Call sends one frame on a new stream and returns the one reply.
 func (p *Pool) Call(ctx context.Context, address string, frame *wirepb.Frame, timeout time.Duration) (*wirepb.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	stream, err := p.Open(ctx, address)
 	if err != nil {
 		return nil, err
@@ -92,11 +120,31 @@
 func (p *Pool) Drop(address string) {
 	s := p.slot(address)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.session != nil {
-		_ = s.session.Close()
+	session := s.session
+	s.mu.Unlock()
+	p.drop(address, session)
+}
+
+// DropOlder gives up the session that a stream used, unless a fresh one took its place already.
+func (p *Pool) DropOlder(stream *Stream) {
+	conn, ok := stream.conn.(*yamux.Stream)
+	if ok {
+		p.drop(stream.peer, conn.Session())
+	}
+}
+
+// drop takes a session out first, since closing one whose peer is silent can take a while.
+func (p *Pool) drop(address string, session *yamux.Session) {
+	if session == nil {
+		return
+	}
+	s := p.slot(address)
+	s.mu.Lock()
+	if s.session == session {
 		s.session = nil
 	}
+	s.mu.Unlock()
+	_ = session.Close()
 }
 
 // Close ends every session.
@@ -118,26 +166,62 @@
 	defer p.mu.Unlock()
 	s, ok := p.sessions[address]
 	if !ok {
-		s = &slot{}
+		s = &slot{token: make(chan struct{}, 1)}
 		p.sessions[address] = s
 	}
 	return s
 }
 
-func (p *Pool) connect(ctx context.Context, s *slot, address string) error {
+// session returns the live session to an address, or dials one.
+func (p *Pool) session(ctx context.Context, address string) (*yamux.Session, error) {
+	s := p.slot(address)
+	if live := s.live(); live != nil {
+		return live, nil
+	}
+	select {
+	case s.token <- struct{}{}:
+		defer func() { <-s.token }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if live := s.live(); live != nil {
+		return live, nil
+	}
+	return p.connect(ctx, s, address)
+}
+
+func (s *slot) live() *yamux.Session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.session == nil || s.session.IsClosed() {
+		return nil
+	}
+	return s.session
+}
+
+func (p *Pool) connect(ctx context.Context, s *slot, address string) (*yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	session, err := yamux.Client(conn, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
-		return err
+		return nil, err
 	}
+	p.mu.Lock()
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		_ = session.Close()
+		return nil, ErrPoolClosed{}
+	}
+	s.mu.Lock()
 	s.session = session
-	return nil
+	s.mu.Unlock()
+	return session, nil
 }
 
 func sessionConfig() *yamux.Config {
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"burdocksaddle/wirepb"
 )
@@ -15,13 +17,18 @@
 // MaxFrameBytes bounds one frame, the largest body a caller may send included.
 const MaxFrameBytes = 72 << 20
 
-const readBufferBytes = 8 << 10
+const (
+	readBufferBytes = 8 << 10
+	// keptBufferBytes bounds the send buffer that a stream holds on to.
+	keptBufferBytes = 64 << 10
+)
 
 // Stream is one call; it closes when the context of its opening ends.
 type Stream struct {
 	conn   net.Conn
 	reader *bufio.Reader
 	send   sync.Mutex
+	buffer []byte
 	stop   func() bool
 	peer   string
 }
@@ -42,12 +49,27 @@
 	if err := s.conn.SetWriteDeadline(deadline(timeout)); err != nil {
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
 	}
-	if _, err := protodelim.MarshalTo(s.conn, frame); err != nil {
+	if err := s.write(frame); err != nil {
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
 	}
 	return nil
 }
 
+// write sends length and frame in one piece from a buffer that the stream keeps.
+func (s *Stream) write(frame *wirepb.Frame) error {
+	var options proto.MarshalOptions
+	buffer := protowire.AppendVarint(s.buffer[:0], uint64(options.Size(frame)))
+	buffer, err := options.MarshalAppend(buffer, frame)
+	if err != nil {
+		return err
+	}
+	if cap(buffer) <= keptBufferBytes {
+		s.buffer = buffer
+	}
+	_, err = s.conn.Write(buffer)
+	return err
+}
+
 // Receive reads one frame within the timeout, 0 waits for the stream's context; it fails with ErrStreamBroken.
 func (s *Stream) Receive(timeout time.Duration) (*wirepb.Frame, error) {
 	if err := s.conn.SetReadDeadline(deadline(timeout)); err != nil {
