Keep the log on disk and write the core of the consensus

A member's log needs a disk that forgets nothing it acknowledged and a core that can be tested without I/O. The core has no tests yet.

--- /dev/null
+++ b/consensus/codec.go
@@ -0,0 +1,117 @@
+package consensus
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"burdocksaddle/wirepb"
+)
+
+// ToWire returns a message as it crosses the wire, without From and To.
+func (m Message) ToWire() *wirepb.LogMessage {
+	w := &wirepb.LogMessage{
+		Kind: uint32(m.Kind), Term: m.Term, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
+		Entries: EntriesToWire(m.Entries), Reject: m.Reject, Hint: m.Hint, Transfer: m.Transfer,
+		Round: m.Round, SentTick: m.SentTick, EchoTick: m.EchoTick, ProofAge: m.ProofAge, Token: m.Token,
+		Offset: m.Offset, Chunk: m.Chunk, LastChunk: m.LastChunk,
+	}
+	if m.Kind == KindSnapshot {
+		w.Configuration = m.Configuration.ToWire()
+	}
+	return w
+}
+
+// MessageFromWire checks and returns a message; it fails with ErrMalformed.
+func MessageFromWire(from, to uint64, w *wirepb.LogMessage) (Message, error) {
+	kind := w.GetKind()
+	if kind == 0 || kind >= uint32(kindEnd) || from == 0 {
+		return Message{}, ErrMalformed{What: "message"}
+	}
+	entries, err := EntriesFromWire(w.GetEntries())
+	if err != nil {
+		return Message{}, err
+	}
+	for i, e := range entries {
+		if e.Index != w.GetIndex()+uint64(i)+1 || e.Term > w.GetTerm() {
+			return Message{}, ErrMalformed{What: "entries of a message"}
+		}
+	}
+	return Message{
+		Kind: Kind(kind), From: from, To: to, Term: w.GetTerm(), Index: w.GetIndex(), LogTerm: w.GetLogTerm(),
+		Commit: w.GetCommit(), Entries: entries, Reject: w.GetReject(), Hint: w.GetHint(), Transfer: w.GetTransfer(),
+		Round: w.GetRound(), SentTick: w.GetSentTick(), EchoTick: w.GetEchoTick(), ProofAge: w.GetProofAge(),
+		Token: w.GetToken(), Offset: w.GetOffset(), Chunk: w.GetChunk(), LastChunk: w.GetLastChunk(),
+		Configuration: ConfigurationFromWire(w.GetConfiguration()),
+	}, nil
+}
+
+// EntriesToWire returns entries as they are stored and sent.
+func EntriesToWire(entries []Entry) []*wirepb.LogEntry {
+	var out []*wirepb.LogEntry
+	for _, e := range entries {
+		out = append(out, &wirepb.LogEntry{Term: e.Term, Index: e.Index, Kind: uint32(e.Kind), Data: e.Data})
+	}
+	return out
+}
+
+// EntriesFromWire checks and returns entries; it fails with ErrMalformed.
+func EntriesFromWire(entries []*wirepb.LogEntry) ([]Entry, error) {
+	var out []Entry
+	for _, w := range entries {
+		if w.GetKind() > uint32(EntryConfiguration) || w.GetIndex() == 0 {
+			return nil, ErrMalformed{What: "entry"}
+		}
+		e := Entry{Term: w.GetTerm(), Index: w.GetIndex(), Kind: EntryKind(w.GetKind()), Data: w.GetData()}
+		if e.Kind == EntryConfiguration {
+			if _, err := unmarshalConfiguration(e.Data); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+// ToWire returns a configuration as it is stored and sent.
+func (c Configuration) ToWire() *wirepb.LogConfiguration {
+	w := &wirepb.LogConfiguration{Group: c.Group, Target: c.Target}
+	for _, m := range c.Members {
+		w.Members = append(w.Members, m.ToWire())
+	}
+	return w
+}
+
+// ToWire returns a member as it is stored and sent.
+func (m Member) ToWire() *wirepb.LogMember {
+	return &wirepb.LogMember{Id: m.ID, Name: m.Name, Address: m.Address, Voter: m.Voter, Standing: m.Standing}
+}
+
+// MemberFromWire returns a member.
+func MemberFromWire(w *wirepb.LogMember) Member {
+	return Member{ID: w.GetId(), Name: w.GetName(), Address: w.GetAddress(), Voter: w.GetVoter(), Standing: w.GetStanding()}
+}
+
+// ConfigurationFromWire returns a configuration.
+func ConfigurationFromWire(w *wirepb.LogConfiguration) Configuration {
+	c := Configuration{Group: w.GetGroup(), Target: w.GetTarget()}
+	for _, m := range w.GetMembers() {
+		c.Members = append(c.Members, MemberFromWire(m))
+	}
+	return c
+}
+
+// ConfigurationEntry returns the entry that puts a configuration in force.
+func ConfigurationEntry(index, term uint64, configuration Configuration) Entry {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(configuration.ToWire())
+	if err != nil {
+		panic(ErrMalformed{What: "configuration", Cause: err})
+	}
+	return Entry{Term: term, Index: index, Kind: EntryConfiguration, Data: data}
+}
+
+func unmarshalConfiguration(data []byte) (Configuration, error) {
+	w := &wirepb.LogConfiguration{}
+	if err := proto.Unmarshal(data, w); err != nil {
+		return Configuration{}, ErrMalformed{What: "configuration", Cause: err}
+	}
+	return ConfigurationFromWire(w), nil
+}
--- /dev/null
+++ b/consensus/status.go
@@ -0,0 +1,47 @@
+package consensus
+
+// PeerStatus is a member as this one sees it; only a leader knows more than the Member.
+type PeerStatus struct {
+	Member
+	State PeerState
+	Match uint64
+	// SilentTicks is how long nothing was heard of the peer.
+	SilentTicks uint64
+	// CaughtUp tells whether a learner may become a voter.
+	CaughtUp bool
+}
+
+// Status is what a member knows at one moment.
+type Status struct {
+	ID, Term, Leader  uint64
+	Role              Role
+	Committed         uint64
+	First, Last       uint64
+	Stable            uint64
+	Snapshot          uint64
+	Configuration     Configuration
+	ConfigurationSafe bool
+	ProofAge          uint64
+	Peers             []PeerStatus
+}
+
+// Status returns what this member knows now.
+func (c *Core) Status() Status {
+	latest := c.log.configuration()
+	s := Status{
+		ID: c.id, Term: c.term, Leader: c.leader, Role: c.role, Committed: c.log.committed, First: c.log.baseIndex + 1,
+		Last: c.log.last(), Stable: c.log.stable, Snapshot: c.snapshot.Index, Configuration: latest.configuration,
+		ConfigurationSafe: latest.index <= c.log.committed, ProofAge: c.ProofAge(),
+	}
+	for _, m := range latest.configuration.Members {
+		peer := PeerStatus{Member: m}
+		if m.ID == c.id {
+			peer.Match, peer.CaughtUp = c.log.stable, true
+		} else if p := c.peers[m.ID]; p != nil {
+			peer.State, peer.Match, peer.SilentTicks = p.state, p.match, c.tick-p.heardTick
+			peer.CaughtUp = c.caughtUp(m.ID)
+		}
+		s.Peers = append(s.Peers, peer)
+	}
+	return s
+}
--- /dev/null
+++ b/storage/filesystem.go
@@ -0,0 +1,108 @@
+package storage
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"syscall"
+)
+
+// FileSystem is what storage asks of the disk; tests put faults into its fields.
+type FileSystem struct {
+	// MakeFolder makes a folder and its parents.
+	MakeFolder func(name string) error
+	// Lock takes a lock that ends with the process; it fails with ErrLocked.
+	Lock func(name string) (unlock func() error, err error)
+	// Create makes an empty file; it fails if there is one.
+	Create     func(name string) (File, error)
+	Read       func(name string) ([]byte, error)
+	List       func(folder string) ([]string, error)
+	Truncate   func(name string, size int64) error
+	Rename     func(from, to string) error
+	Remove     func(name string) error
+	SyncFolder func(name string) error
+}
+
+// File is one file open for writing.
+type File struct {
+	Write func([]byte) (int, error)
+	Sync  func() error
+	Close func() error
+}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// Disk returns the file system of the machine.
+func Disk() FileSystem {
+	return FileSystem{
+		MakeFolder: func(name string) error { return os.MkdirAll(name, folderMode) },
+		Lock:       lockFile,
+		Create: func(name string) (File, error) {
+			return openFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY)
+		},
+		Read:       os.ReadFile,
+		List:       listFolder,
+		Truncate:   truncateFile,
+		Rename:     os.Rename,
+		Remove:     os.Remove,
+		SyncFolder: syncFolder,
+	}
+}
+
+func openFile(name string, flag int) (File, error) {
+	f, err := os.OpenFile(name, flag, fileMode)
+	if err != nil {
+		return File{}, err
+	}
+	return File{Write: f.Write, Sync: f.Sync, Close: f.Close}, nil
+}
+
+func lockFile(name string) (func() error, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, ErrLocked{Folder: name}
+		}
+		return nil, err
+	}
+	return f.Close, nil
+}
+
+func listFolder(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+func truncateFile(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	if err := f.Truncate(size); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+func syncFolder(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
