Put control members on the replicated log and leases on its proof

Members answered as if each were alone: a follower could not pass a change on, and a lease ran from the member's word, not from the quorum's. Now any member forwards proposals once to the leader under a proposal id, tells committed, never and unknown apart, relays reports and demand, and gives leases only as old as its last barrier allows. A lease counts from the node's own clock, a restarted node's first one needs a younger proof, and streams carry deltas encoded once per base. A version is in force when all members' live nodes confirmed it or every older lease must have run out. Found by the test of restarts: a process that had a version but no lease yet skipped the proof on reconnecting; it now says whether it ever held a lease.

--- a/control/demand.go
+++ b/control/demand.go
@@ -144,21 +144,3 @@
 	}
 	return &wirepb.Frame{Body: &wirepb.Frame_Registered{Registered: registered}}
 }
-
-// Forward takes a command from another process.
-func (m *Member) Forward(ctx context.Context, p *wirepb.Propose) *wirepb.Frame {
-	if p.GetRemainingMs() > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(p.GetRemainingMs())*time.Millisecond)
-		defer cancel()
-	}
-	return proposeReply(m.Propose(ctx, p.GetCommand()))
-}
-
-func proposeReply(result *wirepb.CommandResult, err error) *wirepb.Frame {
-	reply := &wirepb.ProposeReply{Result: result, Committed: err == nil}
-	if err != nil {
-		reply.Error = err.Error()
-	}
-	return &wirepb.Frame{Body: &wirepb.Frame_ProposeReply{ProposeReply: reply}}
-}
--- /dev/null
+++ b/control/force_test.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"burdocksaddle/view"
+)
+
+// TestInForce changes the catalog with members isolated or not, and wants the wait to end in time and
+// to be true: no node that holds a lease has an older version then.
+func TestInForce(t *testing.T) {
+	tests := []struct {
+		name    string
+		through string
+		isolate string
+		lead    string
+		within  time.Duration
+	}{
+		{name: "healthy, through the leader", through: "c1", within: 2 * time.Second},
+		{name: "healthy, through a follower", through: "c3", within: 2 * time.Second},
+		{name: "a follower isolated", through: "c1", isolate: "c3", within: 5 * time.Second},
+		{name: "the old leader isolated", through: "c2", isolate: "c1", lead: "c2", within: 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T) {
+				g := newGroup(t, 3)
+				defer g.close()
+				g.first()
+				var nodes []*view.Client
+				for i := range 9 {
+					nodes = append(nodes, g.node("n"+strconv.Itoa(i), "c1", "c2", "c3"))
+				}
+				time.Sleep(3 * testLease)
+				if test.isolate != "" {
+					g.network.isolate(test.isolate, true)
+				}
+				if test.lead != "" {
+					g.lead(test.lead)
+				}
+				version := g.change(test.through, "next")
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				force := g.members[test.through].Wait(ctx, version)
+				if took := time.Since(start); !force.InForce || took > test.within {
+					t.Errorf("%+v after %v, bound %v", force, took, test.within)
+				} else {
+					t.Logf("in force after %v", took)
+				}
+				for i, node := range nodes {
+					if node.Leased() && node.Version() < version {
+						t.Errorf("node %d serves version %d", i, node.Version())
+					}
+				}
+				time.Sleep(testLease)
+				for i, node := range nodes {
+					if !node.Leased() || node.Version() != version {
+						t.Errorf("node %d: leased %v, version %d", i, node.Leased(), node.Version())
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestNoLeaseWithoutProof isolates members with the nodes that hang on them.
+func TestNoLeaseWithoutProof(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.first()
+		alone := g.node("alone", "c3")
+		free := g.node("free", "c3", "c1")
+		time.Sleep(testLease)
+		if !alone.Leased() || !free.Leased() {
+			t.Fatal("nodes have no lease on a healthy group")
+		}
+		// No member reaches a leader any more, while the nodes still reach the members.
+		g.mu.Lock()
+		g.leader = "nobody"
+		g.mu.Unlock()
+		g.network.isolate("nobody", true)
+		time.Sleep(testLease)
+		if alone.Leased() || free.Leased() {
+			t.Error("a lease outlived the quorum")
+		}
+		g.lead("c1")
+		time.Sleep(2 * testLease)
+		if !alone.Leased() || !free.Leased() {
+			t.Error("no lease after the quorum came back")
+		}
+	})
+}
+
+// TestRestartedNodeNeverOlder restarts a node on a member that lags, and wants no lease on an older
+// version than its predecessor served.
+func TestRestartedNodeNeverOlder(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.first()
+		ctx, cancel := context.WithCancel(t.Context())
+		before, ended := g.nodeUntil(ctx, "n", "Entry", "c1")
+		time.Sleep(testLease)
+		// c3 has just proven the quorum and now hears nothing more.
+		g.network.isolate("c3", true)
+		version := g.change("c1", "next")
+		if !before.Await(t.Context(), version) || !before.Leased() {
+			t.Fatal("the first process is not at the new version")
+		}
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		g.network.isolate("c3", false)
+		g.lead("c2")
+		g.network.isolate("c2", true)
+		after, again := g.nodeUntil(g.ctx, "n", "Entry", "c3")
+		for range 40 {
+			time.Sleep(testLease / 20)
+			if after.Leased() && after.Version() < version {
+				t.Fatalf("restarted node holds a lease on version %d after %d", after.Version(), version)
+			}
+		}
+		g.network.isolate("c2", false)
+		time.Sleep(testLease)
+		if !after.Leased() || after.Version() != version {
+			t.Errorf("leased %v at version %d", after.Leased(), after.Version())
+		}
+		g.ends = append(g.ends, again)
+	})
+}
+
+// TestVersionsNeverGoBack lets nodes reconnect among lagging members while versions come.
+func TestVersionsNeverGoBack(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.first()
+		node := g.node("n", "c1", "c2", "c3")
+		highest := uint64(0)
+		for i := range 40 {
+			g.network.isolate("c"+strconv.Itoa(2+i%2), i%4 < 2)
+			g.change("c1", strconv.Itoa(i))
+			for range 10 {
+				time.Sleep(100 * time.Millisecond)
+				if node.Version() < highest {
+					t.Fatalf("round %d: version %d after %d", i, node.Version(), highest)
+				}
+				highest = node.Version()
+			}
+		}
+		time.Sleep(testLease)
+		want := g.members["c1"].Catalog()
+		if diff := cmp.Diff(want, node.Catalog()); diff != "" {
+			t.Errorf("node (-member +node):\n%s", diff)
+		}
+	})
+}
+
+// TestBehindCatchesUp tells a node of a version that its member has but has not sent yet.
+func TestBehindCatchesUp(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.first()
+		node := g.node("n", "c2")
+		time.Sleep(testLease)
+		version := g.change("c1", "next")
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if !node.Await(ctx, version) {
+			t.Errorf("still at version %d", node.Version())
+		}
+	})
+}
--- /dev/null
+++ b/control/group_test.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"context"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocksaddle/catalog"
+	"burdocksaddle/quorum"
+	"burdocksaddle/view"
+	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
+)
+
+// bubble runs a test on a clock of its own. The sessions' library pools its timers, which must not come
+// from another bubble: two collections empty the pool.
+func bubble(t *testing.T, test func(*testing.T)) {
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, test)
+}
+
+const testLease = 4 * time.Second
+
+// group is several members on one small stand-in for the replicated log: a list of entries that the
+// leader extends while it reaches a majority, and that each member applies while it is reachable.
+type group struct {
+	t       *testing.T
+	ctx     context.Context
+	network *network
+	ends    []<-chan error
+	stop    context.CancelFunc
+	pools   []*wire.Pool
+
+	mu      sync.Mutex
+	names   []string
+	members map[string]*Member
+	applied map[string]int
+	seen    map[string]string
+	entries [][]byte
+	leader  string
+	// loseAnswers makes the leader commit without answering.
+	loseAnswers bool
+}
+
+func newGroup(t *testing.T, size int) *group {
+	ctx, stop := context.WithCancel(t.Context())
+	g := &group{
+		t: t, ctx: ctx, stop: stop, network: newNetwork(),
+		members: map[string]*Member{}, applied: map[string]int{}, seen: map[string]string{},
+	}
+	for i := range size {
+		g.names = append(g.names, "c"+strconv.Itoa(i+1))
+	}
+	g.leader = g.names[0]
+	for _, name := range g.names {
+		m := New(WithName(name), WithLease(testLease), WithPool(g.pool(name)), WithShared(g.log(name)))
+		g.members[name] = m
+	}
+	for _, name := range g.names {
+		g.ends = append(g.ends, wire.Serve(ctx, g.network.listen(name), g.members[name].Handlers()), g.members[name].Run(ctx))
+	}
+	return g
+}
+
+func (g *group) pool(name string) *wire.Pool {
+	pool := wire.NewPool(wire.WithDial(g.network.dialFrom(name)))
+	g.pools = append(g.pools, pool)
+	return pool
+}
+
+func (g *group) close() {
+	g.stop()
+	for _, pool := range g.pools {
+		pool.Close()
+	}
+	for _, end := range g.ends {
+		if err := <-end; err != nil {
+			g.t.Error(err)
+		}
+	}
+}
+
+// lead makes another member the leader; those that are isolated don't hear of it.
+func (g *group) lead(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader = name
+}
+
+func (g *group) log(name string) Log {
+	return Log{
+		Propose: func(ctx context.Context, command []byte) (any, error) { return g.propose(ctx, name, command) },
+		Barrier: func(ctx context.Context) (uint64, error) { return g.barrier(ctx, name) },
+		Leader: func() (string, bool) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if !g.network.silent(name, name) {
+				g.seen[name] = g.leader
+			}
+			return g.seen[name], g.seen[name] == name
+		},
+		Members: func() []MemberInfo {
+			var all []MemberInfo
+			for _, one := range g.names {
+				all = append(all, MemberInfo{Name: one, Address: one, Voter: true})
+			}
+			return all
+		},
+	}
+}
+
+func (g *group) propose(ctx context.Context, name string, command []byte) (any, error) {
+	g.mu.Lock()
+	if g.leader != name {
+		g.mu.Unlock()
+		return nil, quorum.ErrNotLeader{LeaderAddress: g.leader}
+	}
+	if g.network.silent(name, name) {
+		g.mu.Unlock()
+		<-ctx.Done()
+		return nil, quorum.ErrOutcomeUnknown{Reason: "isolated"}
+	}
+	g.entries = append(g.entries, command)
+	lost := g.loseAnswers
+	var result any
+	for _, one := range g.names {
+		if !g.network.silent(one, one) {
+			if got := g.catchUp(one); one == name {
+				result = got
+			}
+		}
+	}
+	g.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, quorum.ErrOutcomeUnknown{Reason: "answer lost"}
+	}
+	return result, nil
+}
+
+func (g *group) catchUp(name string) (last any) {
+	for ; g.applied[name] < len(g.entries); g.applied[name]++ {
+		last = g.members[name].Apply(uint64(g.applied[name]+1), g.entries[g.applied[name]])
+	}
+	return last
+}
+
+func (g *group) barrier(ctx context.Context, name string) (uint64, error) {
+	g.mu.Lock()
+	if !g.network.silent(name, g.leader) {
+		defer g.mu.Unlock()
+		g.catchUp(name)
+		return uint64(len(g.entries)), nil
+	}
+	g.mu.Unlock()
+	<-ctx.Done()
+	return 0, quorum.ErrNoQuorum{Reason: "isolated"}
+}
+
+// node starts a node that watches the given members.
+func (g *group) node(name string, controls ...string) *view.Client {
+	client, ended := g.nodeUntil(g.ctx, name, "Entry", controls...)
+	g.ends = append(g.ends, ended)
+	return client
+}
+
+func (g *group) nodeUntil(ctx context.Context, name, role string, controls ...string) (*view.Client, <-chan error) {
+	client := view.New(g.pool(name), controls, &wirepb.Watch{Node: name, Role: role})
+	return client, client.Run(ctx)
+}
+
+func (g *group) first() {
+	g.t.Helper()
+	first := testCatalog()
+	if result, err := g.members[g.leader].Change(g.ctx, "kit", "first", 0, catalog.Change{Set: &first}); err != nil || result.GetErrorCode() != "" {
+		g.t.Fatal(result, err)
+	}
+}
+
+// change puts an adapter in through a member and returns the version that it made.
+func (g *group) change(through, operation string) uint64 {
+	g.t.Helper()
+	base := g.members[through].Catalog().Version
+	put := catalog.Items{Adapters: []catalog.Adapter{{Name: "a-" + operation, Model: "m0"}}}
+	result, err := g.members[through].Change(g.ctx, "kit", operation, base, catalog.Change{Put: put})
+	if err != nil || result.GetErrorCode() != "" {
+		g.t.Fatal(result, err)
+	}
+	return result.GetCatalogVersion()
+}
--- a/control/member.go
+++ b/control/member.go
@@ -15,19 +15,25 @@
 
 // Member is one control member: the applied state and what is derived from it.
 type Member struct {
-	log      logr.Logger
-	proposer func(context.Context, *wirepb.Command) (*wirepb.CommandResult, error)
-	leader   func() bool
-	policy   placement.Policy
-	lease    time.Duration
+	log    logr.Logger
+	name   string
+	pool   *wire.Pool
+	shared Log
+	leader func() bool
+	policy placement.Policy
+	lease  time.Duration
 
 	mu       sync.RWMutex
 	machine  *Machine
 	changed  chan struct{}
 	demands  map[string]entryDemand
 	lastUsed map[string]int64
-	watchers map[*watcher]struct{}
 	wake     chan struct{}
+
+	holders map[string]*holder
+	deltas  deltas
+	force   forceTimes
+	proof   proof
 }
 
 // MemberOption sets one property of a Member.
@@ -39,46 +45,84 @@
 // WithLease sets how long a node may serve after it heard from the quorum.
 func WithLease(length time.Duration) MemberOption { return func(m *Member) { m.lease = length } }
 
-const defaultLease = 5 * time.Second
+// WithName sets the member's own name.
+func WithName(name string) MemberOption { return func(m *Member) { m.name = name } }
+
+// WithPool sets what reaches the other members.
+func WithPool(pool *wire.Pool) MemberOption { return func(m *Member) { m.pool = pool } }
+
+// WithShared puts a replicated log under the member; without it the process is alone.
+func WithShared(log Log) MemberOption { return func(m *Member) { m.Share(log) } }
+
+const defaultLease = 4 * time.Second
 
-// New makes a Member whose log is this process alone.
+// New makes a Member whose log is this process alone, unless an option says otherwise.
 func New(options ...MemberOption) *Member {
 	m := &Member{
-		log: logr.Discard(), machine: NewMachine(), changed: make(chan struct{}), lease: defaultLease,
-		demands: map[string]entryDemand{}, lastUsed: map[string]int64{},
-		watchers: map[*watcher]struct{}{}, wake: make(chan struct{}, 1),
+		log: logr.Discard(), name: "self", machine: NewMachine(), changed: make(chan struct{}), lease: defaultLease,
+		demands: map[string]entryDemand{}, lastUsed: map[string]int64{}, wake: make(chan struct{}, 1),
+		holders: map[string]*holder{}, proof: newProof(),
 	}
-	m.proposer, m.leader = m.commitLocally, func() bool { return true }
+	m.Share(m.alone())
 	for _, option := range options {
 		option(m)
 	}
 	return m
 }
 
-// Propose puts a command into the log and returns its result once it is committed.
-func (m *Member) Propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
-	command.AtMs = uint64(time.Now().UnixMilli())
-	return m.proposer(ctx, command)
+// Share sets the replicated log; it is called before the member serves.
+func (m *Member) Share(log Log) {
+	m.shared = log
+	m.leader = func() bool {
+		_, self := m.shared.Leader()
+		return self
+	}
 }
 
-func (m *Member) commitLocally(_ context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
-	return m.apply(0, command), nil
+// Run carries the member's duties out until the context ends; the channel gives the end.
+func (m *Member) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	planned, proved := m.Plan(ctx), m.prove(ctx)
+	go func() {
+		first := <-planned
+		if err := <-proved; first == nil {
+			first = err
+		}
+		ended <- first
+	}()
+	return ended
 }
 
-// apply carries a committed command out and wakes whoever waits for changes; index 0 takes the next one.
+// apply carries a committed command out and wakes whoever waits for changes.
 func (m *Member) apply(index uint64, command *wirepb.Command) *wirepb.CommandResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if index == 0 {
-		index = m.machine.index + 1
-	}
+	before := m.versions()
 	result := m.machine.Apply(index, command)
-	close(m.changed)
-	m.changed = make(chan struct{})
-	m.nudge()
+	m.noticed(before)
 	return result
 }
 
+// versions are those that watchers wait for.
+type versions struct{ catalog, fleet uint64 }
+
+func (m *Member) versions() versions {
+	return versions{catalog: m.machine.catalog.Version, fleet: m.machine.fleet.Version()}
+}
+
+// noticed wakes whoever waits for changes; the caller holds the lock.
+func (m *Member) noticed(before versions) {
+	now := m.versions()
+	if now.catalog != before.catalog {
+		m.force.applied(now.catalog, time.Now())
+	}
+	if now != before {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	m.nudge()
+}
+
 // Catalog returns the applied catalog.
 func (m *Member) Catalog() catalog.Catalog {
 	m.mu.RLock()
@@ -101,5 +145,8 @@
 
 // Handlers returns what serves other processes' calls.
 func (m *Member) Handlers() wire.Handlers {
-	return wire.Handlers{Watch: m.Watch, Report: m.Report, Register: m.Register, Demand: m.Demand, Propose: m.Forward}
+	return wire.Handlers{
+		Watch: m.Watch, Report: m.relayReport, Register: m.Register, Demand: m.relayDemand,
+		Propose: m.Forward, Force: m.Force,
+	}
 }
--- a/control/operate.go
+++ b/control/operate.go
@@ -24,44 +24,6 @@
 	return result, err
 }
 
-// Force tells how far a version is in force.
-type Force struct {
-	Version uint64
-	InForce bool
-	// Waiting lists live nodes that have not confirmed the version.
-	Waiting []string
-}
-
-// Wait returns once a version is in force everywhere or the context ends.
-func (m *Member) Wait(ctx context.Context, version uint64) Force {
-	for {
-		force := m.force(version)
-		if force.InForce {
-			return force
-		}
-		select {
-		case <-ctx.Done():
-			return force
-		case <-time.After(waitPoll):
-		}
-	}
-}
-
-const waitPoll = 20 * time.Millisecond
-
-func (m *Member) force(version uint64) Force {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	force := Force{Version: version, InForce: m.machine.catalog.Version >= version, Waiting: []string{}}
-	for w := range m.watchers {
-		if w.confirmed < version && time.Now().Before(w.until) {
-			force.InForce = false
-			force.Waiting = append(force.Waiting, w.node)
-		}
-	}
-	return force
-}
-
 // History returns the accepted changes, oldest first.
 func (m *Member) History() []Change {
 	m.mu.RLock()
@@ -76,20 +38,8 @@
 	return m.machine.At(version)
 }
 
-// MemberInfo describes one control member to operators.
-type MemberInfo struct {
-	Name   string
-	Leader bool
-	Voter  bool
-	Index  uint64
-}
-
 // Members returns the control members as this one knows them.
-func (m *Member) Members() []MemberInfo {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return []MemberInfo{{Name: "self", Leader: true, Voter: true, Index: m.machine.index}}
-}
+func (m *Member) Members() []MemberInfo { return m.shared.Members() }
 
 // Dump is a control member's state.
 type Dump struct {
@@ -99,7 +49,10 @@
 	Fleet    uint64
 	Claims   int
 	Watchers int
-	Replicas []ReplicaDump
+	// ProofAgeMS is how long ago the member last proved the quorum.
+	ProofAgeMS int64
+	Leading    bool
+	Replicas   []ReplicaDump
 }
 
 // ReplicaDump describes one replica.
@@ -118,7 +71,8 @@
 	defer m.mu.RUnlock()
 	d := Dump{
 		Index: m.machine.index, Catalog: m.machine.catalog.Version, Preset: m.machine.catalog.Preset,
-		Fleet: m.machine.fleet.Version(), Claims: m.machine.ledger.Len(), Watchers: len(m.watchers), Replicas: []ReplicaDump{},
+		Fleet: m.machine.fleet.Version(), Claims: m.machine.ledger.Len(), Watchers: len(m.holders), Replicas: []ReplicaDump{},
+		ProofAgeMS: time.Since(m.proof.at).Milliseconds(), Leading: m.leader(),
 	}
 	for _, endpoint := range m.machine.fleet.Endpoints() {
 		for _, r := range m.machine.fleet.Replicas(endpoint.Name) {
--- a/control/watch.go
+++ b/control/watch.go
@@ -2,90 +2,175 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"burdocksaddle/setting"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
 
 const (
 	watchSendTimeout = 2 * time.Second
+	// gather lets changes that come close together go out as one update.
+	gather = 5 * time.Millisecond
 )
 
 // watcher is one node's open stream.
 type watcher struct {
-	node      string
-	endpoint  string
-	confirmed uint64
-	until     time.Time
+	member *Member
+	holder *holder
+	stream *wire.Stream
+	node   *wirepb.Watch
+	// since is when a process that never held a lease came: its first one needs a proof that is
+	// younger, or it could serve what is older than what its predecessor served.
+	since   time.Time
+	renew   chan struct{}
+	catalog uint64
+	fleet   uint64
+	orders  *wirepb.WatchUpdate
+	leased  bool
 }
 
 // Watch serves one node's stream until either side ends it.
-func (m *Member) Watch(ctx context.Context, w *wirepb.Watch, stream *wire.Stream) {
-	own := &watcher{node: w.GetNode(), endpoint: w.GetEndpoint(), confirmed: w.GetCatalogVersion()}
-	m.mu.Lock()
-	m.watchers[own] = struct{}{}
-	m.mu.Unlock()
-	defer func() {
-		m.mu.Lock()
-		delete(m.watchers, own)
-		m.mu.Unlock()
-	}()
+func (m *Member) Watch(ctx context.Context, node *wirepb.Watch, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go m.readConfirms(stream, own, cancel)
-	catalogVersion, fleetVersion := w.GetCatalogVersion(), w.GetFleetVersion()
-	for {
-		changes := m.changes()
-		update := m.update(own, w.GetIncarnation(), catalogVersion, fleetVersion)
-		if err := stream.Send(&wirepb.Frame{CatalogVersion: m.Catalog().Version, Body: &wirepb.Frame_WatchUpdate{WatchUpdate: update}}, watchSendTimeout); err != nil {
-			return
+	w := &watcher{
+		member: m, stream: stream, node: node, renew: make(chan struct{}, 1),
+		catalog: node.GetCatalogVersion(), fleet: node.GetFleetVersion(),
+	}
+	if !node.GetLeased() {
+		w.since = time.Now()
+		m.askProof()
+	}
+	w.holder = m.hold(node)
+	defer m.release(w.holder)
+	read := w.readConfirms(cancel)
+	w.serve(ctx)
+	cancel()
+	stream.Close()
+	<-read
+}
+
+// serve sends an update at each change that concerns the node and at each renewal that it asks for.
+func (w *watcher) serve(ctx context.Context) {
+	for asked := true; ; {
+		changes, proofs := w.member.changes(), w.member.proofs()
+		if update := w.update(); asked || w.concerns(update) {
+			if !w.send(update) {
+				return
+			}
 		}
-		catalogVersion, fleetVersion = m.Catalog().Version, update.GetFleetVersion()
+		if w.leased {
+			proofs = nil
+		}
+		asked = false
 		select {
 		case <-ctx.Done():
 			return
+		case <-w.renew:
+			asked = true
+		case <-proofs:
 		case <-changes:
-		case <-time.After(m.lease / 4):
+			time.Sleep(gather)
 		}
 	}
 }
 
-func (m *Member) readConfirms(stream *wire.Stream, own *watcher, cancel context.CancelFunc) {
-	defer cancel()
-	for {
-		frame, err := stream.Receive(0)
-		if err != nil {
-			return
-		}
-		if confirm := frame.GetConfirm(); confirm != nil {
-			m.mu.Lock()
-			own.confirmed = max(own.confirmed, confirm.GetCatalogVersion())
-			m.mu.Unlock()
+func (w *watcher) send(update *wirepb.WatchUpdate) bool {
+	frame := &wirepb.Frame{CatalogVersion: w.member.Catalog().Version, Body: &wirepb.Frame_WatchUpdate{WatchUpdate: update}}
+	if err := w.stream.Send(frame, watchSendTimeout); err != nil {
+		return false
+	}
+	if len(update.GetCatalog()) > 0 {
+		w.catalog = w.holder.sentVersion
+	}
+	w.fleet, w.leased = max(w.fleet, update.GetFleetVersion()), update.GetLeaseMs() > 0
+	w.orders = &wirepb.WatchUpdate{Orders: update.GetOrders(), AdapterPermits: update.GetAdapterPermits()}
+	return true
+}
+
+// concerns tells whether an update holds news for the node.
+func (w *watcher) concerns(u *wirepb.WatchUpdate) bool {
+	if len(u.GetCatalog()) > 0 || !w.leased && u.GetLeaseMs() > 0 {
+		return true
+	}
+	if w.node.GetRole() == string(setting.RoleAgent) {
+		orders := &wirepb.WatchUpdate{Orders: u.GetOrders(), AdapterPermits: u.GetAdapterPermits()}
+		return !proto.Equal(w.orders, orders)
+	}
+	return u.GetFleetVersion() > w.fleet
+}
+
+func (w *watcher) readConfirms(cancel context.CancelFunc) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer cancel()
+		for {
+			frame, err := w.stream.Receive(0)
+			if err != nil {
+				return
+			}
+			if confirm := frame.GetConfirm(); confirm != nil {
+				w.member.confirmed(w.holder, confirm)
+				if confirm.GetRenew() {
+					w.askRenew()
+				}
+			}
 		}
+	}()
+	return ended
+}
+
+func (w *watcher) askRenew() {
+	select {
+	case w.renew <- struct{}{}:
+	default:
 	}
 }
 
-// update holds what changed since the versions that the node has.
-func (m *Member) update(own *watcher, incarnation, catalogVersion, fleetVersion uint64) *wirepb.WatchUpdate {
+// update holds what changed since the versions that the node has, and the lease that goes with it: a
+// node that takes the lease takes the catalog too.
+func (w *watcher) update() *wirepb.WatchUpdate {
+	m := w.member
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own.until = time.Now().Add(m.lease)
-	u := &wirepb.WatchUpdate{FleetVersion: m.machine.fleet.Version(), LeaseMs: uint64(m.lease.Milliseconds())}
-	if m.machine.catalog.Version != catalogVersion {
-		u.Catalog, _ = json.Marshal(m.machine.catalog)
+	u := &wirepb.WatchUpdate{FleetVersion: m.machine.fleet.Version(), Stamp: w.holder.stamp, LeaseLengthMs: uint64(m.lease.Milliseconds())}
+	w.grant(u, time.Now())
+	if version := m.machine.catalog.Version; version > w.catalog {
+		encoded := m.catalogSince(w.catalog)
+		u.Catalog, u.CatalogDelta = encoded.data, encoded.delta
+		w.holder.sentVersion = version
 	}
-	u.FleetFull = fleetVersion == 0
-	for _, endpoint := range m.machine.fleet.Endpoints() {
-		if endpoint.Changed > fleetVersion {
-			u.Endpoints = append(u.Endpoints, endpointView(m.machine.fleet, endpoint))
-		}
+	if w.node.GetEndpoint() != "" {
+		u.Orders = m.orders(w.node.GetEndpoint(), w.node.GetIncarnation())
+		m.addPermits(u, w.node.GetEndpoint(), w.node.GetIncarnation())
 	}
-	u.GoneEndpoints = m.machine.fleet.Gone(fleetVersion)
-	if own.endpoint != "" {
-		u.Orders = m.orders(own.endpoint, incarnation)
-		m.addPermits(u, own.endpoint, incarnation)
+	if w.node.GetRole() != string(setting.RoleAgent) && u.GetFleetVersion() > w.fleet {
+		changed := m.fleetSince(w.fleet)
+		u.FleetFull, u.Endpoints, u.GoneEndpoints = changed.GetFleetFull(), changed.GetEndpoints(), changed.GetGoneEndpoints()
 	}
 	return u
 }
+
+// grant puts a lease into an update, as long as the member's proof of the quorum allows.
+func (w *watcher) grant(u *wirepb.WatchUpdate, now time.Time) {
+	m := w.member
+	lease, stale := m.vouch(now)
+	u.Stale = stale
+	if !m.proof.at.After(w.since) {
+		lease = 0
+	}
+	u.LeaseMs = uint64(lease.Milliseconds())
+	w.holder.until = later(w.holder.until, now.Add(lease))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/node/node.go
+++ b/node/node.go
@@ -128,12 +128,13 @@
 func (n *Node) roles(ctx context.Context, pool *wire.Pool, duties *[]<-chan error) (wire.Handlers, error) {
 	var handlers wire.Handlers
 	if n.settings.Has(setting.RoleControl) {
-		n.member = control.New(control.WithLog(n.log), control.WithLease(time.Duration(n.settings.Lease.LengthMS)*time.Millisecond))
-		if err := n.seed(ctx); err != nil {
+		shared, err := n.openControl(pool)
+		if err != nil {
 			return handlers, err
 		}
 		handlers = n.member.Handlers()
-		*duties = append(*duties, n.member.Plan(ctx))
+		handlers.Peer = shared.Handle
+		*duties = append(*duties, shared.Run(ctx), n.member.Run(ctx), n.seed(ctx))
 	}
 	if n.settings.Has(setting.RoleAgent) {
 		n.agent = agent.New(n.settings, pool, rand.Text()[:processIDBytes], agent.WithLog(n.log))
@@ -148,38 +149,6 @@
 	return handlers, nil
 }
 
-// seed applies the catalog file once, when there is no catalog yet.
-func (n *Node) seed(ctx context.Context) error {
-	if n.member.Catalog().Version > 0 {
-		return nil
-	}
-	if n.first != nil {
-		return n.apply(ctx, *n.first)
-	}
-	file := n.settings.Control.CatalogFile
-	if file == "" {
-		return nil
-	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	first, err := catalog.Parse(file, data)
-	if err != nil {
-		return err
-	}
-	return n.apply(ctx, first)
-}
-
-// apply puts a first catalog in force.
-func (n *Node) apply(ctx context.Context, first catalog.Catalog) error {
-	result, err := n.member.Change(ctx, "settings", "first-catalog", 0, catalog.Change{Set: &first})
-	if err == nil && result.GetErrorCode() != "" {
-		n.log.Info("first catalog not applied", "code", result.GetErrorCode(), "detail", result.GetErrorDetail())
-	}
-	return err
-}
-
 func (n *Node) serveHTTP(ctx context.Context, duties *[]<-chan error) error {
 	if n.settings.Operator.Listen != "" {
 		mux := http.NewServeMux()
--- a/view/client.go
+++ b/view/client.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
+	"crypto/rand"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/catalog"
@@ -15,25 +16,35 @@
 )
 
 const (
-	updateTimeout  = 10 * time.Second
 	confirmTimeout = 2 * time.Second
 	retryFirst     = 50 * time.Millisecond
 	retryMost      = time.Second
+	// firstLease is taken for a lease's length until a member has given one.
+	firstLease     = 4 * time.Second
+	renewsPerLease = 4
+	stallsPerLease = 2
+	// behindPause bounds how often dispatches of newer versions ask for an update.
+	behindPause = 20 * time.Millisecond
 )
 
 // Client is the duty that keeps the picture current.
 type Client struct {
-	pool      *wire.Pool
-	controls  []string
-	node      *wirepb.Watch
-	log       logr.Logger
-	onOrders  func([]*wirepb.ReplicaOrder)
+	pool     *wire.Pool
+	controls []string
+	node     *wirepb.Watch
+	log      logr.Logger
+	onOrders func([]*wirepb.ReplicaOrder)
+	// onPermits takes an agent's portion of the adapter transit budget and how long it holds.
 	onPermits func(permits int, length time.Duration)
+	start     time.Time
+	behind    chan struct{}
+
 	mu        sync.RWMutex
 	catalog   catalog.Catalog
 	fleet     uint64
 	endpoints map[string]*wirepb.EndpointView
 	until     time.Time
+	lease     time.Duration
 	changed   chan struct{}
 }
 
@@ -56,9 +67,12 @@
 // New makes a Client that watches one of the control members as the given node.
 func New(pool *wire.Pool, controls []string, node *wirepb.Watch, options ...Option) *Client {
 	c := &Client{
-		pool: pool, controls: controls, node: node, log: logr.Discard(),
+		pool: pool, controls: controls, node: node, log: logr.Discard(), start: time.Now(),
 		endpoints: map[string]*wirepb.EndpointView{}, changed: make(chan struct{}),
-		onOrders: func([]*wirepb.ReplicaOrder) {}, onPermits: func(int, time.Duration) {},
+		onOrders: func([]*wirepb.ReplicaOrder) {}, onPermits: func(int, time.Duration) {}, lease: firstLease, behind: make(chan struct{}, 1),
+	}
+	if c.node.GetProcess() == "" {
+		c.node.Process = rand.Text()
 	}
 	for _, option := range options {
 		option(c)
@@ -72,8 +86,10 @@
 	go func() {
 		retry := backoff.NewExponentialBackOff()
 		retry.InitialInterval, retry.MaxInterval = retryFirst, retryMost
-		for next := 0; ctx.Err() == nil; next++ {
-			address := c.controls[next%len(c.controls)]
+		// Nodes spread over the members by their names.
+		next := xxhash.Sum64String(c.node.GetNode()) % uint64(len(c.controls))
+		for ; ctx.Err() == nil; next++ {
+			address := c.controls[next%uint64(len(c.controls))]
 			if err := c.watch(ctx, address, retry); err != nil && ctx.Err() == nil {
 				c.log.V(1).Info("watch ended", "control", address, "error", err.Error())
 			}
@@ -90,16 +106,18 @@
 func (c *Client) watch(ctx context.Context, address string, retry *backoff.ExponentialBackOff) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := c.pool.Open(ctx, address)
+	stream, err := c.open(ctx, cancel, address)
 	if err != nil {
 		return err
 	}
-	defer stream.Close()
-	if err := stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Watch{Watch: c.hello()}}, confirmTimeout); err != nil {
-		return err
-	}
+	renewed := c.renew(ctx, cancel, stream)
+	defer func() {
+		cancel()
+		stream.Close()
+		<-renewed
+	}()
 	for {
-		frame, err := stream.Receive(updateTimeout)
+		frame, err := stream.Receive(c.part(stallsPerLease))
 		if err != nil {
 			c.pool.Drop(address)
 			return err
@@ -108,94 +126,122 @@
 		if update == nil {
 			return wire.ErrUnexpectedFrame{Peer: address, Want: "WatchUpdate"}
 		}
-		retry.Reset()
 		confirm, err := c.take(update)
 		if err != nil {
 			return err
 		}
-		if err := stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Confirm{Confirm: confirm}}, confirmTimeout); err != nil {
+		if err := c.send(stream, confirm); err != nil {
 			return err
 		}
+		if update.GetStale() {
+			return ErrStale{Control: address}
+		}
+		retry.Reset()
 		c.onOrders(update.GetOrders())
 		c.onPermits(int(update.GetAdapterPermits()), time.Duration(update.GetAdapterPermitsMs())*time.Millisecond)
 	}
 }
 
-func (c *Client) hello() *wirepb.Watch {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return &wirepb.Watch{
-		Node: c.node.GetNode(), Role: c.node.GetRole(), DataCentre: c.node.GetDataCentre(),
-		Endpoint: c.node.GetEndpoint(), Incarnation: c.node.GetIncarnation(),
-		CatalogVersion: c.catalog.Version, FleetVersion: c.fleet,
+// open greets a member; one that doesn't take the connection in time is given up while the lease still holds.
+func (c *Client) open(ctx context.Context, cancel context.CancelFunc, address string) (*wire.Stream, error) {
+	timer := time.AfterFunc(c.part(renewsPerLease), cancel)
+	defer timer.Stop()
+	stream, err := c.pool.Open(ctx, address)
+	if err != nil {
+		return nil, err
 	}
+	if err := stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Watch{Watch: c.hello()}}, confirmTimeout); err != nil {
+		stream.Close()
+		return nil, err
+	}
+	return stream, nil
 }
 
-// take brings the picture forward; an older catalog or fleet never replaces a newer one.
-func (c *Client) take(u *wirepb.WatchUpdate) (*wirepb.Confirm, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(u.GetCatalog()) > 0 {
-		var next catalog.Catalog
-		if err := json.Unmarshal(u.GetCatalog(), &next); err != nil {
-			return nil, err
-		}
-		if next.Version > c.catalog.Version {
-			c.catalog = next
-			c.log.Info("configuration in force", "version", next.Version, "preset", next.Preset)
+// renew asks for a new lease several times within the current one, and at once when the node is behind.
+func (c *Client) renew(ctx context.Context, cancel context.CancelFunc, stream *wire.Stream) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer cancel()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(c.part(renewsPerLease)):
+			case <-c.behind:
+			}
+			confirm := c.confirm()
+			confirm.Renew = true
+			if c.send(stream, confirm) != nil {
+				return
+			}
 		}
-	}
-	if u.GetFleetFull() {
-		clear(c.endpoints)
-	}
-	for _, endpoint := range u.GetEndpoints() {
-		c.endpoints[endpoint.GetName()] = endpoint
-	}
-	for _, name := range u.GetGoneEndpoints() {
-		delete(c.endpoints, name)
-	}
-	c.fleet = u.GetFleetVersion()
-	if u.GetLeaseMs() > 0 {
-		c.until = time.Now().Add(time.Duration(u.GetLeaseMs()) * time.Millisecond)
-	}
-	close(c.changed)
-	c.changed = make(chan struct{})
-	return &wirepb.Confirm{CatalogVersion: c.catalog.Version, FleetVersion: c.fleet}, nil
+	}()
+	return ended
 }
 
-// Catalog returns the catalog in force here.
-func (c *Client) Catalog() catalog.Catalog {
+func (c *Client) send(stream *wire.Stream, confirm *wirepb.Confirm) error {
+	return stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Confirm{Confirm: confirm}}, confirmTimeout)
+}
+
+// part returns a part of the lease's length.
+func (c *Client) part(parts time.Duration) time.Duration {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return c.catalog
+	return c.lease / parts
 }
 
-// Endpoints returns the known endpoints of a service.
-func (c *Client) Endpoints(service string) []*wirepb.EndpointView {
+// stamp returns this process's own clock in milliseconds; 0 means none.
+func (c *Client) stamp() uint64 { return uint64(time.Since(c.start).Milliseconds()) + 1 }
+
+func (c *Client) hello() *wirepb.Watch {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	var all []*wirepb.EndpointView
-	for _, endpoint := range c.endpoints {
-		if service == "" || endpoint.GetService() == service {
-			all = append(all, endpoint)
-		}
+	return &wirepb.Watch{
+		Node: c.node.GetNode(), Role: c.node.GetRole(), DataCentre: c.node.GetDataCentre(),
+		Endpoint: c.node.GetEndpoint(), Incarnation: c.node.GetIncarnation(), Process: c.node.GetProcess(),
+		CatalogVersion: c.catalog.Version, FleetVersion: c.fleet, Stamp: c.stamp(), Leased: !c.until.IsZero(),
 	}
-	return all
 }
 
-// Leased tells whether the node heard from the quorum within the lease.
-func (c *Client) Leased() bool {
+func (c *Client) confirm() *wirepb.Confirm {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return time.Now().Before(c.until)
+	return &wirepb.Confirm{CatalogVersion: c.catalog.Version, FleetVersion: c.fleet, Stamp: c.stamp()}
 }
 
-// Changed returns a channel that closes at the next update.
-func (c *Client) Changed() <-chan struct{} {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.changed
+// Behind takes the catalog version that another node has in force and catches up at once if it is newer.
+func (c *Client) Behind(version uint64) {
+	if version <= c.Version() {
+		return
+	}
+	select {
+	case c.behind <- struct{}{}:
+	default:
+	}
+}
+
+// Await returns once this node has the version in force, or false when the context ends.
+func (c *Client) Await(ctx context.Context, version uint64) bool {
+	for {
+		changed := c.Changed()
+		if c.Version() >= version {
+			return true
+		}
+		c.Behind(version)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		case <-time.After(behindPause):
+		}
+	}
 }
 
-// Version returns the version of the catalog in force here.
-func (c *Client) Version() uint64 { return c.Catalog().Version }
+// ErrStale tells that a control member has no fresh proof of the quorum.
+type ErrStale struct{ Control string }
+
+// Error implements error.
+func (e ErrStale) Error() string {
+	return "control member " + e.Control + " has no fresh proof of the quorum"
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -29,7 +29,6 @@
 	Peer     func(context.Context, *wirepb.PeerMessage, *Stream)
 	Members  func(context.Context) *wirepb.Frame
 	Force    func(context.Context, *wirepb.ForceQuery) *wirepb.Frame
-	Barrier  func(context.Context) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends; the channel gives the reason, once.
@@ -138,10 +137,6 @@
 		}
 	case *wirepb.Frame_ForceQuery:
 		return call(ctx, handlers.Force, body.ForceQuery)
-	case *wirepb.Frame_BarrierQuery:
-		if handlers.Barrier != nil {
-			return handlers.Barrier(ctx)
-		}
 	case *wirepb.Frame_Ping:
 		return &wirepb.Frame{Body: &wirepb.Frame_Pong{Pong: &wirepb.Pong{}}}
 	}
