Answer each request by one owner, claims by enquiry, streams by resume

The entry scanned all endpoints for every waiting request, a broken connection lost a claimed call's outcome, a refused resend could be told NotRun although the first send had run, and the HTTP library repeats a call with an idempotency key by itself on a reused connection. One scheduler now matches queues and endpoints. A guard closes the way to the agent and to the caller at the deadline, so that what is said of the run stays true. Claims end by agreement with the agent: a tombstone gives NotRun, a recorded answer Ran, another incarnation Unknown; resends wait for that. A refusal of a resend is checked against the ledger. Claimed calls use a fresh connection each and outlive their entry. Streams resume by offset, engines that go silent are asked afresh, and a caller that leaves cancels the run. Admitted = answered + refused + open is asserted and counted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,7 +22,9 @@
 	log      logr.Logger
 	pool     *wire.Pool
 	http     *http.Client
-	process  string
+	// once is for calls that must never be repeated and for fresh connections.
+	once    *http.Client
+	process string
 
 	watch  *view.Client
 	orders chan []*wirepb.ReplicaOrder
@@ -31,8 +33,13 @@
 	mu          sync.Mutex
 	incarnation uint64
 	leaving     bool
-	running     int
-	starts      map[string]*start
+	// stopping is the process's own end, leaving its VM's.
+	stopping bool
+	running  int
+	// idle closes when the last running request ends.
+	idle   chan struct{}
+	starts *starts
+	runs   runs
 	// What the engine and the platform said last.
 	adapters adapters
 	cached   []*wirepb.CachedCheckpoint
@@ -51,13 +58,17 @@
 // New makes an Agent; process is the random name of this process.
 func New(settings setting.Settings, pool *wire.Pool, process string, options ...Option) *Agent {
 	a := &Agent{
-		settings: settings, pool: pool, process: process, log: logr.Discard(), http: &http.Client{},
-		orders: make(chan []*wirepb.ReplicaOrder, 1), starts: map[string]*start{},
+		settings: settings, pool: pool, process: process, log: logr.Discard(),
+		http:   &http.Client{Transport: endpointTransport(settings.Agent.Slots)},
+		orders: make(chan []*wirepb.ReplicaOrder, 1), idle: make(chan struct{}), runs: runs{},
+		starts: newStarts(settings.Agent.AnswerBytes, settings.Agent.AnswerKeepMS),
 		nudged: make(chan struct{}, 1), adapters: adapters{underWay: map[string]chan struct{}{}},
 	}
 	for _, option := range options {
 		option(a)
 	}
+	a.once = onceClient(a.http)
+	a.http = &http.Client{Transport: a.http.Transport, CheckRedirect: noRedirect}
 	return a
 }
 
@@ -81,7 +92,7 @@
 	a.mu.Lock()
 	a.incarnation, a.watch = incarnation, watch
 	a.mu.Unlock()
-	for _, end := range []<-chan error{watch.Run(ctx), a.hold(ctx), a.pollPlatform(ctx)} {
+	for _, end := range []<-chan error{watch.Run(ctx), a.hold(ctx), a.pollPlatform(ctx), a.reap(ctx)} {
 		if err := <-end; err != nil {
 			return err
 		}
@@ -150,5 +161,5 @@
 func (a *Agent) Dump() Dump {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Dump{Endpoint: a.settings.Agent.Endpoint, Incarnation: a.incarnation, Leaving: a.leaving, Running: a.running, Starts: len(a.starts)}
+	return Dump{Endpoint: a.settings.Agent.Endpoint, Incarnation: a.incarnation, Leaving: a.leaving, Running: a.running, Starts: a.starts.len()}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -14,36 +13,28 @@
 	"burdocksaddle/wirepb"
 )
 
-const (
-	demandInterval   = 100 * time.Millisecond
-	demandTimeout    = time.Second
-	defaultQueue     = 1024
-	controlCallLimit = 2 * time.Second
-)
-
 // Entry serves callers' requests.
 type Entry struct {
-	settings setting.Settings
-	log      logr.Logger
-	pool     *wire.Pool
-	watch    *view.Client
+	settings    setting.Settings
+	log         logr.Logger
+	pool        *wire.Pool
+	watch       *view.Client
+	sched       *scheduler
+	count       *counters
+	onViolation func(error)
+	wake        chan struct{}
+	closes      chan *wirepb.ClaimClose
+	lookups     chan struct{}
 
 	mu       sync.Mutex
-	queues   map[string]*queue
-	running  map[string]int
-	open     int
+	arrivals map[string]uint32
+	tally    tally
+	// idle closes when the last open request ends.
+	idle     chan struct{}
+	draining bool
 	stopping bool
-	wake     chan struct{}
-	freed    chan struct{}
-}
-
-// queue counts what waits for one model or service.
-type queue struct {
-	model    bool
-	waiting  int
-	running  int
-	arrivals int
-	earliest map[string]time.Time
+	// control is the member that answered last.
+	control int
 }
 
 // Option sets one property of an Entry.
@@ -52,29 +43,40 @@
 // WithLog sets where events are logged.
 func WithLog(log logr.Logger) Option { return func(e *Entry) { e.log = log } }
 
+// WithViolation sets what is called where an invariant is broken, besides the log and the count.
+func WithViolation(call func(error)) Option { return func(e *Entry) { e.onViolation = call } }
+
 // New makes an Entry.
 func New(settings setting.Settings, pool *wire.Pool, options ...Option) *Entry {
 	e := &Entry{
-		settings: settings, pool: pool, log: logr.Discard(), queues: map[string]*queue{},
-		running: map[string]int{}, wake: make(chan struct{}, 1), freed: make(chan struct{}),
+		settings: settings, pool: pool, log: logr.Discard(), wake: make(chan struct{}, 1),
+		closes: make(chan *wirepb.ClaimClose, maxCloses), lookups: make(chan struct{}, maxLookups),
+		arrivals: map[string]uint32{}, idle: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(e)
 	}
+	e.count = newCounters(func() float64 { return float64(e.Open()) })
 	e.watch = view.New(pool, settings.Controls, &wirepb.Watch{
 		Node: settings.Node, Role: string(setting.RoleEntry), DataCentre: settings.DataCentre,
 	}, view.WithLog(e.log))
+	e.sched = newScheduler(settings.Node, settings.DataCentre, settings.Entry.RetryRatio, e.watch, e.violation)
 	return e
 }
 
 // Run carries the duties out until the context ends; the channel gives the end.
 func (e *Entry) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
-	watched, told := e.watch.Run(ctx), e.tellDemand(ctx)
+	duties := []<-chan error{e.watch.Run(ctx), e.tellDemand(ctx), e.sched.attend(ctx)}
+	for range closers {
+		duties = append(duties, e.closeClaims(ctx))
+	}
 	go func() {
-		first := <-watched
-		if err := <-told; first == nil {
-			first = err
+		var first error
+		for _, duty := range duties {
+			if err := <-duty; err != nil && first == nil {
+				first = err
+			}
 		}
 		ended <- first
 	}()
@@ -85,86 +87,69 @@
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.stopping && (e.watch.Leased() || e.settings.Entry.ServeStale)
+	return !e.draining && e.leased()
 }
 
-// Catalog returns the catalog in force here.
-func (e *Entry) Catalog() catalog.Catalog { return e.watch.Catalog() }
-
-// tellDemand is the duty that tells control what waits here.
-func (e *Entry) tellDemand(ctx context.Context) <-chan error {
-	ended := make(chan error, 1)
-	go func() {
-		tick := time.NewTicker(demandInterval)
-		defer tick.Stop()
-		for ctx.Err() == nil {
-			select {
-			case <-ctx.Done():
-			case <-e.wake:
-			case <-tick.C:
-			}
-			if demand := e.demand(time.Now()); len(demand.GetModels()) > 0 {
-				e.tell(ctx, demand)
-			}
-		}
-		ended <- nil
-	}()
-	return ended
-}
+func (e *Entry) leased() bool { return e.watch.Leased() || e.settings.Entry.ServeStale }
 
-func (e *Entry) tell(ctx context.Context, demand *wirepb.Demand) {
-	for _, address := range e.settings.Controls {
-		if _, err := e.pool.Call(ctx, address, &wirepb.Frame{Body: &wirepb.Frame_Demand{Demand: demand}}, demandTimeout); err == nil {
-			return
-		}
+// takes tells why no new request is taken; nil while they are.
+func (e *Entry) takes() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.stopping:
+		return refuse(CodeStopping, "this entry is stopping; ask again through another one")
+	case !e.leased():
+		return refuse(CodeNoLease, "this entry has not heard from the quorum of late; ask again through another one")
 	}
+	return nil
 }
 
-func (e *Entry) demand(now time.Time) *wirepb.Demand {
+// Drain fails the health check, so that the balancer turns away; requests are still taken.
+func (e *Entry) Drain() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	demand := &wirepb.Demand{Entry: e.settings.Node}
-	for name, q := range e.queues {
-		if !q.model || q.waiting+q.running+q.arrivals == 0 {
-			continue
-		}
-		demand.Models = append(demand.Models, &wirepb.ModelDemand{
-			Model: name, Waiting: uint32(q.waiting), Running: uint32(q.running),
-			Arrivals: uint32(q.arrivals), EarliestRemainingMs: q.remaining(now),
-		})
-		q.arrivals = 0
-	}
-	return demand
+	e.draining = true
 }
 
-func (q *queue) remaining(now time.Time) uint64 {
-	least := time.Hour
-	for _, deadline := range q.earliest {
-		least = min(least, deadline.Sub(now))
+// Stop refuses new requests and returns how many are left once all are answered or the context ends.
+func (e *Entry) Stop(ctx context.Context) int {
+	for {
+		e.mu.Lock()
+		e.draining, e.stopping = true, true
+		open, idle := e.tally.open, e.idle
+		e.mu.Unlock()
+		if open == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return open
+		case <-idle:
+		}
 	}
-	return uint64(max(least, 0).Milliseconds())
 }
 
-// Dump returns the entry's state for operators, without secrets.
-func (e *Entry) Dump() Dump {
+// Open returns how many requests wait or run.
+func (e *Entry) Open() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	d := Dump{Node: e.settings.Node, CatalogVersion: e.watch.Version(), Leased: e.watch.Leased(), Stopping: e.stopping, Queues: map[string]QueueDump{}}
-	for name, q := range e.queues {
-		d.Queues[name] = QueueDump{Waiting: q.waiting, Running: q.running}
-	}
-	for _, endpoint := range e.watch.Endpoints("") {
-		d.Endpoints = append(d.Endpoints, endpoint.GetName())
-	}
-	return d
+	return e.tally.open
 }
 
+// Catalog returns the catalog in force here.
+func (e *Entry) Catalog() catalog.Catalog { return e.watch.Catalog() }
+
 // Dump is an entry's state.
 type Dump struct {
 	Node           string
 	CatalogVersion uint64
 	Leased         bool
 	Stopping       bool
+	Admitted       uint64
+	Answered       uint64
+	Refused        uint64
+	Open           int
 	Queues         map[string]QueueDump
 	Endpoints      []string
 }
@@ -174,3 +159,16 @@
 	Waiting int
 	Running int
 }
+
+// Dump returns the entry's state for operators, without secrets.
+func (e *Entry) Dump() Dump {
+	e.mu.Lock()
+	d := Dump{
+		Node: e.settings.Node, CatalogVersion: e.watch.Version(), Leased: e.watch.Leased(), Stopping: e.stopping,
+		Admitted: e.tally.admitted, Answered: e.tally.answered, Refused: e.tally.refused, Open: e.tally.open,
+		Queues: map[string]QueueDump{},
+	}
+	e.mu.Unlock()
+	e.sched.dump(&d)
+	return d
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -4,6 +4,9 @@
 	"errors"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"burdocksaddle/admission"
 	"burdocksaddle/wirepb"
 )
 
@@ -22,12 +25,40 @@
 	Deadline    time.Time
 	// Urgency is 0 for live callers to 7 for drafts, as in RFC 9218.
 	Urgency int
-	// Key is the caller's idempotency key.
-	Key string
+	// Key is the idempotency key; KeyGiven tells that the caller chose it, so that it may be a resend's.
+	Key      string
+	KeyGiven bool
+	// Prefix numbers the prompt's prefix; 0 is none.
+	Prefix uint64
 	// Repeatable requests may be tried again elsewhere.
 	Repeatable bool
 }
 
+func (r Request) queue() string {
+	if r.Model != "" {
+		return modelQueue + r.Model
+	}
+	return serviceQueue + r.Service
+}
+
+// mayBeResend tells that an earlier send of the same request may have run.
+func (r Request) mayBeResend() bool { return !r.Repeatable && r.KeyGiven }
+
+const (
+	modelQueue   = "model/"
+	serviceQueue = "service/"
+)
+
+// bodyHash tells whether a key is used for the same request again.
+func (r Request) bodyHash() uint64 {
+	hash := xxhash.New()
+	for _, part := range []string{r.Method, r.Path} {
+		_, _ = hash.WriteString(part + "\x00")
+	}
+	_, _ = hash.Write(r.Body)
+	return hash.Sum64()
+}
+
 // Sink takes an answer: Start once, then its parts in order.
 type Sink struct {
 	Start func(status int, contentType string) error
@@ -41,14 +72,18 @@
 	CodeServiceNotExist  = "ServiceNotExist"
 	CodeDeadlinePassed   = "DeadlinePassed"
 	CodeDeadlineTooShort = "DeadlineTooShort"
+	CodeNoReplica        = "NoReplica"
 	CodeQueueFull        = "QueueFull"
 	CodeNoLease          = "NoLease"
 	CodeStopping         = "Stopping"
 	CodeCallerLimit      = "CallerLimit"
+	CodeDraftsRefused    = "DraftsRefused"
 	CodeNoQuorum         = "NoQuorum"
 	CodeEndpointLost     = "EndpointLost"
 	CodeKeyReused        = "KeyReused"
 	CodeOutcomeUnknown   = "OutcomeUnknown"
+	CodeAnswerNotKept    = "AnswerNotKept"
+	CodeAnswerTooLarge   = "AnswerTooLarge"
 	CodeCallerLeft       = "CallerLeft"
 )
 
@@ -74,3 +109,36 @@
 func refuse(code, detail string) ErrRefused {
 	return ErrRefused{Code: code, Run: wirepb.Run_RUN_NOT_RUN, Detail: detail, RetryAfter: time.Second}
 }
+
+func unknown(code, detail string) ErrRefused {
+	return ErrRefused{Code: code, Run: wirepb.Run_RUN_UNKNOWN, Detail: detail, RetryAfter: time.Second}
+}
+
+var admissionCodes = map[admission.Reason]string{
+	admission.ReasonDeadlinePassed: CodeDeadlinePassed, admission.ReasonDeadlineTooShort: CodeDeadlineTooShort,
+	admission.ReasonForecast: CodeNoReplica, admission.ReasonQueueFull: CodeQueueFull,
+	admission.ReasonCallerRate: CodeCallerLimit, admission.ReasonCallerConcurrency: CodeCallerLimit,
+	admission.ReasonDrafts: CodeDraftsRefused,
+}
+
+var admissionDetails = map[admission.Reason]string{
+	admission.ReasonDeadlinePassed:    "the deadline had passed before the request was taken",
+	admission.ReasonDeadlineTooShort:  "the request can't be answered by its deadline",
+	admission.ReasonForecast:          "no endpoint can hold the model now",
+	admission.ReasonQueueFull:         "too many requests wait",
+	admission.ReasonCallerRate:        "the caller sends more requests a second than it may",
+	admission.ReasonCallerConcurrency: "the caller has more requests open than it may",
+	admission.ReasonDrafts:            "the preset in force refuses drafts",
+}
+
+// refusedBy turns an admission's refusal into one for the caller.
+func refusedBy(err error) error {
+	refused, ok := admission.AsErrRefused(err)
+	if !ok {
+		return err
+	}
+	return ErrRefused{
+		Code: admissionCodes[refused.Reason], Run: wirepb.Run_RUN_NOT_RUN,
+		Detail: admissionDetails[refused.Reason], RetryAfter: refused.RetryAfter,
+	}
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -2,221 +2,178 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"burdocksaddle/wire"
+	"burdocksaddle/agent"
+	"burdocksaddle/routing"
 	"burdocksaddle/wirepb"
 )
 
+// answerGrace is how long an attempt may take to end by itself once its time is up.
+const answerGrace = 50 * time.Millisecond
+
 // Serve answers one request through the sink, or fails with ErrRefused by the deadline.
-func (e *Entry) Serve(ctx context.Context, r Request, sink Sink) error {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
-	q, err := e.admit(r)
+func (e *Entry) Serve(ctx context.Context, r Request, sink Sink) (err error) {
+	e.enter()
+	g := &guard{sink: sink}
+	g.suspect(r.mayBeResend())
+	begin := time.Now()
+	defer func() {
+		e.count.seconds.UpdateDuration(begin)
+		e.exit(r, err, g.hasStarted())
+	}()
+	var w *waiter
+	if err = e.takes(); err == nil {
+		e.arrived(r.Model)
+		w, err = e.sched.offer(r)
+	}
+	if err != nil && !r.mayBeResend() {
+		return err
+	}
 	if err != nil {
+		refused := err
+		return e.attend(ctx, r, g, func(ctx context.Context) error { return e.lookUp(ctx, r, g, refused) })
+	}
+	err = e.attend(ctx, r, g, func(ctx context.Context) error { return e.work(ctx, r, w, g) })
+	e.sched.end(w, err == nil)
+	return err
+}
+
+// attend runs a request and answers at its deadline whatever the run does.
+func (e *Entry) attend(ctx context.Context, r Request, g *guard, work func(context.Context) error) error {
+	working, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- work(working) }()
+	select {
+	case err := <-ended:
 		return err
+	case <-working.Done():
 	}
-	defer e.leave(q, r.ID)
-	for attempt := uint32(1); ; attempt++ {
-		endpoint, err := e.await(ctx, q, r)
-		if err != nil {
-			return err
-		}
-		again, err := e.attempt(ctx, r, endpoint, attempt, sink)
-		e.finish(endpoint.GetName(), q, r)
-		if !again {
-			return err
-		}
+	grace := time.NewTimer(answerGrace)
+	defer grace.Stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-grace.C:
 	}
+	run, _ := g.close()
+	return e.timeUp(ctx, run)
 }
 
-// admit checks what can be refused at once and counts the request as waiting.
-func (e *Entry) admit(r Request) (*queue, error) {
-	if !e.Ready() {
-		return nil, refuse(CodeNoLease, "this entry takes no new work now")
-	}
-	name, isModel := r.Service, false
-	if r.Model != "" {
-		name, isModel = r.Model, true
-	}
-	limit := e.Catalog().InForce().QueueLimit
-	if limit == 0 {
-		limit = defaultQueue
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	q, ok := e.queues[name]
-	if !ok {
-		q = &queue{model: isModel, earliest: map[string]time.Time{}}
-		e.queues[name] = q
-	}
-	if q.waiting >= limit {
-		return nil, refuse(CodeQueueFull, "too many requests wait for "+name)
-	}
-	q.waiting++
-	q.arrivals++
-	q.earliest[r.ID] = r.Deadline
-	e.open++
-	e.nudge()
-	return q, nil
+// timeUp says that a deadline passed or that the caller left.
+func (e *Entry) timeUp(ctx context.Context, run wirepb.Run) error {
+	if ctx.Err() != nil {
+		return ErrRefused{Code: CodeCallerLeft, Run: run, Detail: "the caller left"}
+	}
+	return ErrRefused{Code: CodeDeadlinePassed, Run: run, Detail: "no whole answer came by the deadline", RetryAfter: time.Second}
 }
 
-// await waits until an endpoint can take the request.
-func (e *Entry) await(ctx context.Context, q *queue, r Request) (*wirepb.EndpointView, error) {
-	for {
-		changed := e.watch.Changed()
-		e.mu.Lock()
-		freed := e.freed
-		endpoint := e.choose(r)
-		if endpoint != nil {
-			e.running[endpoint.GetName()]++
-			q.waiting--
-			q.running++
-			delete(q.earliest, r.ID)
-		}
-		e.mu.Unlock()
-		if endpoint != nil {
-			return endpoint, nil
-		}
+// work tries endpoints until one answers, or nothing more may be tried.
+func (e *Entry) work(ctx context.Context, r Request, w *waiter, g *guard) error {
+	var last error
+	for attempt := uint32(1); ; attempt++ {
+		var given grant
 		select {
 		case <-ctx.Done():
-			return nil, refuse(CodeDeadlinePassed, "no endpoint was free in time")
-		case <-changed:
-		case <-freed:
+			return e.outOfTime(r, g, last)
+		case given = <-w.grants:
 		}
-	}
-}
-
-// choose takes the least loaded endpoint that can serve the request.
-func (e *Entry) choose(r Request) *wirepb.EndpointView {
-	var best *wirepb.EndpointView
-	for _, endpoint := range e.watch.Endpoints(r.Service) {
-		if endpoint.GetLeaving() || endpoint.GetSilent() || !serves(endpoint, r.Model) {
-			continue
+		if given.refused != nil {
+			return e.lookUp(ctx, r, g, given.refused)
 		}
-		if e.running[endpoint.GetName()] >= int(endpoint.GetSlots()) {
-			continue
+		try := e.attempt
+		if !r.Repeatable {
+			try = e.claimed
 		}
-		if best == nil || e.running[endpoint.GetName()] < e.running[best.GetName()] {
-			best = endpoint
+		again, err := try(ctx, r, given.endpoint, attempt, g)
+		e.sched.free(given.endpoint.GetName())
+		if !again || ctx.Err() != nil {
+			return err
 		}
-	}
-	return best
-}
-
-func serves(endpoint *wirepb.EndpointView, model string) bool {
-	if model == "" {
-		return true
-	}
-	for _, replica := range endpoint.GetReplicas() {
-		if replica.GetModel() == model && replica.GetState() == wirepb.ReplicaState_REPLICA_LOADED {
-			return true
+		last = err
+		avoid := given.endpoint.GetName()
+		if refused, ok := AsErrRefused(err); ok && refused.Run == wirepb.Run_RUN_NOT_RUN {
+			avoid = ""
 		}
+		e.sched.again(w, avoid)
 	}
-	return false
-}
-
-// finish gives the endpoint's slot back and counts the request as waiting again.
-func (e *Entry) finish(endpoint string, q *queue, r Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.running[endpoint]--
-	q.running--
-	q.waiting++
-	q.earliest[r.ID] = r.Deadline
-	close(e.freed)
-	e.freed = make(chan struct{})
 }
 
-func (e *Entry) leave(q *queue, id string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	q.waiting--
-	delete(q.earliest, id)
-	e.open--
-}
-
-func (e *Entry) nudge() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
+// outOfTime says what is known of a request that waited to its deadline.
+func (e *Entry) outOfTime(r Request, g *guard, last error) error {
+	refused := refuse(CodeDeadlinePassed, "no endpoint was free in time")
+	if refusal, ok := AsErrRefused(last); ok {
+		refused.Run, refused.Detail = refusal.Run, "the deadline passed after: "+refusal.Detail
 	}
+	// The caller's own context may have ended with the deadline.
+	return e.lookUp(context.Background(), r, g, refused)
 }
 
-// attempt runs the request once; again tells that another endpoint may be tried.
-func (e *Entry) attempt(ctx context.Context, r Request, endpoint *wirepb.EndpointView, attempt uint32, sink Sink) (again bool, err error) {
-	claim := uint64(0)
-	if !r.Repeatable {
-		view, err := e.claim(ctx, r, endpoint)
-		if err != nil {
-			return false, err
-		}
-		if !view.GetFresh() {
-			return false, replay(view, sink)
-		}
-		claim = view.GetClaim()
+// attempt runs a repeatable request at one endpoint; again tells that another may be tried.
+func (e *Entry) attempt(ctx context.Context, r Request, endpoint *wirepb.EndpointView, attempt uint32, g *guard) (again bool, err error) {
+	if !g.begin() {
+		return false, ErrCallerGone{}
 	}
-	relay := relay{entry: e, request: r, endpoint: endpoint, attempt: attempt, claim: claim, sink: sink}
+	relay := e.relay(r, endpoint, attempt, g)
 	err = relay.run(ctx)
-	if claim > 0 {
-		e.closeClaim(r, claim, relay.outcome(err))
+	run := relay.ran(err)
+	g.settle(run)
+	e.see(endpoint.GetName(), relay, err)
+	if err == nil {
+		return false, nil
 	}
 	refused, ok := AsErrRefused(err)
-	if ok && refused.Run == wirepb.Run_RUN_NOT_RUN && r.Repeatable && ctx.Err() == nil && !relay.sent {
-		return true, err
+	if !ok || ctx.Err() != nil || refused.Code == CodeCallerLeft || refused.Code == CodeAnswerTooLarge {
+		return false, err
 	}
-	return false, err
-}
-
-func (e *Entry) claim(ctx context.Context, r Request, endpoint *wirepb.EndpointView) (*wirepb.ClaimView, error) {
-	result, err := e.propose(ctx, &wirepb.Command{Kind: &wirepb.Command_ClaimOpen{ClaimOpen: &wirepb.ClaimOpen{
-		Caller: r.Caller, Key: r.Key, RequestId: r.ID, Service: r.Service, Endpoint: endpoint.GetName(),
-		Incarnation: endpoint.GetIncarnation(), BodyHash: xxhash.Sum64(r.Body),
-		RemainingMs: uint64(time.Until(r.Deadline).Milliseconds()),
-	}}})
-	if err != nil {
-		return nil, refuse(CodeNoQuorum, err.Error())
+	if run == wirepb.Run_RUN_NOT_RUN {
+		return true, err
 	}
-	if result.GetErrorCode() != "" {
-		return nil, refuse(CodeKeyReused, result.GetErrorDetail())
+	if g.hasStarted() && !r.Stream {
+		return false, err
 	}
-	return result.GetClaim(), nil
-}
-
-func (e *Entry) closeClaim(r Request, claim uint64, outcome *wirepb.ClaimClose) {
-	outcome.Claim, outcome.RequestId = claim, r.ID
-	// The caller may be gone; the outcome is recorded all the same.
-	ctx, cancel := context.WithTimeout(context.Background(), controlCallLimit)
-	defer cancel()
-	if _, err := e.propose(ctx, &wirepb.Command{Kind: &wirepb.Command_ClaimClose{ClaimClose: outcome}}); err != nil {
-		e.log.Error(err, "outcome not recorded", "request", r.ID, "claim", claim)
+	if !e.sched.mayRetry() {
+		e.count.denied.Inc()
+		return false, err
 	}
+	e.count.retried.Inc()
+	return true, err
 }
 
-// propose hands a command to any control member.
-func (e *Entry) propose(ctx context.Context, command *wirepb.Command) (*wirepb.CommandResult, error) {
-	var last error = ErrControlNotReached{}
-	frame := &wirepb.Frame{Body: &wirepb.Frame_Propose{Propose: &wirepb.Propose{Command: command, RemainingMs: uint64(controlCallLimit.Milliseconds())}}}
-	for _, address := range e.settings.Controls {
-		reply, err := e.pool.Call(ctx, address, frame, controlCallLimit)
-		if err != nil {
-			last = err
-			if wire.IsErrNotReached(err) {
-				continue
-			}
-			return nil, err
+// see tells the router what an attempt showed of its endpoint.
+func (e *Entry) see(name string, relay *relay, err error) {
+	refused, isRefused := AsErrRefused(err)
+	e.sched.tell(func(router *routing.Router, now time.Time) {
+		if relay.load != nil {
+			router.Report(name, reportOf(relay.load), now)
 		}
-		if proposed := reply.GetProposeReply(); proposed.GetCommitted() {
-			return proposed.GetResult(), nil
+		switch {
+		case err == nil:
+			router.Succeed(name, now)
+		case !isRefused || refused.Code == CodeCallerLeft || refused.Code == CodeAnswerTooLarge || errors.Is(err, context.Canceled):
+		case refused.Code == agent.CodeBusy:
+			router.Busy(name, now)
+		case refused.Code == agent.CodeLeaving || refused.Code == agent.CodeIncarnation:
+			router.Leave(name, now)
+		case refused.Code == agent.CodeNotLoaded || refused.Code == agent.CodeAdapter || refused.Code == agent.CodeTombstoned:
+			router.Busy(name, now)
+		case refused.Code == CodeDeadlinePassed && relay.heard:
+			// The request was slow; that says little of the endpoint.
+		default:
+			router.Fail(name, now)
 		}
-	}
-	return nil, last
+	})
 }
 
-// ErrControlNotReached tells that no control member could commit a command.
-type ErrControlNotReached struct{}
-
-// Error implements error.
-func (ErrControlNotReached) Error() string { return "no control member commits now" }
+func reportOf(load *wirepb.LoadReport) routing.Report {
+	report := routing.Report{
+		Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Slots: int(load.GetSlots()),
+		Age: time.Duration(load.GetAgeMs()) * time.Millisecond,
+	}
+	for _, event := range load.GetCacheEvents() {
+		report.Events = append(report.Events, routing.CacheEvent{Sequence: event.GetSequence(), Prefix: event.GetPrefix(), Dropped: event.GetDropped()})
+	}
+	return report
+}
--- a/web/caller.go
+++ b/web/caller.go
@@ -153,7 +153,8 @@
 	if r.URL.RawQuery != "" {
 		request.Path += "?" + r.URL.RawQuery
 	}
-	if !request.Repeatable && request.Key == "" {
+	request.KeyGiven = request.Key != ""
+	if !request.Repeatable && !request.KeyGiven {
 		request.Key = request.ID
 	}
 	c.serve(w, r, request)
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -39,6 +39,9 @@
 	return s
 }
 
+// Detach frees the stream from the context of its opening; whoever calls it closes the stream.
+func (s *Stream) Detach() { s.stop() }
+
 // Peer returns the address of the other side.
 func (s *Stream) Peer() string { return s.peer }
 
@@ -50,11 +53,29 @@
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
 	}
 	if err := s.write(frame); err != nil {
+		// A part of the frame may be out, so nothing can follow it.
+		_ = s.conn.Close()
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
 	}
 	return nil
 }
 
+// TryPing tells the peer that this side works; while another frame is under way it does nothing.
+func (s *Stream) TryPing() error {
+	if !s.send.TryLock() {
+		return nil
+	}
+	defer s.send.Unlock()
+	if err := s.conn.SetWriteDeadline(time.Time{}); err != nil {
+		return ErrStreamBroken{Peer: s.peer, Step: "ping", Cause: err}
+	}
+	if err := s.write(&wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: &wirepb.Ping{}}}); err != nil {
+		_ = s.conn.Close()
+		return ErrStreamBroken{Peer: s.peer, Step: "ping", Cause: err}
+	}
+	return nil
+}
+
 // write sends length and frame in one piece from a buffer that the stream keeps.
 func (s *Stream) write(frame *wirepb.Frame) error {
 	var options proto.MarshalOptions
@@ -87,6 +108,8 @@
 func (s *Stream) Close() {
 	s.stop()
 	_ = s.conn.Close()
+	// Closing ends this side only; the deadline wakes a Receive that still waits for the other.
+	_ = s.conn.SetReadDeadline(time.Now())
 }
 
 func deadline(timeout time.Duration) time.Time {
