Remove a gone voter before its successor votes

The gone voter now goes first, once a learner that caught up is there to follow it. A void log is now marked in the next segment. Both have tests.

--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -1,43 +1,54 @@
 package consensus
 
+// replacedTicks is how long a voter must be silent before a member of its name may replace it, so that two live members
+// under one name don't drive each other out in turns.
+const replacedTicks = 20
+
 // Repair returns the next change that a leader should make of its members, false if none. A learner that came back with
 // a new identity under a voter's name takes that voter's place; a standing learner takes the place of a voter that was
-// silent for replaceAfter ticks, 0 never; the replaced voter goes last, so that no fault in between costs a copy.
+// silent for replaceAfter ticks, 0 never. The gone voter is removed first, once a learner that caught up is there to
+// follow it: promoting first would ask for more live voters than before, and a second loss would end the quorum.
 func Repair(s Status, replaceAfter uint64) (Change, bool) {
 	if s.Role != RoleLeader || !s.ConfigurationSafe {
 		return Change{}, false
 	}
-	voters, gone := 0, PeerStatus{}
-	for _, p := range s.Peers {
-		if !p.Voter {
-			continue
-		}
-		voters++
-		out := replaced(s, p) || replaceAfter > 0 && p.SilentTicks >= replaceAfter
-		if p.ID != s.ID && out && p.SilentTicks >= gone.SilentTicks {
-			gone = p
-		}
+	voters, target := len(s.Configuration.Voters()), int(s.Configuration.Target)
+	if voters < target {
+		learner, ok := ready(s, func(PeerStatus) bool { return true })
+		return Change{Kind: ChangePromote, Member: learner.Member}, ok
 	}
-	if voters > int(s.Configuration.Target) && gone.ID != 0 {
-		return Change{Kind: ChangeRemove, Member: gone.Member}, true
+	gone, ok := mostSilent(s, replaceAfter)
+	if !ok {
+		return Change{}, false
 	}
+	_, ok = ready(s, func(p PeerStatus) bool { return p.Standing || p.Name == gone.Name })
+	return Change{Kind: ChangeRemove, Member: gone.Member}, ok || voters > target
+}
+
+// ready returns a learner that caught up, one that is not a standing one first.
+func ready(s Status, fits func(PeerStatus) bool) (PeerStatus, bool) {
+	var found PeerStatus
 	for _, p := range s.Peers {
-		if p.Voter || !p.CaughtUp || voters > int(s.Configuration.Target) {
-			continue
-		}
-		missing := voters < int(s.Configuration.Target)
-		if missing || gone.ID != 0 && (p.Standing || p.Name == gone.Name) {
-			return Change{Kind: ChangePromote, Member: p.Member}, true
+		if !p.Voter && p.CaughtUp && fits(p) && (found.ID == 0 || found.Standing && !p.Standing) {
+			found = p
 		}
 	}
-	return Change{}, false
+	return found, found.ID != 0
 }
 
-// replacedTicks is how long a voter must be silent before a member of its name may replace it, so that two live members
-// under one name don't drive each other out in turns.
-const replacedTicks = 20
+// mostSilent returns the voter that is gone for longest.
+func mostSilent(s Status, replaceAfter uint64) (PeerStatus, bool) {
+	var gone PeerStatus
+	for _, p := range s.Peers {
+		out := replaced(s, p) || replaceAfter > 0 && p.SilentTicks >= replaceAfter
+		if p.Voter && p.ID != s.ID && out && p.SilentTicks >= gone.SilentTicks {
+			gone = p
+		}
+	}
+	return gone, gone.ID != 0
+}
 
-// replaced tells whether a voter's name has joined again under another identity.
+// replaced tells whether a silent voter's name has joined again under another identity.
 func replaced(s Status, voter PeerStatus) bool {
 	older := true
 	for _, p := range s.Peers {
--- /dev/null
+++ b/consensus/repair_test.go
@@ -0,0 +1,54 @@
+package consensus_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"burdocksaddle/consensus"
+)
+
+func TestRepairKeepsTheQuorumSmall(t *testing.T) {
+	voter := func(id uint64, name string, silent uint64) consensus.PeerStatus {
+		return consensus.PeerStatus{Member: consensus.Member{ID: id, Name: name, Voter: true}, SilentTicks: silent, CaughtUp: silent == 0}
+	}
+	learner := func(id uint64, name string, standing, caughtUp bool) consensus.PeerStatus {
+		return consensus.PeerStatus{Member: consensus.Member{ID: id, Name: name, Standing: standing}, CaughtUp: caughtUp}
+	}
+	remove, promote := consensus.ChangeRemove, consensus.ChangePromote
+	tests := map[string]struct {
+		peers []consensus.PeerStatus
+		kind  consensus.ChangeKind
+		id    uint64
+	}{
+		"all well":                        {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(4, "d", true, true)}, 0, 0},
+		"gone too short":                  {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 99), learner(4, "d", true, true)}, 0, 0},
+		"gone, nobody to follow":          {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100)}, 0, 0},
+		"gone, learner lags":              {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", true, false)}, 0, 0},
+		"gone goes before the learner":    {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", true, true)}, remove, 3},
+		"then the learner is promoted":    {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true)}, promote, 4},
+		"the returned goes before spares": {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true), learner(5, "c", false, true)}, promote, 5},
+		"a wiped one replaces itself":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 20), learner(5, "c", false, true)}, remove, 3},
+		"two live ones of one name":       {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(5, "c", false, true)}, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			status := consensus.Status{ID: 1, Role: consensus.RoleLeader, ConfigurationSafe: true, Peers: test.peers}
+			status.Configuration.Target = 3
+			for _, p := range test.peers {
+				status.Configuration.Members = append(status.Configuration.Members, p.Member)
+			}
+			change, ok := consensus.Repair(status, 100)
+			if ok != (test.kind != 0) {
+				t.Fatalf("change %+v, %v", change, ok)
+			}
+			if diff := cmp.Diff([2]uint64{uint64(test.kind), test.id}, [2]uint64{uint64(change.Kind), change.Member.ID}); ok && diff != "" {
+				t.Error(diff)
+			}
+			status.ConfigurationSafe = false
+			if _, ok := consensus.Repair(status, 100); ok {
+				t.Error("a change before the last one is committed")
+			}
+		})
+	}
+}
--- a/storage/append.go
+++ b/storage/append.go
@@ -107,9 +107,10 @@
 		return s.fail("creating", s.name, err)
 	}
 	s.active = f
-	if err := s.writeRecord(&wirepb.LogRecord{Hard: hardToWire(s.hard)}); err != nil {
+	if err := s.writeRecord(&wirepb.LogRecord{Hard: hardToWire(s.hard), RestartAfter: s.restartAfter}); err != nil {
 		return err
 	}
+	s.restartAfter = 0
 	return s.syncFolder()
 }
 
--- a/storage/load.go
+++ b/storage/load.go
@@ -115,7 +115,12 @@
 		state.CutBytes += cut
 		s.segments = append(s.segments, segment{name: name, last: replay.last()})
 	}
-	state.Hard, state.Entries = replay.hard, replay.result()
+	state.Hard = replay.hard
+	if replay.followsSnapshot() {
+		state.Entries = replay.result()
+	} else {
+		s.restartAfter = state.Snapshot.Index
+	}
 	s.last = max(s.last, replay.last())
 	if state.Hard.Term < state.Snapshot.Term {
 		// The snapshot of a later term arrived, but the record behind it did not: no vote left in that term.
@@ -213,14 +218,20 @@
 	return ""
 }
 
-// result returns the entries that follow the snapshot; a log that does not hold the snapshot's last entry is void.
-func (r *replay) result() []consensus.Entry {
+// followsSnapshot tells whether the log holds the snapshot's last entry or begins behind it; otherwise it is void, since
+// a leader's snapshot replaced it.
+func (r *replay) followsSnapshot() bool {
 	if r.snapshot.Index == 0 || len(r.entries) == 0 || r.entries[0].Index == r.snapshot.Index+1 {
-		return r.entries
+		return true
 	}
 	at := int(r.snapshot.Index) - int(r.entries[0].Index)
-	if at >= len(r.entries) || r.entries[at].Term != r.snapshot.Term {
-		return nil
+	return at < len(r.entries) && r.entries[at].Term == r.snapshot.Term
+}
+
+// result returns the entries behind the snapshot.
+func (r *replay) result() []consensus.Entry {
+	if len(r.entries) == 0 || r.entries[0].Index > r.snapshot.Index {
+		return r.entries
 	}
-	return slices.Clip(r.entries[at+1:])
+	return slices.Clip(r.entries[r.snapshot.Index-r.entries[0].Index+1:])
 }
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -63,6 +63,8 @@
 	size     int64
 	last     uint64
 	syncs    uint64
+	// restartAfter is the index of a snapshot that replaced a log whose entries still stand in older segments.
+	restartAfter uint64
 }
 
 // segment is a closed one with the last index that it holds.
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -231,6 +231,41 @@
 	}
 }
 
+// TestTornInstallVoidsTheLog crashes between a leader's snapshot and the record behind it, with the old log shorter and
+// longer than the snapshot, and writes on.
+func TestTornInstallVoidsTheLog(t *testing.T) {
+	for name, length := range map[string]uint64{"shorter": 2, "longer": 9} {
+		t.Run(name, func(t *testing.T) {
+			d := newFaultDisk(1)
+			s := create(t, d)
+			for i := range length {
+				must(t, s.Append(appended(1, entry(1, i+1, "old"))))
+			}
+			snapshot := consensus.Snapshot{Index: 5, Term: 2, State: []byte("five")}
+			d.failIn = 6 // list, create, write, sync, rename and syncFolder of the snapshot
+			if err := s.Append(storage.Batch{Install: &snapshot, Hard: &consensus.HardState{Term: 2}}); !storage.IsErrDead(err) {
+				t.Fatalf("err %v, want ErrDead", err)
+			}
+			if diff := cmp.Diff("write", d.failed); diff != "" {
+				t.Fatal(diff)
+			}
+			s.Close()
+			d.crash()
+			s, state := reopen(t, d)
+			state.CutBytes = 0 // the tear's length is random
+			if diff := cmp.Diff(storage.State{Identity: who, Hard: consensus.HardState{Term: 2}, Snapshot: snapshot}, state); diff != "" {
+				t.Error(diff)
+			}
+			must(t, s.Append(storage.Batch{Hard: &consensus.HardState{Term: 2}, Entries: []consensus.Entry{entry(2, 6, "new")}}))
+			s.Close()
+			_, state = reopen(t, d)
+			if diff := cmp.Diff([]consensus.Entry{entry(2, 6, "new")}, state.Entries); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 func TestSetAsideMakesRoom(t *testing.T) {
 	d := newFaultDisk(1)
 	s := create(t, d)
