--- a/entry/serve.go
+++ b/entry/serve.go
@@ -51,12 +51,15 @@
 		return err
 	case <-working.Done():
 	}
-	grace := time.NewTimer(answerGrace)
-	defer grace.Stop()
-	select {
-	case err := <-ended:
-		return err
-	case <-grace.C:
+	// A caller that left may ask elsewhere at once, so nothing may be dispatched any more.
+	if ctx.Err() == nil {
+		grace := time.NewTimer(answerGrace)
+		defer grace.Stop()
+		select {
+		case err := <-ended:
+			return err
+		case <-grace.C:
+		}
 	}
 	run, _ := g.close()
 	return e.timeUp(ctx, run)
