Carry the replicated log over disk and wire

Control needs the log itself in place of the single member in memory. Four duties with bounded channels now drive the core: the step loop, the disk with one fsync a group, one sender a peer that drops when full, and the apply loop; a fifth finds a new or wiped member its place. A group starts once, when every first voter is reached and empty.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -106,9 +106,14 @@
 	if snapshot.Index > 0 {
 		c.out.restore = &snapshot
 	}
-	// What this member acknowledged before it restarted may prop up a lease still.
 	c.contactTick = c.tick
+	if c.term == 0 {
+		c.contactTick -= config.ElectionTicks // it has propped up no lease before it restarted
+	}
 	c.becomeFollower(c.term, 0)
+	if voters := c.configuration().Voters(); len(voters) == 1 && voters[0] == c.id {
+		c.timeout = 1 // nobody else can lead
+	}
 	return c, nil
 }
 
@@ -284,3 +289,14 @@
 	}
 	return slices.Clip(ids)
 }
+
+// Bootstrap puts the first configuration into an empty log; it fails with ErrChangeRefused when there is a log already.
+func (c *Core) Bootstrap(configuration Configuration) error {
+	if c.term != 0 || c.log.last() != 0 {
+		return ErrChangeRefused{Member: c.id, Reason: "there is a log already"}
+	}
+	c.becomeFollower(1, 0)
+	c.log.append(ConfigurationEntry(1, 1, configuration))
+	c.timeout = 1
+	return nil
+}
--- /dev/null
+++ b/quorum/handle.go
@@ -0,0 +1,95 @@
+package quorum
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"burdocksaddle/consensus"
+	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
+)
+
+const answerTimeout = time.Second
+
+// Handle serves a stream of messages from another member until it ends.
+func (l *Log) Handle(ctx context.Context, first *wirepb.PeerMessage, stream *wire.Stream) {
+	payload := &wirepb.PeerPayload{}
+	if proto.Unmarshal(first.GetPayload(), payload) != nil {
+		return
+	}
+	switch body := payload.GetBody().(type) {
+	case *wirepb.PeerPayload_Probe:
+		l.answer(stream, &wirepb.PeerPayload{Group: l.group(), Body: &wirepb.PeerPayload_ProbeReply{ProbeReply: l.probeReply()}})
+	case *wirepb.PeerPayload_Join:
+		l.answer(stream, &wirepb.PeerPayload{Group: l.group(), Body: &wirepb.PeerPayload_JoinReply{
+			JoinReply: l.takeIn(ctx, body.Join.GetMember()),
+		}})
+	case *wirepb.PeerPayload_Message:
+		l.receive(first, payload, stream)
+	}
+}
+
+func (l *Log) answer(stream *wire.Stream, payload *wirepb.PeerPayload) {
+	_ = stream.Send(packed(&wirepb.PeerMessage{From: l.id}, payload), answerTimeout)
+}
+
+// receive takes the messages of one member until the stream ends; what the step loop has no room for is dropped.
+func (l *Log) receive(first *wirepb.PeerMessage, payload *wirepb.PeerPayload, stream *wire.Stream) {
+	from, address := first.GetFrom(), payload.GetAddress()
+	if first.GetTo() != l.id || from == 0 {
+		return // meant for who was here before
+	}
+	group := payload.GetGroup()
+	for {
+		if own := l.group(); group != 0 && own != 0 && group != own {
+			return
+		}
+		message, err := consensus.MessageFromWire(from, l.id, payload.GetMessage())
+		if err != nil {
+			l.log.Error(err, "bad message", "from", from)
+			return
+		}
+		select {
+		case l.inbox <- arrival{message: message, address: address}:
+		case <-l.stopped:
+			return
+		default:
+		}
+		frame, err := stream.Receive(0)
+		if err != nil {
+			return
+		}
+		payload = &wirepb.PeerPayload{}
+		if proto.Unmarshal(frame.GetPeerMessage().GetPayload(), payload) != nil {
+			return
+		}
+	}
+}
+
+func (l *Log) probeReply() *wirepb.PeerProbeReply {
+	v := l.view.Load()
+	return &wirepb.PeerProbeReply{
+		Id: l.id, Name: l.config.Name, Empty: v.status.Last == 0 && v.status.Term == 0,
+		Group: v.status.Configuration.Group, Leader: v.status.Leader, LeaderAddress: v.leaderAddress,
+	}
+}
+
+// takeIn has the leader take a member in as a learner; it is joined once its own log says so.
+func (l *Log) takeIn(ctx context.Context, w *wirepb.LogMember) *wirepb.PeerJoinReply {
+	member := consensus.MemberFromWire(w)
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	err := l.ask(ctx, request{join: &member, answer: make(chan error, 1)})
+	reply := &wirepb.PeerJoinReply{Joined: err == nil}
+	if err != nil {
+		reply.Error = err.Error()
+		var notLeader ErrNotLeader
+		if errors.As(err, &notLeader) {
+			reply.LeaderAddress = notLeader.LeaderAddress
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/quorum/join.go
@@ -0,0 +1,129 @@
+package quorum
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"burdocksaddle/consensus"
+	"burdocksaddle/wirepb"
+)
+
+const (
+	// joinEveryTicks is how often a member without a place looks for one.
+	joinEveryTicks = 5
+	probeTimeout   = 500 * time.Millisecond
+)
+
+// joinLoop finds this member its place: as one of the first voters, or as a learner of a group that is there.
+func (l *Log) joinLoop(ctx context.Context) error {
+	ticker := time.NewTicker(joinEveryTicks * l.tick)
+	defer ticker.Stop()
+	for {
+		l.findPlace(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *Log) findPlace(ctx context.Context) {
+	status := l.view.Load().status
+	own, member := status.Configuration.Member(l.id)
+	if member && status.Leader != 0 && own.Address == l.config.Address {
+		return
+	}
+	others := l.others(status)
+	if status.Last == 0 && status.Term == 0 && l.first() {
+		l.tryBootstrap(ctx, others)
+		return
+	}
+	for _, peer := range others {
+		reply, err := l.probe(ctx, peer)
+		if err != nil || reply.GetLeaderAddress() == "" || reply.GetLeaderAddress() == l.config.Address {
+			continue
+		}
+		if l.join(ctx, reply.GetLeaderAddress()) {
+			return
+		}
+	}
+}
+
+// first tells whether this member is the one that starts the group.
+func (l *Log) first() bool {
+	return len(l.config.Bootstrap) == 0 || l.config.Bootstrap[0].Name == l.config.Name
+}
+
+// others returns the peers of the settings and of the log but this member.
+func (l *Log) others(status consensus.Status) []Peer {
+	var others []Peer
+	seen := map[string]bool{l.config.Address: true}
+	for _, p := range l.config.Bootstrap {
+		if p.Name != l.config.Name && !seen[p.Address] {
+			seen[p.Address] = true
+			others = append(others, p)
+		}
+	}
+	for _, m := range status.Configuration.Members {
+		if m.ID != l.id && !seen[m.Address] {
+			seen[m.Address] = true
+			others = append(others, Peer{Name: m.Name, Address: m.Address})
+		}
+	}
+	return others
+}
+
+// tryBootstrap starts the group if every first voter is reached and as empty as this one; if one holds a log, this member
+// was wiped and joins as a learner.
+func (l *Log) tryBootstrap(ctx context.Context, others []Peer) {
+	configuration := consensus.Configuration{Group: randomID(), Target: uint32(len(others) + 1)}
+	self := consensus.Member{ID: l.id, Name: l.config.Name, Address: l.config.Address, Voter: true}
+	configuration = configuration.WithMember(self)
+	empty := 0
+	for _, peer := range others {
+		reply, err := l.probe(ctx, peer)
+		switch {
+		case err != nil:
+			continue
+		case reply.GetLeaderAddress() != "" && l.join(ctx, reply.GetLeaderAddress()):
+			return
+		case reply.GetEmpty() && reply.GetGroup() == 0 && reply.GetName() == peer.Name:
+			empty++
+			member := consensus.Member{ID: reply.GetId(), Name: peer.Name, Address: peer.Address, Voter: true}
+			configuration = configuration.WithMember(member)
+		}
+	}
+	if empty < len(others) {
+		return
+	}
+	err := l.ask(ctx, request{bootstrap: &configuration, answer: make(chan error, 1)})
+	l.log.Info("group started", "group", configuration.Group, "voters", len(configuration.Members), "error", err)
+}
+
+func (l *Log) probe(ctx context.Context, peer Peer) (*wirepb.PeerProbeReply, error) {
+	body := &wirepb.PeerPayload_Probe{Probe: &wirepb.PeerProbe{Id: l.id, Name: l.config.Name}}
+	payload, err := l.call(ctx, peer.Address, &wirepb.PeerPayload{Body: body})
+	return payload.GetProbeReply(), err
+}
+
+func (l *Log) join(ctx context.Context, leader string) bool {
+	member := consensus.Member{ID: l.id, Name: l.config.Name, Address: l.config.Address, Standing: l.config.Standing}
+	body := &wirepb.PeerPayload_Join{Join: &wirepb.PeerJoin{Member: member.ToWire()}}
+	payload, err := l.call(ctx, leader, &wirepb.PeerPayload{Body: body})
+	return err == nil && payload.GetJoinReply().GetJoined()
+}
+
+func (l *Log) call(ctx context.Context, address string, payload *wirepb.PeerPayload) (*wirepb.PeerPayload, error) {
+	frame, err := l.pool.Call(ctx, address, packed(&wirepb.PeerMessage{From: l.id}, payload), probeTimeout)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wirepb.PeerPayload{}
+	if err := proto.Unmarshal(frame.GetPeerMessage().GetPayload(), reply); err != nil {
+		return nil, consensus.ErrMalformed{What: "reply", Cause: err}
+	}
+	return reply, nil
+}
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -2,30 +2,30 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"math"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"burdocksaddle/consensus"
+	"burdocksaddle/storage"
 	"burdocksaddle/wire"
-	"burdocksaddle/wirepb"
 )
 
 // NoProof is what Vouch returns while this member holds no proof of a quorum.
 const NoProof = time.Duration(math.MaxInt64)
 
-// MemberStatus is one member as the leader sees it; SilentFor is 0 for the leader itself.
-type MemberStatus struct {
-	ID        uint64
-	Name      string
-	Address   string
-	Voter     bool
-	Leader    bool
-	Match     uint64
-	Lag       uint64
-	SilentFor time.Duration
-}
+// Bounds of the channels between the duties.
+const (
+	inboxMessages = 1024
+	queuedCalls   = 256
+	queuedWrites  = 64
+	queuedApplies = 16
+	memoryFolder  = "memory"
+)
 
 // Log is one member of the replicated log.
 type Log struct {
@@ -38,15 +38,37 @@
 	tick     time.Duration
 	seed     uint64
 
-	mu      sync.Mutex
-	applied uint64
+	id    uint64
+	store *storage.Storage
+	core  *consensus.Core
+	peers *peers
+
+	inbox     chan arrival
+	proposals chan *proposal
+	reads     chan *reader
+	requests  chan request
+	writes    chan write
+	persisted chan uint64
+	applies   chan work
+	taken     chan taken
+
+	view    atomic.Pointer[view]
+	applied atomic.Uint64
+	// stopped closes when the role ends; cause is set before.
+	stopped chan struct{}
+	cause   error
 }
 
-// Open opens the data folder, or makes a new identity in an empty one.
+// Open opens the data folder, or makes a new identity in an empty or damaged one; it fails with storage.ErrLocked,
+// storage.ErrDead or consensus.ErrMalformed.
 func Open(config Config, options ...Option) (*Log, error) {
 	l := &Log{
 		config: config, log: logr.Discard(), tick: defaultTick,
 		apply: func(uint64, []byte) any { return nil },
+		inbox: make(chan arrival, inboxMessages), proposals: make(chan *proposal, queuedCalls),
+		reads: make(chan *reader, queuedCalls), requests: make(chan request, queuedCalls),
+		writes: make(chan write, queuedWrites), persisted: make(chan uint64, 1),
+		applies: make(chan work, queuedApplies), taken: make(chan taken, 1), stopped: make(chan struct{}),
 	}
 	if l.config.SnapshotEntries == 0 {
 		l.config.SnapshotEntries = defaultSnapshotEntries
@@ -54,55 +76,152 @@
 	for _, option := range options {
 		option(l)
 	}
+	if l.pool == nil {
+		l.pool = wire.NewPool()
+	}
+	l.peers = newPeers(l)
+	state, err := l.openStorage()
+	if err != nil {
+		return nil, err
+	}
+	l.id = state.Identity.ID
+	// The seed differs between starts, so that tick counters of two starts don't meet.
+	start := consensus.DefaultConfig(l.id, l.seed^uint64(time.Now().UnixNano()))
+	l.core, err = consensus.New(start, state.Hard, state.Snapshot, state.Entries)
+	if err != nil {
+		l.store.Close()
+		return nil, err
+	}
+	l.publish()
 	return l, nil
 }
 
-// Run runs the member's duties until the context ends; the channel gives the reason, once, nil if the context ended it.
-func (l *Log) Run(ctx context.Context) <-chan error {
-	ended := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		ended <- nil
-	}()
-	return ended
+func (l *Log) openStorage() (storage.State, error) {
+	folder, files := l.config.DataFolder, storage.WithFileSystem(storage.Disk())
+	if folder == "" {
+		folder, files = memoryFolder, storage.WithFileSystem(storage.Memory())
+	}
+	store, state, err := storage.Open(folder, files)
+	if storage.IsErrDamaged(err) {
+		l.log.Error(err, "data folder set aside, joining as a new member")
+		if err = storage.SetAside(folder, files); err == nil {
+			err = storage.ErrNoIdentity{Folder: folder}
+		}
+	}
+	if storage.IsErrNoIdentity(err) {
+		state.Identity = storage.Identity{ID: randomID(), Name: l.config.Name}
+		store, err = storage.Create(folder, state.Identity, files)
+		l.log.Info("new identity", "member", state.Identity.ID, "folder", folder)
+	}
+	if err == nil && state.CutBytes > 0 {
+		l.log.Info("torn tail cut", "folder", folder, "bytes", state.CutBytes)
+	}
+	l.store = store
+	return state, err
+}
+
+// randomID never repeats: an identity belongs to one data folder.
+func randomID() uint64 {
+	var b [8]byte
+	for binary.LittleEndian.Uint64(b[:]) == 0 {
+		_, _ = rand.Read(b[:]) // never fails
+	}
+	return binary.LittleEndian.Uint64(b[:])
 }
 
-// Propose commits a command and returns the result of applying it here; it fails with ErrNotLeader, ErrNeverCommitted,
-// ErrOutcomeUnknown or ErrStopped.
+// Applied returns the index of the last applied entry.
+func (l *Log) Applied() uint64 { return l.applied.Load() }
+
+// Propose commits a command and returns the result of applying it here; it fails with ErrNotLeader, ErrNeverCommitted or
+// ErrOutcomeUnknown.
 func (l *Log) Propose(ctx context.Context, command []byte) (any, error) {
-	if ctx.Err() != nil {
+	p := &proposal{command: command, result: make(chan outcome, 1)}
+	select {
+	case l.proposals <- p:
+	case <-ctx.Done():
 		return nil, ErrNeverCommitted{Reason: ctx.Err().Error()}
+	case <-l.stopped:
+		return nil, ErrNeverCommitted{Reason: ErrStopped{Cause: l.cause}.Error()}
+	}
+	reason := ""
+	select {
+	case o := <-p.result:
+		return o.value, o.err
+	case <-ctx.Done():
+		reason = ctx.Err().Error()
+	case <-l.stopped:
+		reason = ErrStopped{Cause: l.cause}.Error()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.applied++
-	return l.apply(l.applied, command), nil
+	select {
+	case o := <-p.result:
+		return o.value, o.err
+	default:
+	}
+	if p.decided.CompareAndSwap(false, true) {
+		return nil, ErrNeverCommitted{Reason: reason}
+	}
+	return nil, ErrOutcomeUnknown{Reason: reason}
 }
 
 // ReadBarrier returns an index that this member has applied and that covers every command committed before the call; it
 // fails with ErrNoQuorum or ErrStopped.
-func (l *Log) ReadBarrier(_ context.Context) (uint64, error) { return l.Applied(), nil }
-
-// Vouch returns the age of the last proof of a quorum that this member holds, NoProof without any.
-func (l *Log) Vouch() time.Duration { return 0 }
-
-// Leader returns the leader's address, empty while none is known, and whether it is this member.
-func (l *Log) Leader() (address string, self bool) { return l.config.Address, true }
-
-// Members returns the members in the order of their joining; Match, Lag and SilentFor are known on the leader only.
-func (l *Log) Members() []MemberStatus {
-	return []MemberStatus{{ID: 1, Name: l.config.Name, Address: l.config.Address, Voter: true, Leader: true, Match: l.Applied()}}
+func (l *Log) ReadBarrier(ctx context.Context) (uint64, error) {
+	r := &reader{ctx: ctx, result: make(chan uint64, 1)}
+	select {
+	case l.reads <- r:
+	case <-ctx.Done():
+		return 0, ErrNoQuorum{Reason: ctx.Err().Error()}
+	case <-l.stopped:
+		return 0, ErrStopped{Cause: l.cause}
+	}
+	select {
+	case index := <-r.result:
+		return index, nil
+	case <-ctx.Done():
+		return 0, ErrNoQuorum{Reason: ctx.Err().Error()}
+	case <-l.stopped:
+		return 0, ErrStopped{Cause: l.cause}
+	}
 }
 
-// Handle serves a stream of messages from another member until it ends.
-func (l *Log) Handle(_ context.Context, _ *wirepb.PeerMessage, _ *wire.Stream) {}
-
-// TransferLeader hands the lead to the voter that is furthest on; it fails with ErrNotLeader or ErrNoQuorum.
-func (l *Log) TransferLeader(_ context.Context) error { return nil }
+// TransferLeader hands the lead to the voter that is furthest on and waits for it; it fails with ErrNotLeader, ErrNoQuorum
+// or ErrStopped.
+func (l *Log) TransferLeader(ctx context.Context) error {
+	answer := make(chan error, 1)
+	if err := l.ask(ctx, request{transfer: true, answer: answer}); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(l.tick)
+	defer ticker.Stop()
+	for {
+		if _, self := l.Leader(); !self {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ErrNoQuorum{Reason: ctx.Err().Error()}
+		case <-l.stopped:
+			return ErrStopped{Cause: l.cause}
+		}
+	}
+}
 
-// Applied returns the index of the last applied entry.
-func (l *Log) Applied() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.applied
+// ask hands a request to the step loop and waits for its answer.
+func (l *Log) ask(ctx context.Context, r request) error {
+	select {
+	case l.requests <- r:
+	case <-ctx.Done():
+		return ErrNoQuorum{Reason: ctx.Err().Error()}
+	case <-l.stopped:
+		return ErrStopped{Cause: l.cause}
+	}
+	select {
+	case err := <-r.answer:
+		return err
+	case <-ctx.Done():
+		return ErrNoQuorum{Reason: ctx.Err().Error()}
+	case <-l.stopped:
+		return ErrStopped{Cause: l.cause}
+	}
 }
--- /dev/null
+++ b/quorum/write.go
@@ -0,0 +1,69 @@
+package quorum
+
+import (
+	"context"
+
+	"burdocksaddle/consensus"
+	"burdocksaddle/storage"
+)
+
+// write is one piece of work for the disk.
+type write struct {
+	sequence uint64
+	batch    storage.Batch
+	snapshot *consensus.Snapshot
+}
+
+// writeLoop makes what waits durable with one fsync a group; an error ends the role.
+func (l *Log) writeLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-l.writes:
+			sequence, err := l.writeGroup(l.drainWrites(first))
+			if err != nil {
+				return err
+			}
+			if sequence == 0 {
+				continue
+			}
+			select {
+			case l.persisted <- sequence:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	}
+}
+
+func (l *Log) drainWrites(first write) []write {
+	group := []write{first}
+	for len(group) < queuedWrites {
+		select {
+		case w := <-l.writes:
+			group = append(group, w)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+func (l *Log) writeGroup(group []write) (sequence uint64, err error) {
+	var batches []storage.Batch
+	for _, w := range group {
+		if w.snapshot == nil {
+			batches, sequence = append(batches, w.batch), w.sequence
+			continue
+		}
+		if err := l.store.Append(batches...); err != nil {
+			return 0, err
+		}
+		if err := l.store.SaveSnapshot(*w.snapshot); err != nil {
+			return 0, err
+		}
+		batches = nil
+	}
+	return sequence, l.store.Append(batches...)
+}
