Stop every role without cutting off a request, and know callers by keys

A stop ended all duties at once. Now SIGTERM fails the health check, waits for the balancer, refuses new requests as not run, finishes what runs, hands over what still waits at half of the drain time, then lets the agent finish (it tells control that it leaves) and passes leadership on. A second signal says what it abandons and ends; claimed calls end with their process. Callers are known by keys compared in constant time, their bodies bounded in time and in total memory, writes to slow readers in time. A service lists POST and PATCH calls that may be repeated as Idempotent; the expected list of keys in a catalog test grew by that name. Metrics of the entry stand on /metrics.

Tests: agents stopped under load cut off none, an entry's stop answers or hands over, a second signal ends a stuck call, one looping caller leaves others their turn.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -197,6 +197,12 @@
 	return nil
 }
 
+// IsWaiting tells whether a request waits in its queue.
+func (a *Admission) IsWaiting(id string) bool {
+	t, ok := a.open[id]
+	return ok && !t.running
+}
+
 // Counts returns the counts as they stand.
 func (a *Admission) Counts() Counts { return a.counts }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,9 +37,12 @@
 	stopping bool
 	running  int
 	// idle closes when the last running request ends.
-	idle   chan struct{}
-	starts *starts
-	runs   runs
+	idle chan struct{}
+	// life ends with the process; claimed calls don't outlive it.
+	life    context.Context
+	endLife context.CancelFunc
+	starts  *starts
+	runs    runs
 	// What the engine and the platform said last.
 	adapters adapters
 	cached   []*wirepb.CachedCheckpoint
@@ -64,6 +67,7 @@
 		starts: newStarts(settings.Agent.AnswerBytes, settings.Agent.AnswerKeepMS),
 		nudged: make(chan struct{}, 1), adapters: adapters{underWay: map[string]chan struct{}{}},
 	}
+	a.life, a.endLife = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(a)
 	}
@@ -75,6 +79,7 @@
 // Run registers and then carries the duties out until the context ends; the channel gives the end.
 func (a *Agent) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
+	context.AfterFunc(ctx, a.endLife)
 	go func() { ended <- a.run(ctx) }()
 	return ended
 }
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -49,7 +49,7 @@
 	}()
 	if !d.GetRepeatable() {
 		// A claimed call goes on without its entry, since it may not be started again.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining+outcomeGrace)
+		ctx, cancel := context.WithTimeout(a.life, remaining+outcomeGrace)
 		defer cancel()
 		a.runOnce(ctx, d, stream)
 		return
@@ -153,6 +153,14 @@
 
 func (a *Agent) isModel() bool { return a.settings.Agent.Kind == string(setting.KindModel) }
 
+// Leave refuses new work from now on and lets control know.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	a.stopping = true
+	a.mu.Unlock()
+	a.nudge()
+}
+
 // Stop refuses new work and returns once what was started has ended, or the context has.
 func (a *Agent) Stop(ctx context.Context) (left int) {
 	for {
--- a/agent/load_report.go
+++ b/agent/load_report.go
@@ -43,7 +43,7 @@
 func (a *Agent) addOwn(report *wirepb.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	report.Leaving = a.leaving
+	report.Leaving = a.leaving || a.stopping
 	report.AdaptersWaiting = uint32(a.adapters.waiting)
 	report.Cached = a.cached
 	report.Missing = a.missing
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -110,7 +110,7 @@
 func TestParseNamesEachFault(t *testing.T) {
 	_, err := Parse("f", []byte(`{"Services": [{"Name": "s", "Kind": "Plain", "Hue": 1}, {"Name": 2}], // all
 		"Preset": "x",}`))
-	want := "f: Services[0].Hue is unknown; allowed: one of Name, Kind, NonIdempotent\n" +
+	want := "f: Services[0].Hue is unknown; allowed: one of Name, Kind, NonIdempotent, Idempotent\n" +
 		"f: Services[1].Name is 2; allowed: a string"
 	if diff := cmp.Diff(want, fmt.Sprint(err)); diff != "" {
 		t.Error(diff)
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"net/http"
+	"path"
 	"regexp"
 	"slices"
 )
@@ -21,6 +23,8 @@
 	Kind ServiceKind
 	// NonIdempotent lists the "METHOD /path" calls that run at most once.
 	NonIdempotent []string `json:",omitempty"`
+	// Idempotent lists the "POST /path" and "PATCH /path" calls that may be repeated; others of these methods run at most once.
+	Idempotent []string `json:",omitempty"`
 }
 
 var callPattern = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE) /\S*$`)
@@ -32,8 +36,27 @@
 	for _, call := range one.NonIdempotent {
 		r.need(callPattern.MatchString(call), key+".NonIdempotent", call, "METHOD /path, such as POST /bookings")
 	}
+	for _, call := range one.Idempotent {
+		r.need(callPattern.MatchString(call), key+".Idempotent", call, "METHOD /path, such as POST /search")
+		r.need(!slices.Contains(one.NonIdempotent, call), key+".Idempotent", call, "calls that NonIdempotent doesn't list")
+	}
 	r.need(one.Kind != KindModel || len(one.NonIdempotent) == 0, key+".NonIdempotent", one.NonIdempotent,
 		"calls only where Kind is Plain")
+	r.need(one.Kind != KindModel || len(one.Idempotent) == 0, key+".Idempotent", one.Idempotent,
+		"calls only where Kind is Plain")
+}
+
+// Repeatable tells whether a call may run twice: the methods that RFC 9110 calls
+// idempotent unless listed, and other methods only where they are listed.
+func (one Service) Repeatable(method, calledPath string) bool {
+	if slices.Contains(one.NonIdempotent, method+" "+path.Clean(calledPath)) || slices.Contains(one.NonIdempotent, method+" "+calledPath) {
+		return false
+	}
+	switch method {
+	case http.MethodPost, http.MethodPatch:
+		return slices.Contains(one.Idempotent, method+" "+calledPath)
+	}
+	return true
 }
 
 // WithService returns the catalog with a service put in or replaced.
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
@@ -24,11 +26,29 @@
 			if err != nil {
 				return err
 			}
-			return <-node.New(settings, node.WithLog(newLog(settings.Log.Verbosity))).Run(ctx)
+			abandon, stop := secondSignal(ctx)
+			defer stop()
+			return <-node.New(settings, node.WithLog(newLog(settings.Log.Verbosity)), node.WithAbandon(abandon)).Run(ctx)
 		},
 	}
 }
 
+// secondSignal returns a context that ends at a signal after the one that ended ctx.
+func secondSignal(ctx context.Context) (abandon context.Context, stop func()) {
+	abandon, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+		defer signal.Stop(signals)
+		select {
+		case <-signals:
+			cancel()
+		case <-abandon.Done():
+		}
+	})
+	return abandon, cancel
+}
+
 // newLog writes one key=value line an event to standard error.
 func newLog(verbosity int) logr.Logger {
 	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -164,6 +164,8 @@
 	s := setting.Defaults()
 	s.Node, s.DataCentre, s.Roles, s.Controls = "entry-"+strconv.Itoa(i+1), "first", []setting.Role{setting.RoleEntry}, []string{d.control}
 	s.Entry.CallerListen, s.Operator.Listen = addresses[0], addresses[1]
+	// No balancer stands before the demo.
+	s.Entry.BalancerMS = 0
 	if i == 0 {
 		s.Entry.CallerListen = d.prefer(ctx, 1, addresses[0])
 	}
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -46,8 +46,10 @@
 // agentNode is one agent's process, which can be ended and started again.
 type agentNode struct {
 	settings setting.Settings
-	cancel   context.CancelFunc
-	ended    <-chan error
+	// stop lets it finish, cancel ends it at once.
+	stop   context.CancelFunc
+	cancel context.CancelFunc
+	ended  <-chan error
 }
 
 type bedSize struct {
@@ -65,14 +67,13 @@
 	var ends []<-chan error
 	t.Cleanup(func() {
 		cancel()
-		for _, end := range ends {
-			<-end
-		}
 		for _, a := range b.agents {
-			<-a.ended
+			ends = append(ends, a.ended)
 		}
-		for _, end := range b.old {
-			<-end
+		for _, end := range append(ends, b.old...) {
+			if err := <-end; err != nil {
+				t.Logf("a process ended with %v", err)
+			}
 		}
 	})
 	b.control = b.address()
@@ -196,8 +197,9 @@
 }
 
 func (b *bed) startAgent(a *agentNode) {
-	ctx, cancel := context.WithCancel(b.ctx)
-	a.cancel, a.ended = cancel, node.New(a.settings, node.WithListen(listenAgain)).Run(ctx)
+	abandon, cancel := context.WithCancel(b.ctx)
+	ctx, stop := context.WithCancel(abandon)
+	a.stop, a.cancel, a.ended = stop, cancel, node.New(a.settings, node.WithListen(listenAgain), node.WithAbandon(abandon)).Run(ctx)
 }
 
 // listenAgain waits until the process before has let go of the address.
@@ -256,8 +258,12 @@
 
 // book sends a booking under a key.
 func (b *bed) book(ctx context.Context, at int, key string, deadline time.Duration) answer {
+	return b.bookAs(ctx, "c", at, key, deadline)
+}
+
+func (b *bed) bookAs(ctx context.Context, caller string, at int, key string, deadline time.Duration) answer {
 	return b.serve(ctx, at, entry.Request{
-		ID: b.id(), Caller: "c", Service: desk, Method: http.MethodPost, Path: "/bookings", Body: []byte(key),
+		ID: b.id(), Caller: caller, Service: desk, Method: http.MethodPost, Path: "/bookings", Body: []byte(key),
 		Key: key, KeyGiven: true, Deadline: time.Now().Add(deadline), Urgency: 3,
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,6 +130,11 @@
 	}
 }
 
+// HandOver refuses what still waits, not run, so that callers ask another entry.
+func (e *Entry) HandOver() {
+	e.sched.handOver(refuse(CodeStopping, "this entry is stopping; ask again through another one"))
+}
+
 // Open returns how many requests wait or run.
 func (e *Entry) Open() int {
 	e.mu.Lock()
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -176,7 +176,7 @@
 			r.load = body.Refused.GetLoad()
 			return true, ErrRefused{
 				Code: body.Refused.GetCode(), Run: body.Refused.GetRun(), Detail: body.Refused.GetDetail(),
-				RetryAfter: max(time.Duration(body.Refused.GetRetryAfterMs())*time.Millisecond, time.Second),
+				RetryAfter: max(time.Duration(body.Refused.GetRetryAfterMs())*time.Millisecond, spread()),
 			}
 		}
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,11 +108,21 @@
 }
 
 func refuse(code, detail string) ErrRefused {
-	return ErrRefused{Code: code, Run: wirepb.Run_RUN_NOT_RUN, Detail: detail, RetryAfter: time.Second}
+	return ErrRefused{Code: code, Run: wirepb.Run_RUN_NOT_RUN, Detail: detail, RetryAfter: spread()}
 }
 
+// spread parts callers that were refused at the same time.
+func spread() time.Duration {
+	return leastAgain + time.Duration(rand.Int64N(int64(spreadAgain)))
+}
+
+const (
+	leastAgain  = time.Second
+	spreadAgain = 2 * time.Second
+)
+
 func unknown(code, detail string) ErrRefused {
-	return ErrRefused{Code: code, Run: wirepb.Run_RUN_UNKNOWN, Detail: detail, RetryAfter: time.Second}
+	return ErrRefused{Code: code, Run: wirepb.Run_RUN_UNKNOWN, Detail: detail, RetryAfter: spread()}
 }
 
 var admissionCodes = map[admission.Reason]string{
--- a/entry/scheduler.go
+++ b/entry/scheduler.go
@@ -217,6 +217,25 @@
 	return now
 }
 
+// handOver gives up every waiting request.
+func (s *scheduler) handOver(refused error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for id, w := range s.waiters {
+		if s.admission.IsWaiting(id) {
+			s.give(id, w, refused, now)
+		}
+	}
+}
+
+// give refuses a waiting request; it leaves its queue first, so that no endpoint is granted besides.
+func (s *scheduler) give(id string, w *waiter, refused error, now time.Time) {
+	s.admission.End(id, false, now)
+	delete(s.waiters, id)
+	w.grants <- grant{refused: refused}
+}
+
 // forecast takes control's word on when models serve and gives up what can't be in time.
 func (s *scheduler) forecast(reply *wirepb.DemandReply) {
 	s.mu.Lock()
@@ -233,10 +252,7 @@
 	}
 	for id, w := range s.waiters {
 		if err := s.admission.Refusal(id, now); err != nil {
-			// It leaves its queue first, so that no endpoint is granted besides.
-			s.admission.End(id, false, now)
-			delete(s.waiters, id)
-			w.grants <- grant{refused: refusedBy(err)}
+			s.give(id, w, refusedBy(err), now)
 		}
 	}
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -70,7 +70,7 @@
 	if ctx.Err() != nil {
 		return ErrRefused{Code: CodeCallerLeft, Run: run, Detail: "the caller left"}
 	}
-	return ErrRefused{Code: CodeDeadlinePassed, Run: run, Detail: "no whole answer came by the deadline", RetryAfter: time.Second}
+	return ErrRefused{Code: CodeDeadlinePassed, Run: run, Detail: "no whole answer came by the deadline", RetryAfter: spread()}
 }
 
 // work tries endpoints until one answers, or nothing more may be tried.
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +16,7 @@
 	"burdocksaddle/catalog"
 	"burdocksaddle/control"
 	"burdocksaddle/entry"
+	"burdocksaddle/quorum"
 	"burdocksaddle/setting"
 	"burdocksaddle/web"
 	"burdocksaddle/wire"
@@ -35,8 +37,10 @@
 	listen   func(ctx context.Context, address string) (net.Listener, error)
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 	first    *catalog.Catalog
+	abandon  context.Context
 
 	member *control.Member
+	shared *quorum.Log
 	agent  *agent.Agent
 	entry  *entry.Entry
 }
@@ -62,7 +66,7 @@
 
 // New makes a Node from checked settings.
 func New(settings setting.Settings, options ...Option) *Node {
-	n := &Node{settings: settings, log: logr.Discard()}
+	n := &Node{settings: settings, log: logr.Discard(), abandon: context.Background()}
 	n.listen = func(ctx context.Context, address string) (net.Listener, error) {
 		var config net.ListenConfig
 		return config.Listen(ctx, "tcp", address)
@@ -74,7 +78,7 @@
 	return n
 }
 
-// Run starts the roles and serves until the context ends; the channel gives the reason, once.
+// Run starts the roles and serves until the context ends, then finishes what is under way; the channel gives the reason, once.
 func (n *Node) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() { ended <- n.run(ctx) }()
@@ -82,7 +86,8 @@
 }
 
 func (n *Node) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	signalled := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var poolOptions []wire.PoolOption
 	if n.dial != nil {
@@ -106,7 +111,19 @@
 		return err
 	}
 	n.log.Info("node started", "roles", n.settings.Roles, "listen", n.settings.Listen)
-	return await(cancel, duties)
+	stopping := make(chan struct{})
+	go func() {
+		defer close(stopping)
+		select {
+		case <-signalled.Done():
+			n.stop()
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err = await(cancel, duties)
+	<-stopping
+	return err
 }
 
 // await returns the first failure once every duty has ended.
@@ -132,6 +149,7 @@
 		if err != nil {
 			return handlers, err
 		}
+		n.shared = shared
 		handlers = n.member.Handlers()
 		handlers.Peer = shared.Handle
 		*duties = append(*duties, shared.Run(ctx), n.member.Run(ctx), n.seed(ctx))
@@ -159,7 +177,7 @@
 		if n.member != nil {
 			web.NewOperator(n.member, tokens).Register(mux)
 		}
-		web.RegisterDebug(mux, n.dump)
+		web.RegisterDebug(mux, n.dump, n.writeMetrics)
 		if err := n.serveOn(ctx, n.settings.Operator.Listen, mux, duties); err != nil {
 			return err
 		}
@@ -167,7 +185,11 @@
 	if n.entry == nil {
 		return nil
 	}
-	caller := web.NewCaller(n.entry, n.settings.Entry, n.log, rand.Text)
+	keys, err := tokens(n.settings.Entry.CallerKeys)
+	if err != nil {
+		return err
+	}
+	caller := web.NewCaller(n.entry, n.settings.Entry, keys, n.log, rand.Text)
 	return n.serveOn(ctx, n.settings.Entry.CallerListen, caller.Handler(), duties)
 }
 
@@ -176,16 +198,12 @@
 	if err != nil {
 		return err
 	}
-	drain := time.Duration(n.settings.Entry.DrainMS) * time.Millisecond
-	if drain == 0 {
-		drain = defaultDrain
-	}
-	*duties = append(*duties, serveUntil(ctx, listener, handler, drain))
+	*duties = append(*duties, n.serveUntil(ctx, listener, handler))
 	return nil
 }
 
-// serveUntil serves HTTP until the context ends and then lets open requests finish.
-func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler, drain time.Duration) <-chan error {
+// serveUntil serves HTTP until the context ends; by then the entry has answered its requests.
+func (n *Node) serveUntil(ctx context.Context, listener net.Listener, handler http.Handler) <-chan error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
 	served, ended := make(chan error, 1), make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
@@ -194,9 +212,12 @@
 		case err := <-served:
 			ended <- err
 		case <-ctx.Done():
-			stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
+			stop, cancel := context.WithTimeout(n.abandon, closeTime)
 			defer cancel()
-			ended <- server.Shutdown(stop)
+			if server.Shutdown(stop) != nil {
+				_ = server.Close()
+			}
+			ended <- nil
 		}
 	}()
 	return ended
@@ -211,6 +232,12 @@
 	Agent   *agent.Dump   `json:",omitempty"`
 }
 
+func (n *Node) writeMetrics(to io.Writer) {
+	if n.entry != nil {
+		n.entry.WriteMetrics(to)
+	}
+}
+
 func (n *Node) dump() any {
 	d := Dump{Node: n.settings.Node, Roles: n.settings.Roles}
 	if n.entry != nil {
--- a/web/caller.go
+++ b/web/caller.go
@@ -3,11 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +23,7 @@
 	HeaderKey         = "Idempotency-Key"
 	HeaderPriority    = "Priority"
 	HeaderRequestID   = "X-Request-Id"
+	writeGrace        = 2 * time.Second
 	defaultUrgency    = 3
 	lowestUrgency     = 7
 	maxKeyBytes       = 200
@@ -40,10 +38,13 @@
 	settings setting.Entry
 	log      logr.Logger
 	newID    func() string
+	keys     callerKeys
+	bodies   bodyBudget
 }
 
-// NewCaller makes the callers' API over an entry; newID gives request ids.
-func NewCaller(e *entry.Entry, settings setting.Entry, log logr.Logger, newID func() string) *Caller {
+// NewCaller makes the callers' API over an entry; keys holds each caller's key by
+// its name, none lets everyone in; newID gives request ids.
+func NewCaller(e *entry.Entry, settings setting.Entry, keys map[string]string, log logr.Logger, newID func() string) *Caller {
 	if settings.MaxBodyBytes == 0 {
 		settings.MaxBodyBytes = defaultBodyBytes
 	}
@@ -53,7 +54,7 @@
 	if settings.MaxDeadlineMS == 0 {
 		settings.MaxDeadlineMS = maxDeadlineMS
 	}
-	return &Caller{entry: e, settings: settings, log: log, newID: newID}
+	return &Caller{entry: e, settings: settings, log: log, newID: newID, keys: digests(keys)}
 }
 
 // Handler returns the routes of the callers' API.
@@ -67,6 +68,7 @@
 }
 
 func (c *Caller) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Cache-Control", "no-store")
 	if !c.entry.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
@@ -85,7 +87,11 @@
 	OwnedBy string `json:"owned_by"`
 }
 
-func (c *Caller) models(w http.ResponseWriter, _ *http.Request) {
+func (c *Caller) models(w http.ResponseWriter, r *http.Request) {
+	if _, ok := c.keys.caller(r); !ok {
+		writeProblem(w, unauthorized(w), 0)
+		return
+	}
 	now := c.entry.Catalog()
 	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, model := range now.Models {
@@ -99,14 +105,25 @@
 
 // completion is what the entry needs to know of a chat request's body.
 type completion struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
+	Model    string            `json:"model"`
+	Stream   bool              `json:"stream"`
+	Messages []json.RawMessage `json:"messages"`
+}
+
+// prefix numbers the prompt's prefix as engines do; 0 where it is not plain text.
+func (c completion) prefix() uint64 {
+	var first engineapi.ChatMessage
+	if len(c.Messages) == 0 || json.Unmarshal(c.Messages[0], &first) != nil {
+		return 0
+	}
+	return engineapi.PrefixOf(c.Model, []engineapi.ChatMessage{first})
 }
 
 func (c *Caller) complete(w http.ResponseWriter, r *http.Request) {
-	request, problem := c.parse(w, r)
+	request, release, problem := c.parse(w, r)
+	defer release()
 	if problem != nil {
-		writeProblem(w, *problem, 0)
+		writeProblem(w, *problem, problem.again)
 		return
 	}
 	var body completion
@@ -119,6 +136,7 @@
 		return
 	}
 	request.Path, request.Stream, request.Repeatable = engineapi.PathCompletions, body.Stream, true
+	request.Prefix = body.prefix()
 	c.serve(w, r, request)
 }
 
@@ -137,9 +155,10 @@
 }
 
 func (c *Caller) service(w http.ResponseWriter, r *http.Request) {
-	request, problem := c.parse(w, r)
+	request, release, problem := c.parse(w, r)
+	defer release()
 	if problem != nil {
-		writeProblem(w, *problem, 0)
+		writeProblem(w, *problem, problem.again)
 		return
 	}
 	service, ok := c.entry.Catalog().Service(r.PathValue("service"))
@@ -149,7 +168,8 @@
 	}
 	request.Service = service.Name
 	request.Path = "/" + r.PathValue("path")
-	request.Repeatable = repeatable(service, r.Method, request.Path)
+	request.Repeatable = service.Repeatable(r.Method, request.Path)
+	request.Path = escapedPath(r, service.Name)
 	if r.URL.RawQuery != "" {
 		request.Path += "?" + r.URL.RawQuery
 	}
@@ -160,43 +180,6 @@
 	c.serve(w, r, request)
 }
 
-// repeatable tells whether a call may run twice: the methods that RFC 9110 calls idempotent, unless listed.
-func repeatable(service catalog.Service, method, path string) bool {
-	if slices.Contains(service.NonIdempotent, method+" "+path) {
-		return false
-	}
-	return method != http.MethodPost && method != http.MethodPatch
-}
-
-// parse reads what every request has in common.
-func (c *Caller) parse(w http.ResponseWriter, r *http.Request) (entry.Request, *Problem) {
-	id := c.newID()
-	w.Header().Set(HeaderRequestID, id)
-	request := entry.Request{ID: id, Caller: callerOf(r), Method: r.Method, ContentType: r.Header.Get("Content-Type"), Key: r.Header.Get(HeaderKey)}
-	if len(request.Key) > maxKeyBytes {
-		p := badRequest("Idempotency-Key may have at most " + strconv.Itoa(maxKeyBytes) + " bytes")
-		return request, &p
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return request, &Problem{Type: "about:blank", Title: "Content Too Large", Status: http.StatusRequestEntityTooLarge, Code: "BodyTooLarge", Run: "NotRun", Detail: "a body may have at most " + strconv.FormatInt(c.settings.MaxBodyBytes, 10) + " bytes"}
-	}
-	if err != nil {
-		p := badRequest("the body could not be read whole")
-		return request, &p
-	}
-	request.Body = body
-	deadline, err := c.deadline(r.Header.Get(HeaderDeadline))
-	if err != nil {
-		p := badRequest("Deadline-Ms must be a positive number of milliseconds")
-		return request, &p
-	}
-	request.Deadline = time.Now().Add(deadline)
-	request.Urgency = urgency(r.Header.Get(HeaderPriority))
-	return request, nil
-}
-
 func (c *Caller) deadline(header string) (time.Duration, error) {
 	ms := c.settings.DefaultDeadlineMS
 	if header != "" {
@@ -221,17 +204,12 @@
 	return defaultUrgency
 }
 
-func callerOf(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
-}
-
 func (c *Caller) serve(w http.ResponseWriter, r *http.Request, request entry.Request) {
 	begin := time.Now()
 	flusher := http.NewResponseController(w)
+	// A caller that reads slowly holds its request up to here and no longer.
+	_ = flusher.SetWriteDeadline(request.Deadline.Add(writeGrace))
+	defer func() { _ = flusher.SetWriteDeadline(time.Time{}) }()
 	started := false
 	sink := entry.Sink{
 		Start: func(status int, contentType string) error {
--- a/web/debug.go
+++ b/web/debug.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// RegisterDebug adds the dump of the process's state and its metrics.
-func RegisterDebug(mux *http.ServeMux, dump func() any) {
+// RegisterDebug adds the dump of the process's state, and the metrics of its roles and of the process.
+func RegisterDebug(mux *http.ServeMux, dump func() any, roles ...func(io.Writer)) {
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		encoder := json.NewEncoder(w)
@@ -16,6 +17,9 @@
 		_ = encoder.Encode(dump())
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		for _, write := range roles {
+			write(w)
+		}
 		metrics.WritePrometheus(w, true)
 	})
 }
--- a/web/problem.go
+++ b/web/problem.go
@@ -27,6 +27,9 @@
 	// CurrentVersion and Holder explain a lost race between operators.
 	CurrentVersion uint64 `json:",omitempty"`
 	Holder         string `json:",omitempty"`
+
+	// again is when the caller may come back.
+	again time.Duration
 }
 
 const problemType = "application/problem+json"
@@ -45,7 +48,9 @@
 	entry.CodeCallerLimit:      http.StatusTooManyRequests,
 	entry.CodeKeyReused:        http.StatusUnprocessableEntity,
 	entry.CodeOutcomeUnknown:   http.StatusConflict,
+	entry.CodeAnswerNotKept:    http.StatusConflict,
 	entry.CodeEndpointLost:     http.StatusBadGateway,
+	entry.CodeAnswerTooLarge:   http.StatusBadGateway,
 	agent.CodeEndpoint:         http.StatusBadGateway,
 }
 
