--- a/quorum/config.go
+++ b/quorum/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-logr/logr"
 
+	"burdocksaddle/storage"
 	"burdocksaddle/wire"
 )
 
@@ -53,6 +54,9 @@
 	return func(l *Log) { l.restore = restore }
 }
 
+// WithFileSystem replaces the disk under the data folder.
+func WithFileSystem(files storage.FileSystem) Option { return func(l *Log) { l.files = &files } }
+
 // WithPool sets the sessions to the other members.
 func WithPool(pool *wire.Pool) Option { return func(l *Log) { l.pool = pool } }
 
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -37,6 +37,7 @@
 	log      logr.Logger
 	tick     time.Duration
 	seed     uint64
+	files    *storage.FileSystem
 
 	id    uint64
 	store *storage.Storage
@@ -101,6 +102,9 @@
 	if folder == "" {
 		folder, files = memoryFolder, storage.WithFileSystem(storage.Memory())
 	}
+	if l.files != nil {
+		files = storage.WithFileSystem(*l.files)
+	}
 	store, state, err := storage.Open(folder, files)
 	if storage.IsErrDamaged(err) {
 		l.log.Error(err, "data folder set aside, joining as a new member")
