--- a/control/operate.go
+++ b/control/operate.go
@@ -67,12 +67,14 @@
 
 // Dump returns the member's state for operators, without secrets.
 func (m *Member) Dump() Dump {
+	// Asked before the lock, since the log applies entries under its own.
+	leading := m.leader()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	d := Dump{
 		Index: m.machine.index, Catalog: m.machine.catalog.Version, Preset: m.machine.catalog.Preset,
 		Fleet: m.machine.fleet.Version(), Claims: m.machine.ledger.Len(), Watchers: len(m.holders), Replicas: []ReplicaDump{},
-		ProofAgeMS: time.Since(m.proof.at).Milliseconds(), Leading: m.leader(),
+		ProofAgeMS: time.Since(m.proof.at).Milliseconds(), Leading: leading,
 	}
 	for _, endpoint := range m.machine.fleet.Endpoints() {
 		for _, r := range m.machine.fleet.Replicas(endpoint.Name) {
--- a/control/prove.go
+++ b/control/prove.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"burdocksaddle/catalog"
 	"burdocksaddle/quorum"
 )
 
@@ -12,9 +13,12 @@
 
 // proof is when the member last knew that it had applied all that was committed.
 type proof struct {
-	at   time.Time
-	done chan struct{}
-	want chan struct{}
+	at time.Time
+	// begun counts the tries, round is the last try that succeeded.
+	begun uint64
+	round uint64
+	done  chan struct{}
+	want  chan struct{}
 }
 
 func newProof() proof {
@@ -26,9 +30,9 @@
 	ended := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			start := time.Now()
+			start, round := m.begin()
 			if err := m.reach(ctx); err == nil {
-				m.proven(start)
+				m.proven(start, round)
 			} else if ctx.Err() == nil {
 				m.log.V(1).Info("quorum not proven", "error", err.Error())
 			}
@@ -67,10 +71,17 @@
 	return false
 }
 
-func (m *Member) proven(start time.Time) {
+func (m *Member) begin() (start time.Time, round uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.proof.at = start
+	m.proof.begun++
+	return time.Now(), m.proof.begun
+}
+
+func (m *Member) proven(start time.Time, round uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.proof.at, m.proof.round = start, round
 	close(m.proof.done)
 	m.proof.done = make(chan struct{})
 }
@@ -90,19 +101,24 @@
 	}
 }
 
-// provenAt returns when the last proof began.
-func (m *Member) provenAt() time.Time {
+// nextProof returns the first round that begins after the call.
+func (m *Member) nextProof() uint64 {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.proof.at
+	return m.proof.begun + 1
+}
+
+func (m *Member) provenSince(round uint64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.proof.round >= round
 }
 
 // Current returns once the member has proven the quorum after the call; it fails with quorum.ErrNoQuorum.
 func (m *Member) Current(ctx context.Context) error {
-	start := time.Now()
-	for {
+	for next := m.nextProof(); ; {
 		done := m.proofs()
-		if m.provenAt().After(start) {
+		if m.provenSince(next) {
 			return nil
 		}
 		m.askProof()
@@ -114,6 +130,14 @@
 	}
 }
 
+// Read returns the catalog with all that was accepted before the call; it fails with quorum.ErrNoQuorum.
+func (m *Member) Read(ctx context.Context) (catalog.Catalog, error) {
+	if err := m.Current(ctx); err != nil {
+		return catalog.Catalog{}, err
+	}
+	return m.Catalog(), nil
+}
+
 // vouch returns the lease that the last proof allows, and whether nodes had better ask another member.
 func (m *Member) vouch(now time.Time) (lease time.Duration, stale bool) {
 	age := now.Sub(m.proof.at)
--- a/control/watch.go
+++ b/control/watch.go
@@ -23,9 +23,9 @@
 	holder *holder
 	stream *wire.Stream
 	node   *wirepb.Watch
-	// since is when a process that never held a lease came: its first one needs a proof that is
-	// younger, or it could serve what is older than what its predecessor served.
-	since   time.Time
+	// round is the proof that the lease needs at least: for a process that never held a lease one
+	// that began after it came, or it could serve what is older than what its predecessor served.
+	round   uint64
 	renew   chan struct{}
 	catalog uint64
 	fleet   uint64
@@ -42,7 +42,7 @@
 		catalog: node.GetCatalogVersion(), fleet: node.GetFleetVersion(),
 	}
 	if !node.GetLeased() {
-		w.since = time.Now()
+		w.round = m.nextProof()
 		m.askProof()
 	}
 	w.holder = m.hold(node)
@@ -161,7 +161,7 @@
 	m := w.member
 	lease, stale := m.vouch(now)
 	u.Stale = stale
-	if !m.proof.at.After(w.since) {
+	if m.proof.round < w.round {
 		lease = 0
 	}
 	u.LeaseMs = uint64(lease.Milliseconds())
