--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -344,3 +344,25 @@
 		t.Errorf("%d messages in flight, want %d", sent, limit)
 	}
 }
+
+// TestFollowerProofCountsFromItsOwnReply lets heartbeats arrive late: a late one makes no proof fresher.
+func TestFollowerProofCountsFromItsOwnReply(t *testing.T) {
+	c := newCore(t, consensus.HardState{Term: 4}, log(1, 2))
+	beat := consensus.Message{Kind: consensus.KindHeartbeat, From: second, To: self, Term: 5, ProofAge: 2}
+	c.Step(beat)
+	if got := c.ProofAge(); got != consensus.NoProof {
+		t.Errorf("proof %d ticks old from a leader that has not answered yet", got)
+	}
+	beat.EchoTick = kinds(drain(c), consensus.KindHeartbeatReply)[0].EchoTick
+	ticks(c, 5)
+	c.Step(beat)
+	if diff := cmp.Diff(uint64(7), c.ProofAge()); diff != "" {
+		t.Error(diff)
+	}
+	ticks(c, 3)
+	beat.ProofAge = consensus.NoProof
+	c.Step(beat)
+	if diff := cmp.Diff(uint64(10), c.ProofAge()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -38,6 +38,8 @@
 	tick     time.Duration
 	seed     uint64
 	files    *storage.FileSystem
+	// groupWrites bounds what one fsync makes durable.
+	groupWrites int
 
 	id    uint64
 	store *storage.Storage
@@ -64,7 +66,7 @@
 // storage.ErrDead or consensus.ErrMalformed.
 func Open(config Config, options ...Option) (*Log, error) {
 	l := &Log{
-		config: config, log: logr.Discard(), tick: defaultTick,
+		config: config, log: logr.Discard(), tick: defaultTick, groupWrites: queuedWrites,
 		apply: func(uint64, []byte) any { return nil },
 		inbox: make(chan arrival, inboxMessages), proposals: make(chan *proposal, queuedCalls),
 		reads: make(chan *reader, queuedCalls), requests: make(chan request, queuedCalls),
--- a/quorum/log_test.go
+++ b/quorum/log_test.go
@@ -64,14 +64,20 @@
 }
 
 func start(t *testing.T, config quorum.Config) *process {
+	t.Helper()
+	return startOn(t, config, newNetwork())
+}
+
+func startOn(t *testing.T, config quorum.Config, network *network, options ...quorum.Option) *process {
 	t.Helper()
 	p := &process{config: config, journal: &journal{}}
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(t.Context())
-	pool := wire.NewPool()
+	pool := network.pool(config.Address)
 	var err error
-	p.Log, err = quorum.Open(config, quorum.WithTick(testTick), quorum.WithPool(pool), quorum.WithApply(p.journal.apply),
-		quorum.WithSnapshot(p.journal.snapshot), quorum.WithRestore(p.journal.restore))
+	options = append([]quorum.Option{quorum.WithTick(testTick), quorum.WithPool(pool), quorum.WithApply(p.journal.apply),
+		quorum.WithSnapshot(p.journal.snapshot), quorum.WithRestore(p.journal.restore)}, options...)
+	p.Log, err = quorum.Open(config, options...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/quorum/write.go
+++ b/quorum/write.go
@@ -39,7 +39,7 @@
 
 func (l *Log) drainWrites(first write) []write {
 	group := []write{first}
-	for len(group) < queuedWrites {
+	for len(group) < l.groupWrites {
 		select {
 		case w := <-l.writes:
 			group = append(group, w)
