Run the demo on three control members and guard operators' reads

The demo had one member, operators read what might be stale, any caller of the operator address could take a dump, and a failed change did not say whether it might still be accepted. Three members now replicate over the real log; reads prove the quorum first, NotCommitted and OutcomeUnknown differ, members are told by the leader, and tokens are compared as hashes.

--- a/control/member.go
+++ b/control/member.go
@@ -147,6 +147,6 @@
 func (m *Member) Handlers() wire.Handlers {
 	return wire.Handlers{
 		Watch: m.Watch, Report: m.relayReport, Register: m.Register, Demand: m.relayDemand,
-		Propose: m.Forward, Force: m.Force,
+		Propose: m.Forward, Force: m.Force, Members: m.TellMembers,
 	}
 }
--- a/control/operate.go
+++ b/control/operate.go
@@ -38,8 +38,27 @@
 	return m.machine.At(version)
 }
 
-// Members returns the control members as this one knows them.
-func (m *Member) Members() []MemberInfo { return m.shared.Members() }
+// Members returns the control members as the leader knows them, or as this one does while no leader answers.
+func (m *Member) Members(ctx context.Context) []MemberInfo {
+	if m.leader() {
+		return m.shared.Members()
+	}
+	reply := m.relay(ctx, &wirepb.Frame{Body: &wirepb.Frame_MemberQuery{MemberQuery: &wirepb.MemberQuery{}}})
+	var members []MemberInfo
+	if json.Unmarshal(reply.GetMemberReply().GetMembers(), &members) != nil {
+		return m.shared.Members()
+	}
+	return members
+}
+
+// TellMembers answers another member with the members as this one knows them.
+func (m *Member) TellMembers(context.Context) *wirepb.Frame {
+	data, err := json.Marshal(m.shared.Members())
+	if err != nil {
+		return nil
+	}
+	return &wirepb.Frame{Body: &wirepb.Frame_MemberReply{MemberReply: &wirepb.MemberReply{Members: data}}}
+}
 
 // Dump is a control member's state.
 type Dump struct {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -20,6 +20,7 @@
 	engines      = 3
 	services     = 2
 	entries      = 2
+	controls     = 3
 	engineMB     = 80_000
 	engineSlots  = 16
 	serviceSlots = 16
@@ -33,18 +34,19 @@
 type Demo struct {
 	// Callers are the base URLs of the entries' caller APIs.
 	Callers []string
-	// Operator is the base URL of the operators' API.
-	Operator string
-	Engines  []*standin.Engine
-	Services []*standin.Service
-	Platform *standin.Platform
+	// Operator is the base URL of the operators' API on the first control member, Operators those on all.
+	Operator  string
+	Operators []string
+	Engines   []*standin.Engine
+	Services  []*standin.Service
+	Platform  *standin.Platform
 
 	log       logr.Logger
 	preferred []string
 	mu        sync.Mutex
 	listeners map[string]net.Listener
 	ends      []<-chan error
-	control   string
+	controls  []string
 }
 
 // Option sets one property of a Demo.
@@ -95,21 +97,35 @@
 	}
 }
 
+// startControl starts the control members, which must know each other's addresses beforehand.
 func (d *Demo) startControl(ctx context.Context) error {
-	s := setting.Defaults()
-	s.Node, s.DataCentre, s.Roles = "control-1", "first", []setting.Role{setting.RoleControl}
-	addresses, err := d.reserve(ctx, 2)
+	listens, err := d.reserve(ctx, controls)
+	if err != nil {
+		return err
+	}
+	operators, err := d.reserve(ctx, controls)
 	if err != nil {
 		return err
 	}
-	s.Listen, s.Operator.Listen = addresses[0], d.prefer(ctx, 0, addresses[1])
-	s.Controls = []string{s.Listen}
-	d.control, d.Operator = s.Listen, "http://"+s.Operator.Listen
-	n := d.node(s)
-	d.ends = append(d.ends, n.Run(ctx))
+	operators[0] = d.prefer(ctx, 0, operators[0])
+	d.controls = listens
+	var bootstrap []string
+	for i, listen := range listens {
+		bootstrap = append(bootstrap, controlName(i)+"="+listen)
+	}
+	for i, listen := range listens {
+		s := setting.Defaults()
+		s.Node, s.DataCentre, s.Roles = controlName(i), "first", []setting.Role{setting.RoleControl}
+		s.Listen, s.Operator.Listen, s.Controls, s.Control.Bootstrap = listen, operators[i], listens, bootstrap
+		d.Operators = append(d.Operators, "http://"+operators[i])
+		d.ends = append(d.ends, d.node(s).Run(ctx))
+	}
+	d.Operator = d.Operators[0]
 	return nil
 }
 
+func controlName(i int) string { return "control-" + strconv.Itoa(i+1) }
+
 func (d *Demo) startEndpoints(ctx context.Context) (string, error) {
 	d.Platform = standin.NewPlatform(ctx)
 	platform, err := d.serve(ctx, d.Platform)
@@ -148,7 +164,7 @@
 		return err
 	}
 	s := setting.Defaults()
-	s.Node, s.DataCentre, s.Roles, s.Listen, s.Controls = name, "first", []setting.Role{setting.RoleAgent}, addresses[0], []string{d.control}
+	s.Node, s.DataCentre, s.Roles, s.Listen, s.Controls = name, "first", []setting.Role{setting.RoleAgent}, addresses[0], d.controls
 	s.Advertise = s.Listen
 	s.Agent.Endpoint, s.Agent.Service, s.Agent.EndpointURL, s.Agent.Kind = name, service, url, string(kind)
 	s.Agent.MemoryMB, s.Agent.Slots, s.Agent.PlatformURL = engineMB, engineSlots, platform+engineapi.PathVMs
@@ -162,7 +178,7 @@
 		return err
 	}
 	s := setting.Defaults()
-	s.Node, s.DataCentre, s.Roles, s.Controls = "entry-"+strconv.Itoa(i+1), "first", []setting.Role{setting.RoleEntry}, []string{d.control}
+	s.Node, s.DataCentre, s.Roles, s.Controls = "entry-"+strconv.Itoa(i+1), "first", []setting.Role{setting.RoleEntry}, d.controls
 	s.Entry.CallerListen, s.Operator.Listen = addresses[0], addresses[1]
 	// No balancer stands before the demo.
 	s.Entry.BalancerMS = 0
--- a/node/node.go
+++ b/node/node.go
@@ -174,10 +174,11 @@
 		if err != nil {
 			return err
 		}
+		guard := web.NewGuard(tokens)
 		if n.member != nil {
-			web.NewOperator(n.member, tokens).Register(mux)
+			web.NewOperator(n.member, guard).Register(mux)
 		}
-		web.RegisterDebug(mux, n.dump, n.writeMetrics)
+		web.RegisterDebug(mux, guard, n.dump, n.writeMetrics)
 		if err := n.serveOn(ctx, n.settings.Operator.Listen, mux, duties); err != nil {
 			return err
 		}
--- a/web/debug.go
+++ b/web/debug.go
@@ -8,14 +8,14 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// RegisterDebug adds the dump of the process's state, and the metrics of its roles and of the process.
-func RegisterDebug(mux *http.ServeMux, dump func() any, roles ...func(io.Writer)) {
-	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+// RegisterDebug adds the dump of the process's state, behind a guard, and the metrics of its roles and of the process.
+func RegisterDebug(mux *http.ServeMux, guard Guard, dump func() any, roles ...func(io.Writer)) {
+	mux.HandleFunc("GET /debug/state", guard.protect(func(w http.ResponseWriter, _ *http.Request, _ string) {
 		w.Header().Set("Content-Type", "application/json")
 		encoder := json.NewEncoder(w)
 		encoder.SetIndent("", "  ")
 		_ = encoder.Encode(dump())
-	})
+	}))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		for _, write := range roles {
 			write(w)
--- a/web/operator.go
+++ b/web/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -20,60 +19,50 @@
 	HeaderOperation = "Operation-Id"
 	HeaderIfMatch   = "If-Match"
 
-	maxChangeBytes  = 16 << 20
-	maxWait         = time.Minute
-	changeTimeout   = 10 * time.Second
-	defaultOperator = "local"
+	maxChangeBytes = 16 << 20
+	maxWait        = time.Minute
+	readTimeout    = 2 * time.Second
+	changeTimeout  = 10 * time.Second
 )
 
 // Operator is the operators' API.
 type Operator struct {
 	member *control.Member
-	tokens map[string]string
+	guard  Guard
 }
 
-// NewOperator makes the operators' API; tokens maps an operator's name to the token, empty lets everyone in.
-func NewOperator(member *control.Member, tokens map[string]string) *Operator {
-	return &Operator{member: member, tokens: tokens}
+// NewOperator makes the operators' API behind a guard.
+func NewOperator(member *control.Member, guard Guard) *Operator {
+	return &Operator{member: member, guard: guard}
 }
 
 // Register adds the routes of the operators' API.
 func (o *Operator) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET /operator/v1/catalog", o.guard(o.catalog))
-	mux.HandleFunc("POST /operator/v1/changes", o.guard(o.change))
-	mux.HandleFunc("POST /operator/v1/preset", o.guard(o.preset))
-	mux.HandleFunc("POST /operator/v1/rollback", o.guard(o.rollback))
-	mux.HandleFunc("GET /operator/v1/members", o.guard(o.members))
-	mux.HandleFunc("GET /operator/v1/wait", o.guard(o.wait))
-	mux.HandleFunc("GET /operator/v1/history", o.guard(o.history))
-	mux.HandleFunc("GET /operator/v1/diff", o.guard(o.diff))
-}
-
-type guarded func(w http.ResponseWriter, r *http.Request, operator string)
-
-// guard lets only known operators in; tokens are compared in constant time.
-func (o *Operator) guard(next guarded) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if len(o.tokens) == 0 {
-			next(w, r, defaultOperator)
-			return
-		}
-		token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		found := ""
-		for name, want := range o.tokens {
-			if subtle.ConstantTimeCompare([]byte(token), []byte(want)) == 1 {
-				found = name
-			}
-		}
-		if found == "" {
-			writeProblem(w, Problem{Type: "about:blank", Title: "Unauthorized", Status: http.StatusUnauthorized, Code: "TokenInvalid"}, 0)
-			return
-		}
-		next(w, r, found)
-	}
-}
-
-func (o *Operator) catalog(w http.ResponseWriter, _ *http.Request, _ string) {
+	mux.HandleFunc("GET /operator/v1/catalog", o.guard.protect(o.catalog))
+	mux.HandleFunc("POST /operator/v1/changes", o.guard.protect(o.change))
+	mux.HandleFunc("POST /operator/v1/preset", o.guard.protect(o.preset))
+	mux.HandleFunc("POST /operator/v1/rollback", o.guard.protect(o.rollback))
+	mux.HandleFunc("GET /operator/v1/members", o.guard.protect(o.members))
+	mux.HandleFunc("GET /operator/v1/wait", o.guard.protect(o.wait))
+	mux.HandleFunc("GET /operator/v1/history", o.guard.protect(o.history))
+	mux.HandleFunc("GET /operator/v1/diff", o.guard.protect(o.diff))
+}
+
+// current makes sure that what is read next holds all that was accepted before, or refuses.
+func (o *Operator) current(w http.ResponseWriter, r *http.Request) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	if err := o.member.Current(ctx); err != nil {
+		writeProblem(w, Problem{Type: "about:blank", Title: "Service Unavailable", Status: http.StatusServiceUnavailable, Code: "NoQuorum", Detail: err.Error()}, time.Second)
+		return false
+	}
+	return true
+}
+
+func (o *Operator) catalog(w http.ResponseWriter, r *http.Request, _ string) {
+	if !o.current(w, r) {
+		return
+	}
 	now := o.member.Catalog()
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(now.Version, 10)))
 	writeJSON(w, now)
@@ -99,7 +88,7 @@
 
 func (o *Operator) rollback(w http.ResponseWriter, r *http.Request, operator string) {
 	var body rollbackChange
-	if !o.read(w, r, &body) {
+	if !o.read(w, r, &body) || !o.current(w, r) {
 		return
 	}
 	old, ok := o.member.At(body.Version)
@@ -133,7 +122,7 @@
 	defer cancel()
 	result, err := o.member.Change(ctx, operator, operation, base, change)
 	if err != nil {
-		writeProblem(w, Problem{Type: "about:blank", Title: "Service Unavailable", Status: http.StatusServiceUnavailable, Code: "NotCommitted", Detail: err.Error()}, time.Second)
+		writeProblem(w, notCommitted(err), time.Second)
 		return
 	}
 	if result.GetErrorCode() != "" {
@@ -144,6 +133,16 @@
 	writeJSON(w, versionAnswer{Version: result.GetCatalogVersion()})
 }
 
+// notCommitted says whether a change is certainly not accepted; if it may be, a resend under the same
+// operation id tells.
+func notCommitted(err error) Problem {
+	code := "OutcomeUnknown"
+	if failed, ok := control.AsErrNotCommitted(err); ok && failed.Never {
+		code = "NotCommitted"
+	}
+	return Problem{Type: "about:blank", Title: "Service Unavailable", Status: http.StatusServiceUnavailable, Code: code, Detail: err.Error()}
+}
+
 func changeProblem(result *wirepb.CommandResult) Problem {
 	status := http.StatusUnprocessableEntity
 	if result.GetErrorCode() == control.CodeVersionConflict {
@@ -155,8 +154,8 @@
 	}
 }
 
-func (o *Operator) members(w http.ResponseWriter, _ *http.Request, _ string) {
-	writeJSON(w, o.member.Members())
+func (o *Operator) members(w http.ResponseWriter, r *http.Request, _ string) {
+	writeJSON(w, o.member.Members(r.Context()))
 }
 
 func (o *Operator) wait(w http.ResponseWriter, r *http.Request, _ string) {
@@ -182,7 +181,10 @@
 	Preset      string
 }
 
-func (o *Operator) history(w http.ResponseWriter, _ *http.Request, _ string) {
+func (o *Operator) history(w http.ResponseWriter, r *http.Request, _ string) {
+	if !o.current(w, r) {
+		return
+	}
 	entries := []historyEntry{}
 	for _, c := range o.member.History() {
 		entries = append(entries, historyEntry{Version: c.Version, Operator: c.Operator, OperationID: c.OperationID, At: time.UnixMilli(c.AtMS).UTC(), Preset: c.Preset})
@@ -197,6 +199,9 @@
 		writeProblem(w, badRequest("from and to must be versions"), 0)
 		return
 	}
+	if !o.current(w, r) {
+		return
+	}
 	a, okA := o.member.At(from)
 	b, okB := o.member.At(to)
 	if (!okA && from != 0) || !okB {
