Decide loads by each model's own idle gaps and replay them

A replica was unloaded only when another model needed its memory, loads ignored the weight store, and nothing told what that costs. The policy plans each idle gap from the model's own histogram by backward induction over held, dropped and loaded ahead, weighed by the preset; orders loads by deadline, priority and expected time within the store's bucket and slots, which follow what is measured; evicts by least expected loss; replaces versions beside or in place; gives up overdue loads; forecasts readiness.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 SEEDS ?= 20
 
-.PHONY: build test fmt lint vet unit e2e generate soak
+.PHONY: build test fmt lint vet unit e2e generate soak replay
 
 build:
 	$(GO) build -o burdocksaddle .
@@ -36,3 +36,8 @@
 # soak runs SEEDS long randomised histories over the log's core and storage; the seeds are printed.
 soak:
 	$(GO) test ./storage -run TestSoak -count=1 -timeout 60m -v -args -seeds=$(SEEDS)
+
+# replay prints the placement policy beside its baselines over SEEDS seeds for both deployments.
+replay:
+	$(GO) run . replay --deployment tw-west --seeds $(SEEDS)
+	$(GO) run . replay --deployment kingston --seeds $(SEEDS)
--- a/agent/load_report.go
+++ b/agent/load_report.go
@@ -62,7 +62,7 @@
 		model, version := cutCheckpoint(name)
 		cached = append(cached, &wirepb.CachedCheckpoint{Model: model, Version: version, Memory: place == engineapi.CacheMemory})
 	}
-	slices.SortFunc(cached, func(a, b *wirepb.CachedCheckpoint) int { return compareCheckpoints(a, b) })
+	slices.SortFunc(cached, compareCheckpoints)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.adapters.held, a.cached = held, cached
--- a/control/member.go
+++ b/control/member.go
@@ -8,7 +8,6 @@
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/catalog"
-	"burdocksaddle/placement"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -20,15 +19,13 @@
 	pool   *wire.Pool
 	shared Log
 	leader func() bool
-	policy placement.Policy
 	lease  time.Duration
 
-	mu       sync.RWMutex
-	machine  *Machine
-	changed  chan struct{}
-	demands  map[string]entryDemand
-	lastUsed map[string]int64
-	wake     chan struct{}
+	mu      sync.RWMutex
+	machine *Machine
+	changed chan struct{}
+	planner *planner
+	wake    chan struct{}
 
 	holders map[string]*holder
 	deltas  deltas
@@ -60,7 +57,7 @@
 func New(options ...MemberOption) *Member {
 	m := &Member{
 		log: logr.Discard(), name: "self", machine: NewMachine(), changed: make(chan struct{}), lease: defaultLease,
-		demands: map[string]entryDemand{}, lastUsed: map[string]int64{}, wake: make(chan struct{}, 1),
+		planner: newPlanner(), wake: make(chan struct{}, 1),
 		holders: map[string]*holder{}, proof: newProof(),
 	}
 	m.Share(m.alone())
@@ -104,10 +101,10 @@
 }
 
 // versions are those that watchers wait for.
-type versions struct{ catalog, fleet uint64 }
+type versions struct{ catalog, fleet, grants uint64 }
 
 func (m *Member) versions() versions {
-	return versions{catalog: m.machine.catalog.Version, fleet: m.machine.fleet.Version()}
+	return versions{catalog: m.machine.catalog.Version, fleet: m.machine.fleet.Version(), grants: m.machine.fleet.Grants()}
 }
 
 // noticed wakes whoever waits for changes; the caller holds the lock.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,20 +35,23 @@
 	replicas  map[uint64]Replica
 	gone      map[string]uint64
 	portions  map[string]Portion
+	grants    uint64
 
 	// The indexes below follow from endpoints and replicas.
 	endpoints  map[string]Endpoint
-	byEndpoint map[string]map[uint64]struct{}
-	byModel    map[string]map[uint64]struct{}
+	byEndpoint map[string][]Replica
+	byModel    map[string][]Replica
 	byService  map[string][]string
 	reserved   map[string]uint64
+	pending    []Replica
+	models     []string
 }
 
 // New makes an empty Fleet.
 func New() *Fleet {
 	return &Fleet{
 		endpoints: map[string]Endpoint{}, replicas: map[uint64]Replica{}, gone: map[string]uint64{}, portions: map[string]Portion{},
-		byEndpoint: map[string]map[uint64]struct{}{}, byModel: map[string]map[uint64]struct{}{},
+		byEndpoint: map[string][]Replica{}, byModel: map[string][]Replica{},
 		byService: map[string][]string{}, reserved: map[string]uint64{},
 	}
 }
@@ -76,17 +79,17 @@
 	return replica, ok
 }
 
-// Replicas returns the replicas on an endpoint by number.
-func (f *Fleet) Replicas(endpoint string) []Replica { return f.listed(f.byEndpoint[endpoint]) }
+// Replicas returns the replicas on an endpoint by number; the list is not to be changed.
+func (f *Fleet) Replicas(endpoint string) []Replica { return f.byEndpoint[endpoint] }
 
-// OfModel returns the replicas of a model that are not confirmed gone, by number.
-func (f *Fleet) OfModel(model string) []Replica { return f.listed(f.byModel[model]) }
+// OfModel returns the replicas of a model that are not confirmed gone, by number; the list is not to be changed.
+func (f *Fleet) OfModel(model string) []Replica { return f.byModel[model] }
 
 // ReplicasOf returns how many replicas of a model are not confirmed gone.
 func (f *Fleet) ReplicasOf(model string) int { return len(f.byModel[model]) }
 
-// Models returns the names of the models that have replicas, in order.
-func (f *Fleet) Models() []string { return slices.Sorted(maps.Keys(f.byModel)) }
+// Models returns the names of the models that have replicas, in order; the list is not to be changed.
+func (f *Fleet) Models() []string { return f.models }
 
 // Len returns how many replicas are not confirmed gone.
 func (f *Fleet) Len() int { return len(f.replicas) }
@@ -103,20 +106,6 @@
 	return known.MemoryMB - f.reserved[endpoint]
 }
 
-func (f *Fleet) listed(ids map[uint64]struct{}) []Replica {
-	if len(ids) == 0 {
-		return nil
-	}
-	all := make([]Replica, 0, len(ids))
-	for id := range ids {
-		all = append(all, f.replicas[id])
-	}
-	if len(all) > 1 {
-		slices.SortFunc(all, func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	return all
-}
-
 // Register takes an agent in and returns its incarnation; a resend of the same process gets the same one.
 func (f *Fleet) Register(e Endpoint, index uint64, atMS int64) uint64 {
 	old, known := f.endpoints[e.Name]
@@ -151,8 +140,8 @@
 	if f.ReplicasOf(r.Model) >= limit {
 		return r, ErrReplicaLimit{Model: r.Model, Limit: limit}
 	}
-	for id := range f.byEndpoint[r.Endpoint] {
-		if other := f.replicas[id]; other.Model == r.Model && other.Version == r.Version {
+	for _, other := range f.byEndpoint[r.Endpoint] {
+		if other.Model == r.Model && other.Version == r.Version {
 			return r, ErrReplicaExists{Endpoint: r.Endpoint, Model: r.Model, Version: r.Version}
 		}
 	}
@@ -234,3 +223,6 @@
 	e.Changed = f.version
 	f.endpoints[e.Name] = e
 }
+
+// PendingReplicas returns the replicas on their way to being loaded, by number.
+func (f *Fleet) PendingReplicas() []Replica { return f.pending }
--- a/fleet/index.go
+++ b/fleet/index.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // put stores a replica and keeps the indexes and the reservation in step.
 func (f *Fleet) put(r Replica) {
@@ -8,17 +11,29 @@
 		f.drop(old)
 	}
 	f.replicas[r.ID] = r
-	index(f.byEndpoint, r.Endpoint, r.ID)
-	index(f.byModel, r.Model, r.ID)
+	f.byEndpoint[r.Endpoint] = with(f.byEndpoint[r.Endpoint], r)
+	f.byModel[r.Model] = with(f.byModel[r.Model], r)
+	if len(f.byModel[r.Model]) == 1 {
+		f.models = withName(f.models, r.Model)
+	}
 	f.reserved[r.Endpoint] += r.MemoryMB
+	if r.Pending() {
+		f.pending = with(f.pending, r)
+	}
 }
 
 // drop takes a replica out of the store and the indexes.
 func (f *Fleet) drop(r Replica) {
 	delete(f.replicas, r.ID)
-	unindex(f.byEndpoint, r.Endpoint, r.ID)
-	unindex(f.byModel, r.Model, r.ID)
+	f.pending = without(f.pending, r.ID)
 	f.reserved[r.Endpoint] -= r.MemoryMB
+	if f.byEndpoint[r.Endpoint] = without(f.byEndpoint[r.Endpoint], r.ID); len(f.byEndpoint[r.Endpoint]) == 0 {
+		delete(f.byEndpoint, r.Endpoint)
+	}
+	if f.byModel[r.Model] = without(f.byModel[r.Model], r.ID); len(f.byModel[r.Model]) == 0 {
+		delete(f.byModel, r.Model)
+		f.models = withoutName(f.models, r.Model)
+	}
 }
 
 // assert panics when a decision took an endpoint's replicas above its memory. An
@@ -29,30 +44,42 @@
 	}
 }
 
-func (f *Fleet) list(e Endpoint) {
-	names := f.byService[e.Service]
-	if at, found := slices.BinarySearch(names, e.Name); !found {
-		f.byService[e.Service] = slices.Insert(slices.Clone(names), at, e.Name)
-	}
-}
+func (f *Fleet) list(e Endpoint) { f.byService[e.Service] = withName(f.byService[e.Service], e.Name) }
 
 func (f *Fleet) unlist(e Endpoint) {
-	names := f.byService[e.Service]
-	if at, found := slices.BinarySearch(names, e.Name); found {
-		f.byService[e.Service] = slices.Delete(slices.Clone(names), at, at+1)
+	f.byService[e.Service] = withoutName(f.byService[e.Service], e.Name)
+}
+
+// with returns a new list, sorted by number, that holds a replica; lists given out never change.
+func with(list []Replica, r Replica) []Replica {
+	at, _ := slices.BinarySearchFunc(list, r.ID, byID)
+	next := make([]Replica, 0, len(list)+1)
+	return append(append(append(next, list[:at]...), r), list[at:]...)
+}
+
+func without(list []Replica, id uint64) []Replica {
+	at, found := slices.BinarySearchFunc(list, id, byID)
+	if !found {
+		return list
 	}
+	next := make([]Replica, 0, len(list)-1)
+	return append(append(next, list[:at]...), list[at+1:]...)
 }
 
-func index(by map[string]map[uint64]struct{}, key string, id uint64) {
-	if by[key] == nil {
-		by[key] = map[uint64]struct{}{}
+func byID(r Replica, id uint64) int { return cmp.Compare(r.ID, id) }
+
+func withName(names []string, name string) []string {
+	at, found := slices.BinarySearch(names, name)
+	if found {
+		return names
 	}
-	by[key][id] = struct{}{}
+	return slices.Insert(slices.Clone(names), at, name)
 }
 
-func unindex(by map[string]map[uint64]struct{}, key string, id uint64) {
-	delete(by[key], id)
-	if len(by[key]) == 0 {
-		delete(by, key)
+func withoutName(names []string, name string) []string {
+	at, found := slices.BinarySearch(names, name)
+	if !found {
+		return names
 	}
+	return slices.Delete(slices.Clone(names), at, at+1)
 }
--- a/fleet/portion.go
+++ b/fleet/portion.go
@@ -37,6 +37,7 @@
 		portion.UntilMS = max(untilMS, old.UntilMS)
 		f.portions[portion.Endpoint] = portion
 		given = append(given, portion)
+		f.grants++
 	}
 	if f.Permits() > budget && len(given) > 0 {
 		panic(ErrInvariant{Endpoint: given[0].Endpoint, Rule: "adapter portions exceed the budget"})
@@ -44,6 +45,9 @@
 	return given
 }
 
+// Grants returns how many portions were given so far.
+func (f *Fleet) Grants() uint64 { return f.grants }
+
 // Permits returns the sum of the portions that may still be in use.
 func (f *Fleet) Permits() int {
 	sum := 0
--- a/node/control.go
+++ b/node/control.go
@@ -22,7 +22,8 @@
 func (n *Node) openControl(pool *wire.Pool) (*quorum.Log, error) {
 	s := n.settings
 	n.member = control.New(control.WithLog(n.log), control.WithName(s.Node), control.WithPool(pool),
-		control.WithLease(time.Duration(s.Lease.LengthMS)*time.Millisecond))
+		control.WithLease(time.Duration(s.Lease.LengthMS)*time.Millisecond),
+		control.WithStoreBudget(s.Control.StoreRate, s.Control.StoreSlots), control.WithAdapterBudget(s.Control.AdapterBudget))
 	config := quorum.Config{
 		DataFolder: s.Control.DataFolder, Name: s.Node, Address: cmp.Or(s.Advertise, s.Listen),
 		Bootstrap: peers(s.Control.Bootstrap), Standing: s.Control.StandingLearner,
