--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -6,30 +6,26 @@
 
 // Repair returns the next change that a leader should make of its members, false if none. A learner that came back with
 // a new identity under a voter's name takes that voter's place; a standing learner takes the place of a voter that was
-// silent for replaceAfter ticks, 0 never. The gone voter is removed first, once a learner that caught up is there to
+// silent for replaceAfter ticks, 0 never; so does a former voter that came back as a learner. The gone voter is removed first, once a learner that caught up is there to
 // follow it: promoting first would ask for more live voters than before, and a second loss would end the quorum.
 func Repair(s Status, replaceAfter uint64) (Change, bool) {
 	if s.Role != RoleLeader || !s.ConfigurationSafe {
 		return Change{}, false
 	}
 	voters, target := len(s.Configuration.Voters()), int(s.Configuration.Target)
+	learner, follows := ready(s)
 	if voters < target {
-		learner, ok := ready(s, func(PeerStatus) bool { return true })
-		return Change{Kind: ChangePromote, Member: learner.Member}, ok
+		return Change{Kind: ChangePromote, Member: learner.Member}, follows
 	}
 	gone, ok := mostSilent(s, replaceAfter)
-	if !ok {
-		return Change{}, false
-	}
-	_, ok = ready(s, func(p PeerStatus) bool { return p.Standing || p.Name == gone.Name })
-	return Change{Kind: ChangeRemove, Member: gone.Member}, ok || voters > target
+	return Change{Kind: ChangeRemove, Member: gone.Member}, ok && (follows || voters > target)
 }
 
 // ready returns a learner that caught up, one that is not a standing one first.
-func ready(s Status, fits func(PeerStatus) bool) (PeerStatus, bool) {
+func ready(s Status) (PeerStatus, bool) {
 	var found PeerStatus
 	for _, p := range s.Peers {
-		if !p.Voter && p.CaughtUp && fits(p) && (found.ID == 0 || found.Standing && !p.Standing) {
+		if !p.Voter && p.CaughtUp && (found.ID == 0 || found.Standing && !p.Standing) {
 			found = p
 		}
 	}
--- a/consensus/repair_test.go
+++ b/consensus/repair_test.go
@@ -21,15 +21,16 @@
 		kind  consensus.ChangeKind
 		id    uint64
 	}{
-		"all well":                        {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(4, "d", true, true)}, 0, 0},
-		"gone too short":                  {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 99), learner(4, "d", true, true)}, 0, 0},
-		"gone, nobody to follow":          {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100)}, 0, 0},
-		"gone, learner lags":              {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", true, false)}, 0, 0},
-		"gone goes before the learner":    {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", true, true)}, remove, 3},
-		"then the learner is promoted":    {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true)}, promote, 4},
-		"the returned goes before spares": {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true), learner(5, "c", false, true)}, promote, 5},
-		"a wiped one replaces itself":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 20), learner(5, "c", false, true)}, remove, 3},
-		"two live ones of one name":       {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(5, "c", false, true)}, 0, 0},
+		"all well":                         {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(4, "d", true, true)}, 0, 0},
+		"gone too short":                   {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 99), learner(4, "d", true, true)}, 0, 0},
+		"gone, nobody to follow":           {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100)}, 0, 0},
+		"gone, learner lags":               {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", true, false)}, 0, 0},
+		"gone goes before the learner":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", true, true)}, remove, 3},
+		"then the learner is promoted":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true)}, promote, 4},
+		"the returned goes before spares":  {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true), learner(5, "c", false, true)}, promote, 5},
+		"a wiped one replaces itself":      {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 20), learner(5, "c", false, true)}, remove, 3},
+		"a former voter serves as a spare": {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", false, true)}, remove, 3},
+		"two live ones of one name":        {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(5, "c", false, true)}, 0, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/quorum/apply.go
+++ b/quorum/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"burdocksaddle/consensus"
 )
@@ -80,7 +81,9 @@
 	var waiting []work
 	for _, b := range barriers {
 		if l.Applied() < b.barrier {
-			waiting = append(waiting, b)
+			if b.readers = slices.DeleteFunc(b.readers, isDead); len(b.readers) > 0 {
+				waiting = append(waiting, b)
+			}
 			continue
 		}
 		for _, r := range b.readers {
--- a/quorum/log_test.go
+++ b/quorum/log_test.go
@@ -312,6 +312,7 @@
 	})
 	propose(t, processes, "b")
 	leader.stop(t)
+	first := processes[at(processes, leader, 1)]
 	var live []*process
 	for _, p := range processes {
 		if !p.stopped {
@@ -322,6 +323,10 @@
 	for _, p := range live {
 		eventually(t, "all commands", func() bool { return cmp.Equal([]string{"a", "b", "c"}, p.journal.all()) })
 	}
+	back := start(t, first.config)
+	eventually(t, "the first one takes the second one's place", func() bool {
+		return cmp.Equal([]string{"a", "b", "c"}, back.journal.all()) && strings.Contains(strings.Join(voterNames(leaderOf(t, live)), " "), first.config.Name)
+	})
 }
 
 // at returns the place of the nth voter that is not the leader.
--- a/quorum/read.go
+++ b/quorum/read.go
@@ -54,7 +54,9 @@
 }
 
 func (s *stepper) dropDeadReaders() {
-	dead := func(r *reader) bool { return r.ctx.Err() != nil }
-	s.readers = slices.DeleteFunc(s.readers, dead)
-	s.asked = slices.DeleteFunc(s.asked, dead)
+	s.readers = slices.DeleteFunc(s.readers, isDead)
+	s.asked = slices.DeleteFunc(s.asked, isDead)
 }
+
+// isDead tells whether a reader's caller has gone.
+func isDead(r *reader) bool { return r.ctx.Err() != nil }
--- a/storage/soak_check_test.go
+++ b/storage/soak_check_test.go
@@ -14,8 +14,10 @@
 
 // checker sees all nodes at once and holds them to what the group promises.
 type checker struct {
-	world     *world
-	leaders   map[uint64]uint64
+	world   *world
+	leaders map[uint64]uint64
+	// elected is when each term's leader was first seen.
+	elected   map[uint64]int64
 	committed map[uint64]consensus.Entry
 	states    map[uint64]string
 	// configuration is the last committed one that any node applied.
@@ -27,7 +29,7 @@
 
 func newChecker(w *world) *checker {
 	return &checker{
-		world: w, leaders: map[uint64]uint64{}, committed: map[uint64]consensus.Entry{}, states: map[uint64]string{},
+		world: w, leaders: map[uint64]uint64{}, elected: map[uint64]int64{}, committed: map[uint64]consensus.Entry{}, states: map[uint64]string{},
 		neverValues: map[string]bool{},
 	}
 }
@@ -41,6 +43,7 @@
 	if now.Committed < before.Committed || now.Term < before.Term {
 		c.fail("%s went back from commit %d term %d to %d %d", n.name, before.Committed, before.Term, now.Committed, now.Term)
 	}
+	c.proof(n)
 	if now.Role != consensus.RoleLeader || before.Role == consensus.RoleLeader && before.Term == now.Term {
 		return
 	}
@@ -49,6 +52,7 @@
 		c.fail("two leaders in term %d", now.Term)
 	}
 	c.leaders[now.Term] = n.id
+	c.elected[now.Term] = c.world.now
 	if c.world.now-c.world.handedOver < 3*tickUnits*10 {
 		return
 	}
@@ -59,6 +63,21 @@
 	}
 }
 
+// proof checks that no member holds a proof of its leader's quorum that is younger than the next leader.
+func (c *checker) proof(n *node) {
+	if n.status.ProofAge == consensus.NoProof {
+		return
+	}
+	const slack = 2
+	since := c.world.now - int64(n.status.ProofAge+slack)*tickUnits*(1000+driftPermille)/1000
+	for term, elected := range c.elected {
+		if term > n.status.Term && elected < since {
+			c.fail("%s holds a proof of term %d from %d on, but term %d was won at %d", n.name, n.status.Term, since, term, elected)
+		}
+	}
+	c.world.counts["proofs"]++
+}
+
 func (c *checker) applied(n *node, e consensus.Entry) {
 	if e.Index != n.applied+1 {
 		c.fail("%s applied %d after %d", n.name, e.Index, n.applied)
