--- a/control/network_test.go
+++ b/control/network_test.go
@@ -31,12 +31,6 @@
 	return n.cut[a] || n.cut[b]
 }
 
-func (n *network) bytesFrom(name string) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.written[name]
-}
-
 func (n *network) listen(address string) net.Listener {
 	l := &listener{address: address, conns: make(chan net.Conn, 64), closed: make(chan struct{})}
 	n.mu.Lock()
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -125,7 +125,9 @@
 	ended := watch.Run(ctx)
 	defer func() {
 		cancel()
-		<-ended
+		if err := <-ended; err != nil {
+			b.t.Error(err)
+		}
 	}()
 	b.await("replicas loaded", func() bool {
 		loaded := 0
