Let cache events ride on replies and test deaths in mid-answer

Routing had no cache events to choose by. Tests: an engine and an agent that die in mid-answer, an engine that cuts before its first token, and a run that is cancelled when the caller leaves, the entry dies or goes silent for good.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,6 +43,10 @@
 	endLife context.CancelFunc
 	starts  *starts
 	runs    runs
+	// events are the engine\'s newest cache events; served and quiet tell whether to ask for more.
+	events []*wirepb.CacheEvent
+	served bool
+	quiet  int
 	// What the engine and the platform said last.
 	adapters adapters
 	cached   []*wirepb.CachedCheckpoint
@@ -97,7 +101,7 @@
 	a.mu.Lock()
 	a.incarnation, a.watch = incarnation, watch
 	a.mu.Unlock()
-	for _, end := range []<-chan error{watch.Run(ctx), a.hold(ctx), a.pollPlatform(ctx), a.reap(ctx)} {
+	for _, end := range []<-chan error{watch.Run(ctx), a.hold(ctx), a.pollPlatform(ctx), a.reap(ctx), a.followEvents(ctx)} {
 		if err := <-end; err != nil {
 			return err
 		}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -100,6 +100,7 @@
 		}
 	}
 	a.running++
+	a.served = true
 	return nil
 }
 
@@ -136,7 +137,7 @@
 func (a *Agent) load() *wirepb.LoadReport {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &wirepb.LoadReport{Running: uint32(a.running), Slots: uint32(a.settings.Agent.Slots)}
+	return &wirepb.LoadReport{Running: uint32(a.running), Slots: uint32(a.settings.Agent.Slots), CacheEvents: a.events}
 }
 
 func (a *Agent) refuse(stream *wire.Stream, refused *wirepb.Refused) {
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"context"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -108,6 +110,23 @@
 			}
 		}},
 		{"engine resets after the first tokens", func(b *bed) { b.engines[0].SetFault(standin.Fault{ResetAfter: 5}) }, nil},
+		{"the engine dies", nil, func(b *bed) { b.engineOf().Close() }},
+		{"the engine loses its runs at the first token", func(b *bed) {
+			for _, one := range b.engines {
+				one.SetFault(standin.Fault{ResetAfter: 1})
+			}
+		}, func(b *bed) {
+			for _, one := range b.engines {
+				one.SetFault(standin.Fault{})
+			}
+		}},
+		{"the agent dies", nil, func(b *bed) {
+			for i, one := range b.engines {
+				if one == b.engineOf() {
+					b.restart(i)
+				}
+			}
+		}},
 		{"one engine refuses", func(b *bed) { b.engines[0].SetFault(standin.Fault{Refuse: true}) }, nil},
 	}
 	for _, test := range tests {
@@ -152,3 +171,53 @@
 		fault(a.settings.Listen)
 	}
 }
+
+// engineOf returns the engine that was given the last request.
+func (b *bed) engineOf() *standin.Engine {
+	b.mu.Lock()
+	id := "request-" + strconv.Itoa(b.next)
+	b.mu.Unlock()
+	for _, one := range b.engines {
+		if one.Counts().Runs[id] > 0 {
+			return one
+		}
+	}
+	b.t.Errorf("no engine runs %s", id)
+	return b.engines[0]
+}
+
+// TestLeavingCallerCancelsTheWork has the engine free its slot when nobody reads.
+func TestLeavingCallerCancelsTheWork(t *testing.T) {
+	tests := []struct {
+		name  string
+		leave func(b *bed, cancel func())
+	}{
+		{"the caller leaves", func(_ *bed, cancel func()) { cancel() }},
+		{"the entry dies", func(b *bed, _ func()) {
+			// Its connections end, and nothing comes back.
+			b.links.refuse(b.agents[0].settings.Listen, true)
+			b.links.reset(b.agents[0].settings.Listen)
+		}},
+		{"the entry goes silent for good", func(b *bed, _ func()) {
+			b.links.refuse(b.agents[0].settings.Listen, true)
+			b.links.silence(b.agents[0].settings.Listen)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t, bedSize{entries: 1, engines: 1, engine: []standin.EngineOption{standin.TokenTime(50 * time.Millisecond), standin.MinTokens(2000)}})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			done := make(chan answer, 1)
+			go func() { done <- b.chat(ctx, 0, "long", true, time.Minute) }()
+			b.await("the engine runs it", func() bool { return b.engines[0].Report().Running > 0 })
+			test.leave(b, cancel)
+			b.await("the engine is freed", func() bool { return b.engines[0].Counts().Cancelled == 1 })
+			cancel()
+			if got := <-done; got.err == nil {
+				t.Error("a cut answer was passed off as whole")
+			}
+		})
+	}
+}
