--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 SEEDS ?= 20
 
-.PHONY: build test fmt lint vet unit e2e generate soak replay
+.PHONY: bench-requests build test fmt lint vet unit e2e generate soak replay
+=======
+.PHONY: bench-requests bench-requests build test fmt lint vet unit e2e generate soak
+>>>>>>> 3d12cb6 (Measure the path of a request and send short answers in one piece)
 
 build:
 	$(GO) build -o burdocksaddle .
@@ -37,6 +40,7 @@
 soak:
 	$(GO) test ./storage -run TestSoak -count=1 -timeout 60m -v -args -seeds=$(SEEDS)
 
+<<<<<<< HEAD
 # replay prints the placement policy beside its baselines over SEEDS seeds for both deployments.
 replay:
 	$(GO) run . replay --deployment tw-west --seeds $(SEEDS)
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -11,6 +11,8 @@
 
 const (
 	sendTimeout = 5 * time.Second
+	// firstPing spares short requests the frame.
+	firstPing = 100 * time.Millisecond
 	// pingInterval is how often an entry hears that its request is still worked on.
 	pingInterval = 500 * time.Millisecond
 	// outcomeGrace is how long a claimed call may go on after its deadline, so that its outcome becomes known.
@@ -59,21 +61,23 @@
 	a.runRepeatable(ctx, cancel, d, stream)
 }
 
-// ping tells the entry at once and then regularly that the request arrived and the connection works.
+// ping tells the entry soon and then regularly that the request arrived and the connection works.
 func (a *Agent) ping(ctx context.Context, stream *wire.Stream) <-chan struct{} {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		tick := time.NewTicker(pingInterval)
-		defer tick.Stop()
-		for ctx.Err() == nil {
-			if stream.TryPing() != nil {
-				return
-			}
+		wait := time.NewTimer(firstPing)
+		defer wait.Stop()
+		for {
 			select {
 			case <-ctx.Done():
-			case <-tick.C:
+				return
+			case <-wait.C:
+			}
+			if stream.TryPing() != nil {
+				return
 			}
+			wait.Reset(pingInterval)
 		}
 	}()
 	return ended
--- a/agent/parts.go
+++ b/agent/parts.go
@@ -11,18 +11,26 @@
 const (
 	chunkBytes    = 32 << 10
 	maxEventBytes = 1 << 20
+	// eventBufferBytes is what a stream reads at once.
+	eventBufferBytes = 4 << 10
 )
 
 // parts cuts an answer: a stream by its events, so that offsets count what the engine counts.
 func parts(response *http.Response, stream bool) func() ([]byte, error) {
-	reader := bufio.NewReaderSize(response.Body, chunkBytes)
 	if stream && response.StatusCode == http.StatusOK {
+		reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
 		return func() ([]byte, error) { return readEvent(reader) }
 	}
+	size := int64(chunkBytes)
+	if response.ContentLength >= 0 {
+		// One byte more lets the end of the body be seen.
+		size = min(size, response.ContentLength+1)
+	}
 	return func() ([]byte, error) {
-		part := make([]byte, chunkBytes)
-		n, err := io.ReadFull(reader, part)
+		part := make([]byte, size)
+		n, err := io.ReadFull(response.Body, part)
 		if n > 0 {
+			// The next read tells whether the body ended here or was cut.
 			return part[:n], nil
 		}
 		return nil, err
--- a/agent/relay.go
+++ b/agent/relay.go
@@ -142,6 +142,9 @@
 		return r.named(ctx, watch, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if r.out.flushed && uint32(response.StatusCode) != r.out.status {
+		return ErrEngineRefused{Path: r.out.dispatch.GetPath(), Status: response.StatusCode}
+	}
 	r.out.start(response.StatusCode, response.Header.Get("Content-Type"))
 	next := parts(response, r.out.dispatch.GetStream())
 	for {
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -41,6 +41,7 @@
 	old      []<-chan error
 	mu       sync.Mutex
 	next     int
+	onPart   func()
 }
 
 // agentNode is one agent's process, which can be ended and started again.
@@ -81,7 +82,7 @@
 	s.Node, s.DataCentre, s.Roles, s.Listen, s.Controls = "control", "dc", []setting.Role{setting.RoleControl}, b.control, []string{b.control}
 	s.Control.Bootstrap = []string{"control=" + b.control}
 	s.Advertise = s.Listen
-	ends = append(ends, node.New(s, node.WithFirstCatalog(b.catalog(size))).Run(ctx))
+	ends = append(ends, node.New(s, node.WithListen(listenAgain), node.WithFirstCatalog(b.catalog(size))).Run(ctx))
 	for i := range size.services {
 		one := standin.NewService(ctx, standin.CallTime(size.callTime))
 		b.services = append(b.services, one)
@@ -168,10 +169,13 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
+	reserved.Store(listener.Addr().String(), listener)
 	return listener.Addr().String()
 }
 
+// reserved holds listeners by address until their process takes them.
+var reserved sync.Map
+
 func (b *bed) addAgent(name, service string, kind setting.Kind, handler http.Handler, slots int) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -204,8 +208,11 @@
 	a.stop, a.cancel, a.ended = stop, cancel, node.New(a.settings, node.WithListen(listenAgain), node.WithAbandon(abandon)).Run(ctx)
 }
 
-// listenAgain waits until the process before has let go of the address.
+// listenAgain takes the listener that is held for an address, or waits until the process before has let go of the address.
 func listenAgain(ctx context.Context, address string) (net.Listener, error) {
+	if listener, ok := reserved.LoadAndDelete(address); ok {
+		return listener.(net.Listener), nil
+	}
 	for {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err == nil || ctx.Err() != nil {
@@ -296,6 +303,14 @@
 	})
 }
 
+// chatFirst streams an answer and calls first at its first part.
+func (b *bed) chatFirst(ctx context.Context, first func()) answer {
+	var once sync.Once
+	b.onPart = func() { once.Do(first) }
+	defer func() { b.onPart = nil }()
+	return b.chat(ctx, 0, "a few words", true, longDeadline)
+}
+
 func (b *bed) serve(ctx context.Context, at int, r entry.Request) answer {
 	var a answer
 	a.err = b.entries[at].Serve(ctx, r, entry.Sink{
@@ -304,6 +319,9 @@
 			return nil
 		},
 		Part: func(data []byte) error {
+			if b.onPart != nil {
+				b.onPart()
+			}
 			a.body += string(data)
 			return nil
 		},
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,7 +48,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	abandoned, abandon := context.WithCancel(context.Background())
 	one.base, one.stop, one.abandon = "http://"+s.Entry.CallerListen, stop, abandon
-	one.ended = New(s, WithFirstCatalog(first), WithAbandon(abandoned)).Run(ctx)
+	one.ended = New(s, WithListen(listenReserved), WithFirstCatalog(first), WithAbandon(abandoned)).Run(ctx)
 	t.Cleanup(func() {
 		stop()
 		abandon()
@@ -63,10 +64,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
+	reserved.Store(listener.Addr().String(), listener)
 	return listener.Addr().String()
 }
 
+// reserved holds listeners by address until the process takes them.
+var reserved sync.Map
+
+func listenReserved(_ context.Context, address string) (net.Listener, error) {
+	listener, _ := reserved.LoadAndDelete(address)
+	return listener.(net.Listener), nil
+}
+
 func awaitThat(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); !holds(); time.Sleep(10 * time.Millisecond) {
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -47,12 +47,17 @@
 
 // Send writes one frame within the timeout, 0 waits for the stream's context; it fails with ErrStreamBroken.
 func (s *Stream) Send(frame *wirepb.Frame, timeout time.Duration) error {
+	return s.SendAll(timeout, frame)
+}
+
+// SendAll writes frames in one piece, as Send does one.
+func (s *Stream) SendAll(timeout time.Duration, frames ...*wirepb.Frame) error {
 	s.send.Lock()
 	defer s.send.Unlock()
 	if err := s.conn.SetWriteDeadline(deadline(timeout)); err != nil {
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
 	}
-	if err := s.write(frame); err != nil {
+	if err := s.write(frames...); err != nil {
 		// A part of the frame may be out, so nothing can follow it.
 		_ = s.conn.Close()
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
@@ -76,18 +81,21 @@
 	return nil
 }
 
-// write sends length and frame in one piece from a buffer that the stream keeps.
-func (s *Stream) write(frame *wirepb.Frame) error {
+// write sends each frame behind its length, in one piece from a buffer that the stream keeps.
+func (s *Stream) write(frames ...*wirepb.Frame) error {
 	var options proto.MarshalOptions
-	buffer := protowire.AppendVarint(s.buffer[:0], uint64(options.Size(frame)))
-	buffer, err := options.MarshalAppend(buffer, frame)
-	if err != nil {
-		return err
+	buffer := s.buffer[:0]
+	for _, frame := range frames {
+		var err error
+		buffer = protowire.AppendVarint(buffer, uint64(options.Size(frame)))
+		if buffer, err = options.MarshalAppend(buffer, frame); err != nil {
+			return err
+		}
 	}
 	if cap(buffer) <= keptBufferBytes {
 		s.buffer = buffer
 	}
-	_, err = s.conn.Write(buffer)
+	_, err := s.conn.Write(buffer)
 	return err
 }
 
