Read the stand-in's leader under its lock

Cause: TestCatalogLinearizable failed under the race detector, since the test's group read its leader after it had let the lock go. Change: the value is read while the lock is held. The package then passes under -race.

--- a/control/group_test.go
+++ b/control/group_test.go
@@ -116,9 +116,9 @@
 
 func (g *group) propose(ctx context.Context, name string, command []byte) (any, error) {
 	g.mu.Lock()
-	if g.leader != name {
+	if leader := g.leader; leader != name {
 		g.mu.Unlock()
-		return nil, quorum.ErrNotLeader{LeaderAddress: g.leader}
+		return nil, quorum.ErrNotLeader{LeaderAddress: leader}
 	}
 	if g.network.silent(name, name) {
 		g.mu.Unlock()
