Let peers show who they are by mutual TLS

Sessions between processes were plaintext whatever the settings said. Dialling beyond loopback in plaintext needs AllowPlaintext, as listening did.

--- a/node/node.go
+++ b/node/node.go
@@ -89,13 +89,13 @@
 	signalled := ctx
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	var poolOptions []wire.PoolOption
-	if n.dial != nil {
-		poolOptions = append(poolOptions, wire.WithDial(n.dial))
+	var duties []<-chan error
+	secure, dial, err := n.peers(ctx, &duties)
+	if err != nil {
+		return err
 	}
-	pool := wire.NewPool(poolOptions...)
+	pool := wire.NewPool(dial...)
 	defer pool.Close()
-	var duties []<-chan error
 	handlers, err := n.roles(ctx, pool, &duties)
 	if err != nil {
 		return err
@@ -105,7 +105,7 @@
 		if err != nil {
 			return err
 		}
-		duties = append(duties, wire.Serve(ctx, listener, handlers))
+		duties = append(duties, wire.Serve(ctx, secure(listener), handlers))
 	}
 	if err := n.serveHTTP(ctx, &duties); err != nil {
 		return err
--- a/setting/load_test.go
+++ b/setting/load_test.go
@@ -97,6 +97,7 @@
 		{"role", strings.Replace(whole, `"Control"]`, `"Control", "Queen"]`, 1) + `}`, `f: Roles[1] is "Queen"; allowed: one of Entry, Agent, Control`},
 		{"missing node", strings.Replace(whole, `"Node": "n", `, ``, 1) + `}`, `f: Node is missing or empty; allowed: a value, since it has no default`},
 		{"open listen", strings.Replace(whole, `"Listen": "127.0.0.1:1"`, `"Listen": "10.0.0.1:1"`, 1) + `}`, `f: Listen is "10.0.0.1:1"; allowed: a loopback address, or TLS.CAFile, TLS.CertFile and TLS.KeyFile, or TLS.AllowPlaintext true`},
+		{"open controls", strings.Replace(whole, `"Controls": ["127.0.0.1:1"]`, `"Controls": ["10.0.0.1:1"]`, 1) + `}`, `f: Controls is ["10.0.0.1:1"]; allowed: loopback addresses, or TLS.CAFile, TLS.CertFile and TLS.KeyFile, or TLS.AllowPlaintext true`},
 		{"half of TLS", whole + `"TLS": {"CAFile": "a", "CertFile": "b"}}`, `f: TLS.KeyFile is missing or empty; allowed: a file, since CAFile, CertFile and KeyFile go together`},
 		{"open operator", whole + `"Operator": {"Listen": "10.0.0.1:1"}}`, `f: Operator.Listen is "10.0.0.1:1"; allowed: a loopback address, or at least one operator in Operator.TokenFiles`},
 		{"entry", strings.Replace(whole, `"Control"]`, `"Control", "Entry"]`, 1) + `}`, `f: Entry.CallerListen is missing or empty; allowed: HOST:PORT, since the role Entry serves callers`},
--- a/setting/rules.go
+++ b/setting/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 
 	"burdocksaddle/jsonc"
@@ -42,6 +43,9 @@
 	open := s.Listen != "" && !loopback(s.Listen)
 	r.need(!open || s.TLS.complete() || s.TLS.AllowPlaintext, "Listen", show(s.Listen),
 		"a loopback address, or TLS.CAFile, TLS.CertFile and TLS.KeyFile, or TLS.AllowPlaintext true")
+	away := slices.ContainsFunc(s.Controls, func(address string) bool { return !loopback(address) })
+	r.need(!away || s.TLS.complete() || s.TLS.AllowPlaintext, "Controls", show(s.Controls),
+		"loopback addresses, or TLS.CAFile, TLS.CertFile and TLS.KeyFile, or TLS.AllowPlaintext true")
 	public := s.Operator.Listen != "" && !loopback(s.Operator.Listen)
 	r.need(!public || len(s.Operator.TokenFiles) > 0, "Operator.Listen", show(s.Operator.Listen),
 		"a loopback address, or at least one operator in Operator.TokenFiles")
