--- a/control/group_test.go
+++ b/control/group_test.go
@@ -29,7 +29,7 @@
 // group is several members on one small stand-in for the replicated log: a list of entries that the
 // leader extends while it reaches a majority, and that each member applies while it is reachable.
 type group struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	network *network
 	ends    []<-chan error
@@ -47,7 +47,7 @@
 	loseAnswers bool
 }
 
-func newGroup(t *testing.T, size int) *group {
+func newGroup(t testing.TB, size int) *group {
 	ctx, stop := context.WithCancel(t.Context())
 	g := &group{
 		t: t, ctx: ctx, stop: stop, network: newNetwork(),
--- a/control/network_test.go
+++ b/control/network_test.go
@@ -11,11 +11,12 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	cut       map[string]bool
-	written   map[string]int
+	bytes     map[string]int
+	writes    map[string]int
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, cut: map[string]bool{}, written: map[string]int{}}
+	return &network{listeners: map[string]*listener{}, cut: map[string]bool{}, bytes: map[string]int{}, writes: map[string]int{}}
 }
 
 // isolate makes every link of a node silent, or heals them.
@@ -31,6 +32,18 @@
 	return n.cut[a] || n.cut[b]
 }
 
+// traffic returns what a node's links carried both ways.
+func (n *network) traffic(name string) (bytes, writes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[name], n.writes[name]
+}
+
+func (n *network) count(name string, bytes int) {
+	n.bytes[name] += bytes
+	n.writes[name]++
+}
+
 func (n *network) listen(address string) net.Listener {
 	l := &listener{address: address, conns: make(chan net.Conn, 64), closed: make(chan struct{})}
 	n.mu.Lock()
@@ -74,7 +87,8 @@
 		return len(data), nil
 	}
 	l.network.mu.Lock()
-	l.network.written[l.from] += len(data)
+	l.network.count(l.from, len(data))
+	l.network.count(l.to, len(data))
 	l.network.mu.Unlock()
 	return l.Conn.Write(data)
 }
