--- a/agent/agent.go
+++ b/agent/agent.go
@@ -143,13 +143,23 @@
 }
 
 func (a *Agent) catalogVersion() uint64 {
-	a.mu.Lock()
-	watch := a.watch
-	a.mu.Unlock()
-	if watch == nil {
-		return 0
+	if watch := a.watching(); watch != nil {
+		return watch.Version()
+	}
+	return 0
+}
+
+// seen catches up at once with a version that an entry already has.
+func (a *Agent) seen(version uint64) {
+	if watch := a.watching(); watch != nil {
+		watch.Behind(version)
 	}
-	return watch.Version()
+}
+
+func (a *Agent) watching() *view.Client {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.watch
 }
 
 // Handlers returns what serves other processes' calls.
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -37,6 +37,7 @@
 // Dispatch runs one attempt of a request and streams its answer back.
 func (a *Agent) Dispatch(ctx context.Context, first *wirepb.Frame, stream *wire.Stream) {
 	d := first.GetDispatch()
+	a.seen(first.GetCatalogVersion())
 	if refused := a.admit(d); refused != nil {
 		a.refuse(stream, refused)
 		return
--- a/control/force_test.go
+++ b/control/force_test.go
@@ -164,19 +164,46 @@
 	})
 }
 
-// TestBehindCatchesUp tells a node of a version that its member has but has not sent yet.
+// TestBehindCatchesUp tells a node of a version that its own member has not applied yet.
 func TestBehindCatchesUp(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		g := newGroup(t, 3)
 		defer g.close()
 		g.first()
+		g.lagging = map[string]bool{"c2": true}
 		node := g.node("n", "c2")
-		time.Sleep(testLease)
+		// Just after one of the member's proofs, so that the next one is far.
+		time.Sleep(testLease + gather)
 		version := g.change("c1", "next")
-		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		time.Sleep(testLease / proofsPerLease / 4)
+		if node.Version() >= version {
+			t.Fatal("the member applied the version by itself")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), testLease/proofsPerLease/4)
 		defer cancel()
 		if !node.Await(ctx, version) {
 			t.Errorf("still at version %d", node.Version())
 		}
 	})
 }
+
+// TestLeaseOutlivesStream ends a node's stream while its lease still runs, and wants the wait to count it.
+func TestLeaseOutlivesStream(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		g := newGroup(t, 3)
+		defer g.close()
+		g.first()
+		ctx, cancel := context.WithCancel(t.Context())
+		node, ended := g.nodeUntil(ctx, "n", "Entry", "c2")
+		time.Sleep(2*testLease + testLease/3)
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		version := g.change("c1", "next")
+		force := g.members["c1"].Wait(t.Context(), version)
+		if !force.InForce || node.Leased() {
+			t.Errorf("%+v while a lease on version %d runs: %v", force, node.Version(), node.Leased())
+		}
+	})
+}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -45,25 +45,73 @@
 	leader  string
 	// loseAnswers makes the leader commit without answering.
 	loseAnswers bool
+	// lagging members apply entries only when they prove the quorum.
+	lagging map[string]bool
+	// logs are the members' real logs, where the group has them in place of the stand-in.
+	logs map[string]*quorum.Log
 }
 
 func newGroup(t testing.TB, size int) *group {
+	g := emptyGroup(t, size)
+	g.leader = g.names[0]
+	for _, name := range g.names {
+		g.members[name] = New(WithName(name), WithLease(testLease), WithPool(g.pool(name)), WithShared(g.log(name)))
+	}
+	for _, name := range g.names {
+		g.ends = append(g.ends, wire.Serve(g.ctx, g.network.listen(name), g.members[name].Handlers()), g.members[name].Run(g.ctx))
+	}
+	return g
+}
+
+// newQuorum starts members on the real replicated log, in memory, and returns once one leads.
+func newQuorum(t testing.TB, size int) *group {
+	g := emptyGroup(t, size)
+	var peers []quorum.Peer
+	for _, name := range g.names {
+		peers = append(peers, quorum.Peer{Name: name, Address: name})
+	}
+	for i, name := range g.names {
+		pool := g.pool(name)
+		m := New(WithName(name), WithLease(testLease), WithPool(pool))
+		log, err := quorum.Open(quorum.Config{Name: name, Address: name, Bootstrap: peers}, quorum.WithApply(m.Apply),
+			quorum.WithSnapshot(m.Snapshot), quorum.WithRestore(m.Restore), quorum.WithPool(pool), quorum.WithSeed(uint64(i+1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Share(Over(log))
+		g.members[name], g.logs[name] = m, log
+		handlers := m.Handlers()
+		handlers.Peer = log.Handle
+		g.ends = append(g.ends, wire.Serve(g.ctx, g.network.listen(name), handlers), log.Run(g.ctx), m.Run(g.ctx))
+	}
+	g.awaitLeader()
+	return g
+}
+
+// awaitLeader returns once a member that is not isolated leads, and makes it the group's leader.
+func (g *group) awaitLeader() {
+	g.t.Helper()
+	for range 600 {
+		for _, name := range g.names {
+			if _, self := g.logs[name].Leader(); self && !g.network.silent(name, name) {
+				g.leader = name
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatal("no leader in time")
+}
+
+func emptyGroup(t testing.TB, size int) *group {
 	ctx, stop := context.WithCancel(t.Context())
 	g := &group{
 		t: t, ctx: ctx, stop: stop, network: newNetwork(),
-		members: map[string]*Member{}, applied: map[string]int{}, seen: map[string]string{},
+		members: map[string]*Member{}, applied: map[string]int{}, seen: map[string]string{}, logs: map[string]*quorum.Log{},
 	}
 	for i := range size {
 		g.names = append(g.names, "c"+strconv.Itoa(i+1))
 	}
-	g.leader = g.names[0]
-	for _, name := range g.names {
-		m := New(WithName(name), WithLease(testLease), WithPool(g.pool(name)), WithShared(g.log(name)))
-		g.members[name] = m
-	}
-	for _, name := range g.names {
-		g.ends = append(g.ends, wire.Serve(ctx, g.network.listen(name), g.members[name].Handlers()), g.members[name].Run(ctx))
-	}
 	return g
 }
 
@@ -129,7 +177,7 @@
 	lost := g.loseAnswers
 	var result any
 	for _, one := range g.names {
-		if !g.network.silent(one, one) {
+		if !g.network.silent(one, one) && !g.lagging[one] {
 			if got := g.catchUp(one); one == name {
 				result = got
 			}
--- a/control/watch.go
+++ b/control/watch.go
@@ -116,6 +116,9 @@
 			}
 			if confirm := frame.GetConfirm(); confirm != nil {
 				w.member.confirmed(w.holder, confirm)
+				if confirm.GetSeenVersion() > w.member.Catalog().Version {
+					w.member.askProof()
+				}
 				if confirm.GetRenew() {
 					w.askRenew()
 				}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -134,6 +134,7 @@
 			return err
 		}
 		r.heard, wait = true, silence
+		r.entry.watch.Behind(frame.GetCatalogVersion())
 		done, err := r.take(frame)
 		if refused, ok := AsErrRefused(err); ok && refused.Code == CodeCallerLeft {
 			_ = stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Cancel{Cancel: &wirepb.Cancel{RequestId: r.request.ID}}}, cancelTimeout)
--- a/view/client.go
+++ b/view/client.go
@@ -44,6 +44,7 @@
 	fleet     uint64
 	endpoints map[string]*wirepb.EndpointView
 	until     time.Time
+	seen      uint64
 	lease     time.Duration
 	changed   chan struct{}
 }
@@ -164,17 +165,22 @@
 		defer close(ended)
 		defer cancel()
 		for {
+			behind := false
 			select {
 			case <-ctx.Done():
 				return
 			case <-time.After(c.part(renewsPerLease)):
 			case <-c.behind:
+				behind = true
 			}
 			confirm := c.confirm()
 			confirm.Renew = true
 			if c.send(stream, confirm) != nil {
 				return
 			}
+			if behind {
+				time.Sleep(behindPause)
+			}
 		}
 	}()
 	return ended
@@ -207,7 +213,7 @@
 func (c *Client) confirm() *wirepb.Confirm {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return &wirepb.Confirm{CatalogVersion: c.catalog.Version, FleetVersion: c.fleet, Stamp: c.stamp()}
+	return &wirepb.Confirm{CatalogVersion: c.catalog.Version, FleetVersion: c.fleet, Stamp: c.stamp(), SeenVersion: c.seen}
 }
 
 // Behind takes the catalog version that another node has in force and catches up at once if it is newer.
@@ -215,6 +221,9 @@
 	if version <= c.Version() {
 		return
 	}
+	c.mu.Lock()
+	c.seen = max(c.seen, version)
+	c.mu.Unlock()
 	select {
 	case c.behind <- struct{}{}:
 	default:
