--- a/control/linear_test.go
+++ b/control/linear_test.go
@@ -81,10 +81,15 @@
 	if testing.Short() {
 		seeds = 4
 	}
+	checkHistories(t, seeds, func(t *testing.T) *group { return newGroup(t, 3) }, disturb)
+}
+
+func checkHistories(t *testing.T, seeds uint64, start func(*testing.T) *group, disturb func(context.Context, *group, *rand.Rand)) {
+	t.Helper()
 	accepted, refused, unknown := 0, 0, 0
 	for seed := range seeds {
 		h := &history{}
-		bubble(t, func(t *testing.T) { race(t, seed, h) })
+		bubble(t, func(t *testing.T) { race(t, start(t), disturb, seed, h) })
 		if result := porcupine.CheckOperationsTimeout(catalogModel.ToModel(), h.operations, time.Minute); result != porcupine.Ok {
 			t.Errorf("seed %d: %s", seed, result)
 		}
@@ -107,8 +112,8 @@
 	}
 }
 
-func race(t *testing.T, seed uint64, h *history) {
-	g := newGroup(t, 3)
+func race(t *testing.T, g *group, disturb func(context.Context, *group, *rand.Rand), seed uint64, h *history) {
+	t.Helper()
 	defer g.close()
 	g.first()
 	ctx, cancel := context.WithCancel(t.Context())
