Guard the test group's faults by its lock

The race detector found that tests changed the stand-in's leader, its faults and its pools while members read them. All of it goes through the group's lock now. Two runs with -race -short of control, view, peer and node: pass.

--- a/control/force_test.go
+++ b/control/force_test.go
@@ -82,9 +82,7 @@
 			t.Fatal("nodes have no lease on a healthy group")
 		}
 		// No member reaches a leader any more, while the nodes still reach the members.
-		g.mu.Lock()
-		g.leader = "nobody"
-		g.mu.Unlock()
+		g.lead("nobody")
 		g.network.isolate("nobody", true)
 		time.Sleep(testLease)
 		if alone.Leased() || free.Leased() {
@@ -170,7 +168,7 @@
 		g := newGroup(t, 3)
 		defer g.close()
 		g.first()
-		g.lagging = map[string]bool{"c2": true}
+		g.with(func() { g.lagging = map[string]bool{"c2": true} })
 		node := g.node("n", "c2")
 		// Just after one of the member's proofs, so that the next one is far.
 		time.Sleep(testLease + gather)
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -94,7 +94,7 @@
 	for range 600 {
 		for _, name := range g.names {
 			if _, self := g.logs[name].Leader(); self && !g.network.silent(name, name) {
-				g.leader = name
+				g.lead(name)
 				return
 			}
 		}
@@ -117,6 +117,8 @@
 
 func (g *group) pool(name string) *wire.Pool {
 	pool := wire.NewPool(wire.WithDial(g.network.dialFrom(name)))
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.pools = append(g.pools, pool)
 	return pool
 }
@@ -140,6 +142,20 @@
 	g.leader = name
 }
 
+// leading returns the leader.
+func (g *group) leading() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader
+}
+
+// with changes the stand-in's faults while the members run.
+func (g *group) with(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+}
+
 func (g *group) log(name string) Log {
 	return Log{
 		Propose: func(ctx context.Context, command []byte) (any, error) { return g.propose(ctx, name, command) },
@@ -225,7 +241,7 @@
 func (g *group) first() {
 	g.t.Helper()
 	first := testCatalog()
-	if result, err := g.members[g.leader].Change(g.ctx, "kit", "first", 0, catalog.Change{Set: &first}); err != nil || result.GetErrorCode() != "" {
+	if result, err := g.members[g.leading()].Change(g.ctx, "kit", "first", 0, catalog.Change{Set: &first}); err != nil || result.GetErrorCode() != "" {
 		g.t.Fatal(result, err)
 	}
 }
--- a/control/linear_test.go
+++ b/control/linear_test.go
@@ -137,9 +137,7 @@
 func disturb(ctx context.Context, g *group, random *rand.Rand) {
 	for ctx.Err() == nil {
 		leader, isolated := g.names[random.IntN(3)], random.IntN(4)
-		g.mu.Lock()
-		g.leader, g.loseAnswers = leader, random.IntN(3) == 0
-		g.mu.Unlock()
+		g.with(func() { g.leader, g.loseAnswers = leader, random.IntN(3) == 0 })
 		for i, name := range g.names {
 			g.network.isolate(name, i == isolated && name != leader)
 		}
--- a/control/propose_test.go
+++ b/control/propose_test.go
@@ -25,8 +25,8 @@
 		{name: "leader unknown", through: "c2", fault: func(g *group) { g.lead("") }, never: true},
 		{name: "leader silent", through: "c2", fault: func(g *group) { g.network.isolate("c1", true) }, never: true},
 		{name: "leader isolated takes it", through: "c1", fault: func(g *group) { g.network.isolate("c1", true) }},
-		{name: "answer lost", through: "c1", fault: func(g *group) { g.loseAnswers = true }, claims: 1},
-		{name: "forwarded answer lost", through: "c3", fault: func(g *group) { g.loseAnswers = true }, claims: 1},
+		{name: "answer lost", through: "c1", fault: func(g *group) { g.with(func() { g.loseAnswers = true }) }, claims: 1},
+		{name: "forwarded answer lost", through: "c3", fault: func(g *group) { g.with(func() { g.loseAnswers = true }) }, claims: 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -56,11 +56,9 @@
 			g := newGroup(t, 3)
 			defer g.close()
 			g.first()
-			g.loseAnswers = true
+			g.with(func() { g.loseAnswers = true })
 			time.AfterFunc(tryTimeout/2, func() {
-				g.mu.Lock()
-				defer g.mu.Unlock()
-				g.loseAnswers, g.leader = false, "c3"
+				g.with(func() { g.loseAnswers, g.leader = false, "c3" })
 			})
 			command := claimCommand("k")
 			command.Proposal = "p"
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -20,7 +20,7 @@
 	}{
 		{"healthy", func(*group) string { return "" }, 2 * time.Second},
 		{"follower isolated", (*group).follower, 5 * time.Second},
-		{"leader isolated", func(g *group) string { return g.leader }, 5 * time.Second},
+		{"leader isolated", func(g *group) string { return g.leading() }, 5 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -38,11 +38,11 @@
 					time.Sleep(time.Second)
 					g.awaitLeader()
 				}
-				version := g.change(g.leader, "next")
+				version := g.change(g.leading(), "next")
 				start := time.Now()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
-				force := g.members[g.leader].Wait(ctx, version)
+				force := g.members[g.leading()].Wait(ctx, version)
 				if took := time.Since(start); !force.InForce || took > test.within {
 					t.Errorf("%+v after %v, bound %v", force, took, test.within)
 				} else {
@@ -60,7 +60,7 @@
 
 func (g *group) follower() string {
 	for _, name := range g.names {
-		if name != g.leader {
+		if name != g.leading() {
 			return name
 		}
 	}
