--- a/control/answers.go
+++ b/control/answers.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"maps"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"burdocksaddle/wirepb"
@@ -61,7 +64,9 @@
 	Held  map[string]answered
 }
 
-func (a *answers) export() answersState { return answersState{Order: a.order, Held: a.held} }
+func (a *answers) export() answersState {
+	return answersState{Order: slices.Clone(a.order), Held: maps.Clone(a.held)}
+}
 
 func (a *answers) restore(s answersState) {
 	a.order, a.held = s.Order, s.Held
--- a/control/shared.go
+++ b/control/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -62,8 +63,9 @@
 // Snapshot returns the whole state, for the replicated log.
 func (m *Member) Snapshot() ([]byte, error) {
 	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return m.machine.Snapshot()
+	state := m.machine.export()
+	m.mu.RUnlock()
+	return json.Marshal(state)
 }
 
 // Restore replaces the whole state, for the replicated log.
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -25,12 +25,15 @@
 }
 
 // Snapshot returns the whole state; equal states give equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) {
-	return json.Marshal(machineState{
+func (m *Machine) Snapshot() ([]byte, error) { return json.Marshal(m.export()) }
+
+// export copies the whole state, so that encoding it can go on while commands are applied.
+func (m *Machine) export() machineState {
+	return machineState{
 		Format: snapshotFormat, Index: m.index, NowMS: m.nowMS, Catalog: m.catalog, History: m.history,
 		Fleet: m.fleet.Export(), Ledger: m.ledger.Export(),
 		Operations: m.operations.export(), Proposals: m.proposals.export(),
-	})
+	}
 }
 
 // Restore replaces the whole state by a snapshot's; it fails with ErrSnapshotFormat or as JSON does, changing nothing.
