--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,7 @@
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 SEEDS ?= 20
 
-.PHONY: bench-requests build test fmt lint vet unit e2e generate soak replay
-=======
-.PHONY: bench-requests bench-requests build test fmt lint vet unit e2e generate soak
->>>>>>> 3d12cb6 (Measure the path of a request and send short answers in one piece)
+.PHONY: bench-requests build capacity e2e fmt generate lint replay soak test unit vet
 
 build:
 	$(GO) build -o burdocksaddle .
@@ -30,6 +27,11 @@
 e2e:
 	BURDOCKSADDLE_E2E=1 .ci/known-red $(GO) test -count=1 -timeout 130s -v ./e2e
 
+# capacity measures the slopes that docs/CAPACITY.md works with.
+capacity:
+	CAPACITY=1 $(GO) test ./e2e -run TestCapacity -count=1 -timeout 20m -v
+	$(GO) test ./catalog ./quorum ./storage ./routing -run '^$$' -bench . -benchmem -benchtime 200ms
+
 # generate needs protoc; the generated code is committed.
 generate:
 	GOBIN=$(CURDIR)/bin $(GO) install $(PROTOC_GEN_GO)
--- a/e2e/conn_test.go
+++ b/e2e/conn_test.go
@@ -138,6 +138,7 @@
 		}
 		n, changed, err := c.out.put(p, c.network.isSilent(c.from, c.to))
 		if n > 0 || err != nil || len(p) == 0 {
+			c.network.count(c.from, n)
 			return n, err
 		}
 		select {
--- a/e2e/network_test.go
+++ b/e2e/network_test.go
@@ -30,10 +30,12 @@
 	silent map[string]bool
 	down   map[string]bool
 	ports  int
+	// sent counts the bytes that each host has written.
+	sent map[string]int64
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, silent: map[string]bool{}, down: map[string]bool{}}
+	return &network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, silent: map[string]bool{}, down: map[string]bool{}, sent: map[string]int64{}}
 }
 
 func hostOf(address string) string { return address[:strings.LastIndex(address, ":")] }
@@ -139,6 +141,14 @@
 	}
 }
 
+// count adds bytes to what a host has sent, and returns the sum.
+func (n *network) count(host string, bytes int) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[host] += int64(bytes)
+	return n.sent[host]
+}
+
 func (n *network) isSilent(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/e2e/world_soak_test.go
+++ b/e2e/world_soak_test.go
@@ -131,6 +131,7 @@
 		time.Sleep(time.Minute) // connections and timers end
 	})
 	_ = log.Close()
+	checkLog(t, log.Name())
 	if t.Failed() {
 		t.Logf("logs: %s", folder)
 		return
@@ -138,6 +139,20 @@
 	_ = os.RemoveAll(folder)
 }
 
+// checkLog fails for each invariant that a node itself saw broken.
+func checkLog(t *testing.T, file string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, "invariant") {
+			t.Error(strings.TrimSpace(line))
+		}
+	}
+}
+
 // endure runs the load through the stage and the breaks until all has settled.
 func (w *world) endure(r *rand.Rand, at stage, broken []breakage) {
 	w.awaitLeader()
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -54,11 +54,8 @@
 // newWorld starts everything; the log goes to a file in the folder.
 func newWorld(ctx context.Context, t *testing.T, folder string, log io.Writer) *world {
 	t.Helper()
-	w := &world{
-		layout: layout{folder: folder, controls: 3, learners: 1, host: func(name string) string { return name }},
-		t:      t, ctx: ctx, network: newNetwork(), nodes: map[string]*running{}, accepted: map[string]uint64{},
-		log: logr.FromSlogHandler(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})),
-	}
+	w := newWorldOf(ctx, t, folder, log)
+	w.learners = 1
 	if err := w.writeCatalog(); err != nil {
 		t.Fatal(err)
 	}
@@ -69,6 +66,15 @@
 	return w
 }
 
+// newWorldOf makes a deployment with three control members, of which nothing runs yet.
+func newWorldOf(ctx context.Context, t *testing.T, folder string, log io.Writer) *world {
+	return &world{
+		layout: layout{folder: folder, controls: 3, host: func(name string) string { return name }},
+		t:      t, ctx: ctx, network: newNetwork(), nodes: map[string]*running{}, accepted: map[string]uint64{},
+		log: logr.FromSlogHandler(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})),
+	}
+}
+
 // names returns the names of all nodes.
 func (l layout) names() []string {
 	var names []string
