Take only a heartbeat that came back as proof of a quorum

Two candidates campaigned at once in terms 6 and 7, and one voter gave its vote to both, one after the other: a vote binds its voter to one term, not to a time, but the leader of term 6 took the votes for a proof of quorum and vouched by it. The tables have the case.

--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -181,6 +181,26 @@
 	}
 }
 
+// TestVotesAreNoProof: a voter may vote again at once, so only a heartbeat that came back proves a quorum.
+func TestVotesAreNoProof(t *testing.T) {
+	c := newCore(t, consensus.HardState{Term: 4}, log(1, 2))
+	term := elect(t, c)
+	if got := c.ProofAge(); got != consensus.NoProof {
+		t.Errorf("proof %d ticks old by votes alone", got)
+	}
+	beats := kinds(drain(c), consensus.KindHeartbeat)
+	for _, beat := range beats {
+		if got := beat.ProofAge; got != consensus.NoProof {
+			t.Errorf("told a proof %d ticks old by votes alone", got)
+		}
+	}
+	ticks(c, 3)
+	c.Step(consensus.Message{Kind: consensus.KindHeartbeatReply, From: second, To: self, Term: term, Round: beats[0].Round, SentTick: beats[0].SentTick})
+	if diff := cmp.Diff(uint64(3), c.ProofAge()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestIsolatedLeaderStepsDown(t *testing.T) {
 	c := newCore(t, consensus.HardState{Term: 4}, log(1, 2))
 	elect(t, c)
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -79,17 +79,14 @@
 	c.contactTick = c.tick
 	c.peers = map[uint64]*progress{}
 	for _, peer := range c.peerIDs() {
-		p := &progress{next: c.log.last() + 1, heardTick: c.tick}
-		if c.votes[peer] {
-			p.ackTick = c.campaignTick
-		}
-		c.peers[peer] = p
+		c.peers[peer] = &progress{next: c.log.last() + 1, heardTick: c.tick}
 	}
 	c.appendOwn(Entry{Kind: EntryEmpty})
 	c.heartbeat()
 }
 
-// proofTick returns the tick at which a quorum is known to have followed this leader.
+// proofTick returns the tick at which a quorum is known to have followed this leader, 0 before the first heartbeat came
+// back. Votes are no proof: a voter may give its next vote right after this one, a follower waits.
 func (c *Core) proofTick() uint64 {
 	return c.configuration().quorumValue(func(id uint64) uint64 {
 		if id == c.id {
@@ -113,7 +110,7 @@
 }
 
 func (c *Core) tickLeader() {
-	if c.ProofAge() >= c.config.LeaseTicks {
+	if c.tick-max(c.proofTick(), c.campaignTick) >= c.config.LeaseTicks {
 		c.becomeFollower(c.term, 0)
 		return
 	}
