Wake planner and watchers only by commands that change something

Applying any command woke the planner. One that could not be given, such as a share of the adapter budget that older shares still hold, woke it again at once: an idle demo wrote about 2,300 entries a second, and its leader's connections carried 3,055,185 bytes a second. Only changes of the catalog or the fleet wake now.

--- a/control/member.go
+++ b/control/member.go
@@ -113,10 +113,11 @@
 	if now.catalog != before.catalog {
 		m.force.applied(now.catalog, time.Now())
 	}
-	if now != before {
-		close(m.changed)
-		m.changed = make(chan struct{})
+	if now == before {
+		return // or a planner whose command changes nothing would wake itself for ever
 	}
+	close(m.changed)
+	m.changed = make(chan struct{})
 	m.nudge()
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -43,6 +43,7 @@
 
 	log       logr.Logger
 	preferred []string
+	dialOf    func(node string) func(ctx context.Context, address string) (net.Conn, error)
 	mu        sync.Mutex
 	listeners map[string]net.Listener
 	ends      []<-chan error
@@ -57,6 +58,11 @@
 	return func(d *Demo) { d.preferred = []string{operator, caller} }
 }
 
+// WithDial replaces how each node dials the others.
+func WithDial(dialOf func(node string) func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(d *Demo) { d.dialOf = dialOf }
+}
+
 // Start brings everything up and returns once callers are served.
 func Start(ctx context.Context, log logr.Logger, options ...Option) (*Demo, error) {
 	d := &Demo{log: log, listeners: map[string]net.Listener{}}
@@ -192,7 +198,11 @@
 
 func (d *Demo) node(s setting.Settings) *node.Node {
 	first := Catalog()
-	return node.New(s, node.WithLog(d.log), node.WithListen(d.listen), node.WithFirstCatalog(first))
+	options := []node.Option{node.WithLog(d.log), node.WithListen(d.listen), node.WithFirstCatalog(first)}
+	if d.dialOf != nil {
+		options = append(options, node.WithDial(d.dialOf(s.Node)))
+	}
+	return node.New(s, options...)
 }
 
 // reserve listens on free ports ahead, so that settings can name them.
