Leave silent sessions to their keepalive

A leader dropped the session to a member that was silent for 10 ticks, but sessions are shared: a member whose disk failed stops its role only, and the drop would have cut the streams of callers' requests to it. Keepalive finds dead sessions anyway; a test loses all open connections at once. Tests take loopback hosts of their own process in place of free ports, since a port can be taken while its member restarts.

--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -147,6 +147,25 @@
 	eventually(t, "both commands", func() bool { return cmp.Equal([]string{"a", "b"}, old.journal.all()) })
 }
 
+// TestOpenConnectionsGoSilent loses every open connection for good while new ones work.
+func TestOpenConnectionsGoSilent(t *testing.T) {
+	network := newNetwork()
+	var processes []*process
+	for _, config := range configs(t, 3, 0) {
+		processes = append(processes, startOn(t, config, network))
+	}
+	propose(t, processes, "a")
+	leader := leaderOf(t, processes)
+	for _, p := range processes {
+		network.host(p.config.Address).forgotten.Add(1)
+	}
+	eventually(t, "the leader notices", func() bool { _, self := leader.Leader(); return !self })
+	propose(t, processes, "b")
+	for _, p := range processes {
+		eventually(t, "both commands", func() bool { return cmp.Equal([]string{"a", "b"}, p.journal.all()) })
+	}
+}
+
 func others(processes []*process, without *process) []*process {
 	var out []*process
 	for _, p := range processes {
--- a/quorum/log_test.go
+++ b/quorum/log_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,17 +106,16 @@
 	})
 }
 
-// addresses returns free loopback addresses.
+// hosts counts the loopback addresses that this test process has used.
+var hosts atomic.Uint32
+
+// addresses returns addresses on loopback hosts of this process alone, so that a member that restarts finds its port free.
 func addresses(t *testing.T, count int) []string {
 	t.Helper()
 	var out []string
 	for range count {
-		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+		host := hosts.Add(1)
+		out = append(out, fmt.Sprintf("127.%d.%d.%d:7000", 1+os.Getpid()%250, host>>8, 1+host&0xff))
 	}
 	return out
 }
--- a/quorum/net_test.go
+++ b/quorum/net_test.go
@@ -20,6 +20,8 @@
 type host struct {
 	cut   atomic.Bool
 	bytes atomic.Int64
+	// forgotten counts how often the open connections were lost while new ones work.
+	forgotten atomic.Int64
 }
 
 func newNetwork() *network { return &network{hosts: map[string]*host{}} }
@@ -36,6 +38,7 @@
 func (n *network) pool(own string) *wire.Pool {
 	return wire.NewPool(wire.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
 		c := &conn{from: n.host(own), to: n.host(address)}
+		c.opened = c.from.forgotten.Load() + c.to.forgotten.Load()
 		if c.cut() {
 			<-ctx.Done()
 			return nil, ctx.Err()
@@ -50,11 +53,12 @@
 type conn struct {
 	net.Conn
 	from, to *host
+	opened   int64
 	lost     atomic.Bool
 }
 
 func (c *conn) cut() bool {
-	if c.from.cut.Load() || c.to.cut.Load() {
+	if c.from.cut.Load() || c.to.cut.Load() || c.opened != c.from.forgotten.Load()+c.to.forgotten.Load() {
 		c.lost.Store(true)
 	}
 	return c.lost.Load()
--- a/quorum/peers.go
+++ b/quorum/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -18,7 +17,7 @@
 	maxSenders     = 64
 	sendTimeout    = time.Second
 	redialAfter    = 200 * time.Millisecond
-	// silentTicks is when a peer's session is given up for a fresh one.
+	// silentTicks is when a voter is too silent to take the lead over.
 	silentTicks = 10
 )
 
@@ -37,8 +36,6 @@
 	address string
 	queue   chan consensus.Message
 	stop    context.CancelFunc
-	// fresh asks for a new connection.
-	fresh atomic.Bool
 }
 
 func newPeers(l *Log) *peers {
@@ -107,13 +104,8 @@
 	return s
 }
 
-func (p *peers) reconnect(id uint64) {
-	if s := p.senders[id]; s != nil {
-		s.fresh.Store(true)
-	}
-}
-
-// run sends what is queued; messages that a broken stream swallowed are the core's to repeat.
+// run sends what is queued; messages that a broken stream swallowed are the core's to repeat. A session that went silent is
+// found and closed by its own keepalive: other roles' streams share it, so a silent member is no reason to drop it here.
 func (s *sender) run(ctx context.Context) {
 	var stream *wire.Stream
 	defer func() {
@@ -128,11 +120,6 @@
 			return
 		case m = <-s.queue:
 		}
-		if s.fresh.Swap(false) && stream != nil {
-			stream.Close()
-			stream = nil
-			s.log.pool.Drop(s.address)
-		}
 		first := stream == nil
 		if first {
 			var err error
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -156,11 +156,6 @@
 		err := s.core.ProposeChange(change)
 		s.log.Info("change of the members", "kind", change.Kind, "name", change.Member.Name, "member", change.Member.ID, "error", err)
 	}
-	for _, p := range status.Peers {
-		if p.SilentTicks > 0 && p.SilentTicks%silentTicks == 0 {
-			s.peers.reconnect(p.ID)
-		}
-	}
 }
 
 func (s *stepper) propose(p *proposal) {
