--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,9 @@
 replay:
 	$(GO) run . replay --deployment tw-west --seeds $(SEEDS)
 	$(GO) run . replay --deployment kingston --seeds $(SEEDS)
+
+# bench-requests measures the path of a request beside a direct call, goodput under overload, first tokens and frames.
+bench-requests:
+	$(GO) test -run '^$$' -bench Overhead -benchtime 1500x ./entry
+	$(GO) test -run '^$$' -bench 'Goodput|FirstToken' -benchtime 1x ./entry
+	$(GO) test -run '^$$' -bench 'Send|Receive' ./wire
