--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"burdocksaddle/catalog"
 	"burdocksaddle/setting"
 	"burdocksaddle/view"
 	"burdocksaddle/wire"
@@ -26,7 +27,9 @@
 	once    *http.Client
 	process string
 
-	watch  *view.Client
+	watch *view.Client
+	// facts returns what operators say of the endpoint.
+	facts  func() catalog.Endpoint
 	orders chan []*wirepb.ReplicaOrder
 	nudged chan struct{}
 
@@ -71,6 +74,7 @@
 		starts: newStarts(settings.Agent.AnswerBytes, settings.Agent.AnswerKeepMS),
 		nudged: make(chan struct{}, 1), adapters: adapters{underWay: map[string]chan struct{}{}},
 	}
+	a.facts = a.catalogFacts
 	a.life, a.endLife = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(a)
--- a/agent/hold.go
+++ b/agent/hold.go
@@ -40,12 +40,19 @@
 
 func (o order) load() bool { return !o.GetUnload() && !o.GetVerify() }
 
+// sentLoads is when the last load order of a checkpoint went out, and whether
+// an earlier one could still be carried out then.
+type sentLoads struct {
+	last  time.Time
+	again bool
+}
+
 // holder is what the holding duty knows; one goroutine owns it.
 type holder struct {
 	orders map[uint64]order
-	// sent holds when an order of a fence went to the engine, loads when a load of a checkpoint did.
+	// sent holds when an order of a fence went to the engine, loads what is known of a checkpoint's load orders.
 	sent    map[uint64]time.Time
-	loads   map[string]time.Time
+	loads   map[string]sentLoads
 	refused map[uint64]bool
 	// since is when the agent registered: an older process may have sent orders until then.
 	since    time.Time
@@ -55,14 +62,18 @@
 	sequence uint64
 }
 
+func newHolder(now time.Time) *holder {
+	return &holder{
+		orders: map[uint64]order{}, sent: map[uint64]time.Time{}, loads: map[string]sentLoads{},
+		refused: map[uint64]bool{}, since: now,
+	}
+}
+
 // hold is the duty that brings the engine to what the orders say and reports what it holds.
 func (a *Agent) hold(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
-		h := &holder{
-			orders: map[uint64]order{}, sent: map[uint64]time.Time{}, loads: map[string]time.Time{},
-			refused: map[uint64]bool{}, since: time.Now(),
-		}
+		h := newHolder(time.Now())
 		for ctx.Err() == nil {
 			a.holdOnce(ctx, h)
 			wait := pollIdle
@@ -115,8 +126,8 @@
 			delete(h.refused, fence)
 		}
 	}
-	for key, at := range h.loads {
-		if now.Sub(at) > time.Hour {
+	for key, loads := range h.loads {
+		if now.Sub(loads.last) > time.Hour {
 			delete(h.loads, key)
 		}
 	}
--- a/agent/load.go
+++ b/agent/load.go
@@ -30,7 +30,7 @@
 		switch {
 		case one.load() && !there && !sent:
 			a.sendLoad(ctx, h, one)
-		case one.GetUnload() && there && held.State != engineapi.HeldUnloading && (!sent || now.Sub(at) > resendInterval),
+		case one.GetUnload() && there && held.State != engineapi.HeldUnloading && !sent && h.mayUnload(one, facts.ChecksFencing, now),
 			!one.load() && !there && facts.ChecksFencing && state.HighestFence < one.GetFence() && (!sent || now.Sub(at) > resendInterval):
 			// Where nothing is held the order raises the fence that keeps older loads out.
 			a.sendUnload(ctx, h, one)
@@ -40,23 +40,30 @@
 
 func (a *Agent) sendLoad(ctx context.Context, h *holder, one order) {
 	now := time.Now()
-	h.sent[one.GetFence()], h.loads[one.key()] = now, now
+	before, known := h.loads[one.key()]
+	h.sent[one.GetFence()] = now
+	h.loads[one.key()] = sentLoads{last: now, again: known && now.Sub(before.last) <= one.lifetime() || now.Sub(h.since) <= one.lifetime()}
 	err := a.post(ctx, engineapi.PathLoad, engineapi.Order{
 		Model: one.GetModel(), Version: one.GetVersion(), MemoryMB: one.GetMemoryMb(),
 		CheckpointMB: one.GetCheckpointMb(), Fence: one.GetFence(), Role: one.GetRole(),
 	})
-	if refusal, ok := isRefused(err); ok && refusal.Status == http.StatusConflict {
-		h.refused[one.GetFence()] = true
-	}
+	h.noteRefusal(one, err)
 	a.log.Info("load order sent", "replica", one.GetReplica(), "model", one.GetModel(), "fence", one.GetFence(), "error", errorText(err))
 }
 
 func (a *Agent) sendUnload(ctx context.Context, h *holder, one order) {
 	h.sent[one.GetFence()] = time.Now()
 	err := a.post(ctx, engineapi.PathUnload, engineapi.Order{Model: one.GetModel(), Version: one.GetVersion(), Fence: one.GetFence()})
+	h.noteRefusal(one, err)
 	a.log.Info("unload order sent", "replica", one.GetReplica(), "model", one.GetModel(), "fence", one.GetFence(), "error", errorText(err))
 }
 
+func (h *holder) noteRefusal(one order, err error) {
+	if refusal, ok := isRefused(err); ok && refusal.Status == http.StatusConflict {
+		h.refused[one.GetFence()] = true
+	}
+}
+
 // report says everything that the engine holds and what is known of each order.
 func (a *Agent) report(h *holder, state engineapi.State, asked time.Time) *wirepb.Report {
 	report := &wirepb.Report{Endpoint: a.settings.Agent.Endpoint, Incarnation: a.incarnation, Fresh: true}
@@ -67,14 +74,16 @@
 	}
 	facts := a.facts()
 	for id, one := range h.orders {
-		if _, there := heldOf(state, one); there {
-			continue
-		}
+		held, there := heldOf(state, one)
 		at, sent := h.sent[one.GetFence()]
+		lost := sent && (h.refused[one.GetFence()] || asked.Sub(at) > lostAfter)
 		switch {
+		case there && one.GetUnload() && held.State != engineapi.HeldUnloading && lost:
+			report.Replicas = append(report.Replicas, &wirepb.ReplicaView{Id: id, Fence: one.GetFence(), State: wirepb.ReplicaState_REPLICA_DECIDED})
+		case there:
 		case !one.load() && h.absent(one, state, facts.ChecksFencing, asked):
 			report.Replicas = append(report.Replicas, &wirepb.ReplicaView{Id: id, Fence: one.GetFence(), State: wirepb.ReplicaState_REPLICA_GONE})
-		case one.load() && sent && (h.refused[one.GetFence()] || asked.Sub(at) > lostAfter):
+		case one.load() && lost:
 			report.Replicas = append(report.Replicas, &wirepb.ReplicaView{Id: id, Fence: one.GetFence(), State: wirepb.ReplicaState_REPLICA_DECIDED})
 		}
 	}
@@ -90,11 +99,23 @@
 	if checksFencing && state.HighestFence >= one.GetFence() {
 		return true
 	}
-	last := h.since
-	if at, ok := h.loads[one.key()]; ok && at.After(last) {
-		last = at
+	return asked.Sub(h.lastLoad(one)) > one.lifetime()
+}
+
+// lastLoad returns when the last load order of a checkpoint may have gone out, by an older process too.
+func (h *holder) lastLoad(one order) time.Time {
+	if loads, ok := h.loads[one.key()]; ok && loads.last.After(h.since) {
+		return loads.last
 	}
-	return asked.Sub(last) > one.lifetime()
+	return h.since
+}
+
+// mayUnload tells whether an unload cannot meet a load order behind it, which
+// an engine that ignores fencing numbers would carry out beside what it still
+// unloads. The one load order that brought the replica up has been carried out.
+func (h *holder) mayUnload(one order, checksFencing bool, now time.Time) bool {
+	loads, known := h.loads[one.key()]
+	return checksFencing || known && !loads.again || now.Sub(h.lastLoad(one)) > one.lifetime()
 }
 
 // heldOf finds what the engine holds for an order.
@@ -112,8 +133,8 @@
 	engineapi.HeldUnloading: wirepb.ReplicaState_REPLICA_UNLOADING,
 }
 
-// facts returns what the catalog says of the endpoint; an unlisted one checks nothing.
-func (a *Agent) facts() catalog.Endpoint {
+// catalogFacts returns what the catalog says of the endpoint; an unlisted one checks nothing.
+func (a *Agent) catalogFacts() catalog.Endpoint {
 	a.mu.Lock()
 	watch := a.watch
 	a.mu.Unlock()
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -7,7 +7,7 @@
 
 // Held is one line of an agent's report: a model that the engine holds or,
 // with a replica's number, State Gone for an absence that the agent confirms
-// and State Decided for a load order that was lost or refused.
+// and State Decided for an order that was lost or refused.
 type Held struct {
 	ID       uint64
 	Model    string
@@ -43,7 +43,8 @@
 		switch {
 		case next.State == Gone:
 			f.drop(f.replicas[next.ID])
-		case next.State == Decided:
+		case next.Attempts > f.replicas[next.ID].Attempts:
+			// What was lost or refused is ordered anew, ahead of what came between.
 			f.fence++
 			next.Fence = f.fence
 			f.put(next)
@@ -97,6 +98,8 @@
 func after(replica Replica, one Held, there bool, answer State, atMS int64) Replica {
 	state := replica.State
 	switch {
+	case replica.State == Unloading && answer == Decided:
+		replica.Attempts++
 	case there && replica.State == Unloading:
 		// It ends only by a confirmed absence.
 	case there:
