Keep every checkpoint in some VM's memory

p99 cold start was made by loads from the store and from disk: the fullest endpoint was chosen for a load, so that few VMs' memories held the copies and pushed each other's out. Among endpoints without a copy the one that keeps least is chosen now, for the baselines too, and the policy stages idle models: loaded and unloaded once so that the VM keeps the checkpoint.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -31,6 +31,8 @@
 	// plan holds for the present gap under the preset it was made for.
 	plan   *Plan
 	preset catalog.Preset
+	// stagedMS is when the model was last loaded for its checkpoint alone.
+	stagedMS int64
 	// surplusMS is since when there are more replicas than needed.
 	surplusMS int64
 }
--- a/placement/drop.go
+++ b/placement/drop.go
@@ -67,6 +67,9 @@
 		}
 		return ReasonSurplus, r.NowMS-u.surplusMS > surplusMS
 	}
+	if !u.seen && replica.Reason == ReasonStage {
+		return ReasonIdle, true
+	}
 	if !u.seen {
 		// A leader that just took over knows no history; its own start stands in for it.
 		u.seen, u.idleMS = true, r.NowMS
--- a/placement/load.go
+++ b/placement/load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -30,6 +31,7 @@
 			r.place(model, ReasonAhead, false)
 		}
 	}
+	r.stage()
 }
 
 // needed returns how many replicas a model's demand fills.
@@ -126,12 +128,14 @@
 	})
 }
 
-// choose finds the endpoint with room that loads fastest, the fullest among equals,
-// so that large models find room too.
+// choose finds the endpoint with room that loads fastest. Among those that
+// have no copy at hand the one whose memory keeps the fewest checkpoints is
+// best, so that copies spread over the VMs, then the fullest, so that large
+// models find room too.
 func (r *round) choose(model catalog.Model) (fleet.Endpoint, Source, bool) {
 	var best fleet.Endpoint
 	var bestSource Source
-	bestSeconds, bestFree, found := math.Inf(1), uint64(0), false
+	bestSeconds, bestFree, bestKept, found := math.Inf(1), uint64(0), uint64(0), false
 	for _, name := range r.Fleet.EndpointsOf(model.Service) {
 		endpoint, ok := r.candidate(name, model)
 		free := r.Fleet.FreeMB(name)
@@ -141,13 +145,35 @@
 		free -= r.claimed[name]
 		source := r.Cached(name, model.Name, model.Version)
 		seconds := r.store.Seconds(checkpoint(model), source)
-		if !found || seconds < bestSeconds || seconds == bestSeconds && free < bestFree {
-			best, bestSource, bestSeconds, bestFree, found = endpoint, source, seconds, free, true
+		if found && seconds > bestSeconds {
+			continue
+		}
+		kept := uint64(0)
+		if source != Memory {
+			kept = r.keptMB(name)
+		}
+		if !found || seconds < bestSeconds || cmp.Or(cmp.Compare(kept, bestKept), cmp.Compare(free, bestFree)) < 0 {
+			best, bestSource, bestSeconds, bestFree, bestKept, found = endpoint, source, seconds, free, kept, true
 		}
 	}
 	return best, bestSource, found
 }
 
+// keptMB returns how much of the catalog an endpoint's VM keeps in memory.
+func (r *round) keptMB(name string) uint64 {
+	if kept, known := r.kept[name]; known {
+		return kept
+	}
+	sum := uint64(0)
+	for _, model := range r.Catalog.Models {
+		if r.Cached(name, model.Name, model.Version) == Memory {
+			sum += checkpoint(model)
+		}
+	}
+	r.kept[name] = sum
+	return sum
+}
+
 // candidate tells whether an endpoint may take a replica of the model at all.
 func (r *round) candidate(name string, model catalog.Model) (fleet.Endpoint, bool) {
 	endpoint, _ := r.Fleet.Endpoint(name)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -73,7 +73,7 @@
 		lines = append(lines, "load "+d.Model.Name+"@"+d.Model.Version+" "+d.Endpoint+" "+d.Reason)
 		replica := fleet.Replica{
 			Endpoint: d.Endpoint, Incarnation: d.Incarnation, Model: d.Model.Name, Version: d.Model.Version, MemoryMB: d.Model.MemoryMB,
-			Source: string(d.Source), ExpectedMS: int64(d.ExpectedSeconds * 1000),
+			Source: string(d.Source), ExpectedMS: int64(d.ExpectedSeconds * 1000), Reason: d.Reason,
 		}
 		if _, err := s.fleet.Decide(replica, d.Limit, s.now); err != nil {
 			s.t.Error(err)
@@ -235,6 +235,22 @@
 	near("n", 52, "")
 }
 
+// TestStage loads an idle model once for its checkpoint and spreads the copies over the VMs.
+func TestStage(t *testing.T) {
+	s, c := newSite(t, 2), catalogOf(model("m", 20), model("n", 20))
+	s.cached["e0/n"] = Memory
+	expect(t, s.decide(c), "load m@1 e1 Stage")
+	s.report()
+	s.cached["e1/m"] = Memory
+	expect(t, s.decide(c), "unload m@1 Idle")
+	s.report()
+	expect(t, s.decide(c))
+	delete(s.cached, "e1/m")
+	expect(t, s.decide(c))
+	s.now += stageEveryMS
+	expect(t, s.decide(c), "load m@1 e1 Stage")
+}
+
 // TestPlan gives the plan gaps of one kind and says when the model is held.
 func TestPlan(t *testing.T) {
 	costs := Costs{IdlePerSecond: 0.25, Cold: 100, LoadSeconds: 10, Switch: 2, MostSeconds: 3600}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -29,6 +29,7 @@
 	ReasonDemand   = "Demand"
 	ReasonMinimum  = "MinReplicas"
 	ReasonAhead    = "Ahead"
+	ReasonStage    = "Stage"
 	ReasonVersion  = "Version"
 	ReasonIdle     = "Idle"
 	ReasonEvicted  = "Evicted"
@@ -74,6 +75,7 @@
 	common  Gaps
 	blocked map[placeKey]int64
 	keep    KeepWarm
+	staging bool
 	nowMS   int64
 }
 
@@ -92,7 +94,9 @@
 }
 
 // WithKeepWarm replaces the plan for idle replicas, as the baselines do.
-func WithKeepWarm(keep KeepWarm) Option { return func(p *Policy) { p.keep = keep } }
+func WithKeepWarm(keep KeepWarm) Option {
+	return func(p *Policy) { p.keep, p.staging = keep, false }
+}
 
 const (
 	defaultRate  = 5
@@ -101,7 +105,7 @@
 
 // New makes a Policy that remembers nothing yet.
 func New(options ...Option) *Policy {
-	p := &Policy{models: map[string]*usage{}, blocked: map[placeKey]int64{}, store: NewStore(defaultRate, defaultSlots)}
+	p := &Policy{models: map[string]*usage{}, blocked: map[placeKey]int64{}, store: NewStore(defaultRate, defaultSlots), staging: true}
 	p.keep = func(gaps, common *Gaps, costs Costs) *Plan { return plan(gaps.hazards(common), costs) }
 	for _, option := range options {
 		option(p)
@@ -139,6 +143,7 @@
 	demands   map[string]Demand
 	inFlight  int
 	claimed   map[string]uint64
+	kept      map[string]uint64
 	unloading map[uint64]bool
 	decisions []Decision
 }
@@ -168,7 +173,7 @@
 func (p *Policy) newRound(s Situation) *round {
 	r := &round{
 		Policy: p, Situation: s, preset: s.Catalog.InForce(), demands: make(map[string]Demand, len(s.Demands)),
-		inFlight: inFlight(s.Fleet), claimed: map[string]uint64{}, unloading: map[uint64]bool{},
+		inFlight: inFlight(s.Fleet), claimed: map[string]uint64{}, kept: map[string]uint64{}, unloading: map[uint64]bool{},
 	}
 	for _, demand := range s.Demands {
 		r.demands[demand.Model] = demand
--- a/replay/bound.go
+++ b/replay/bound.go
@@ -33,7 +33,9 @@
 			result.IdleHours += b.ahead()
 			continue
 		}
-		result.IdleHours += b.onDemand(&colds)
+		idle, waits := b.onDemand()
+		result.IdleHours += idle
+		colds = append(colds, waits...)
 	}
 	for _, cold := range colds {
 		result.ColdSeconds += cold
@@ -81,39 +83,88 @@
 	return b.share * idle / 3600
 }
 
-// onDemand takes for each gap the cheaper of holding and dropping. A cold start
-// delays the requests that wait for it, which can shorten the idle time around
-// it by at most twice the load; that is taken off, so that the sum stays below
-// what any policy that loads on demand can reach.
-func (b boundModel) onDemand(colds *[]float64) float64 {
-	idle := 0.0
-	for _, gap := range b.gaps() {
-		waits := b.waits(gap.before)
-		sum := 0.0
-		for _, wait := range waits {
-			sum += wait
+// stretch is what follows from one arrival that meets an idle model until the
+// next such arrival: with its own waits if the model was dropped before it.
+type stretch struct {
+	next  int
+	gap   float64
+	waits []float64
+}
+
+// from follows the requests from arrival k on, undelayed or behind a load.
+func (b boundModel) from(k int, dropped bool) stretch {
+	var s stretch
+	ready := b.arrivals[k].AtMS
+	if dropped {
+		ready += int64(b.load * 1000)
+	}
+	end := ready
+	for s.next = k; s.next < len(b.arrivals); s.next++ {
+		one := b.arrivals[s.next]
+		if s.next > k && one.AtMS > end {
+			s.gap = float64(one.AtMS-end) / 1000
+			return s
 		}
-		hold, drop := b.share*gap.seconds/3600, -b.share*b.load/3600
-		if cost(0, hold, b.preset) <= cost(sum, drop, b.preset) {
-			idle += hold
-			continue
+		if one.AtMS < ready {
+			s.waits = append(s.waits, float64(ready-one.AtMS)/1000)
 		}
-		idle += drop
-		*colds = append(*colds, waits...)
+		end = max(end, max(one.AtMS, ready)+one.RunMS)
 	}
-	return idle
+	return s
 }
 
-// waits returns the cold starts of the requests that a load beginning at arrival i makes wait.
-func (b boundModel) waits(i int) []float64 {
-	var waits []float64
-	ready := float64(b.arrivals[i].AtMS)/1000 + b.load
-	for _, one := range b.arrivals[i:] {
-		at := float64(one.AtMS) / 1000
-		if at >= ready {
-			break
+// onDemand returns the idle hours and waits of the cheapest way to hold or drop
+// the model in each gap, going backwards from the last arrival; it takes into
+// account that a load delays what waits for it and shortens the next gap.
+func (b boundModel) onDemand() (float64, []float64) {
+	first := 0
+	end := b.fromMS
+	for ; first < len(b.arrivals) && b.arrivals[first].AtMS < b.fromMS; first++ {
+		// What ran before the counting may have been delayed by a load.
+		end = max(end, b.arrivals[first].AtMS+b.arrivals[first].RunMS+int64(b.load*1000))
+	}
+	if first == len(b.arrivals) {
+		return 0, nil
+	}
+	type way struct {
+		cost, idle float64
+		colds      []float64
+		next       int
+		drop       bool
+	}
+	ways := [2][]way{make([]way, len(b.arrivals)+1), make([]way, len(b.arrivals)+1)}
+	choose := func(k int, gap float64) (float64, bool) {
+		hold := cost(0, b.share*gap/3600, b.preset) + ways[0][k].cost
+		drop := cost(0, b.share*b.load/3600, b.preset) + ways[1][k].cost
+		return min(hold, drop), drop < hold
+	}
+	for k := len(b.arrivals) - 1; k >= first; k-- {
+		for mode := range 2 {
+			s := b.from(k, mode == 1)
+			w := way{colds: s.waits, next: s.next}
+			for _, wait := range s.waits {
+				w.cost += cost(wait, 0, b.preset)
+			}
+			if s.next < len(b.arrivals) {
+				rest, drop := choose(s.next, s.gap)
+				w.cost, w.drop, w.idle = w.cost+rest, drop, b.share*s.gap/3600
+			}
+			ways[mode][k] = w
+		}
+	}
+	gap := float64(max(0, b.arrivals[first].AtMS-end)) / 1000
+	_, drop := choose(first, gap)
+	idle, waits := 0.0, []float64(nil)
+	hold := b.share * gap / 3600
+	for k := first; k < len(b.arrivals); {
+		mode := 0
+		if drop {
+			mode, hold = 1, b.share*b.load/3600
 		}
-		waits = append(waits, ready-at)
+		idle += hold
+		w := ways[mode][k]
+		waits = append(waits, w.colds...)
+		k, drop, hold = w.next, w.drop, w.idle
 	}
-	return waits
+	return idle, waits
 }
