Let rarely asked models learn from all

A rarely asked model has counted few gaps, so its own histogram decides on chance; and a load was charged with its own seconds alone, though it disturbs what runs beside it.

--- a/placement/history.go
+++ b/placement/history.go
@@ -9,7 +9,7 @@
 	// oldShare is what each older gap still weighs after a new one.
 	oldShare = 0.98
 	// priorGaps is the weight, in gaps, of what all models have in common.
-	priorGaps = 3
+	priorGaps = 20
 	// spread is how many bins on each side share in a counted gap.
 	spread = 2
 )
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -14,6 +14,8 @@
 	// waitWorth is how many idle accelerator seconds weigh as much as one second
 	// of a caller's cold start where the preset's two weights are equal.
 	waitWorth = 10
+	// switchSeconds is how many seconds of idling weigh as much as disturbing an engine by a load.
+	switchSeconds = 5
 	// A replica beyond what is needed stays this long.
 	surplusMS = 60_000
 	// A load that takes so many times longer than expected is given up, but not before overdueLeastMS.
@@ -265,6 +267,7 @@
 		IdlePerSecond: r.preset.IdleWeight * r.share(model),
 		Cold:          r.preset.ColdStartWeight * waitWorth * u.burst * seconds,
 		LoadSeconds:   seconds,
+		Switch:        r.preset.IdleWeight * switchSeconds * r.share(model),
 		MostSeconds:   float64(r.preset.MaxKeepWarmSeconds),
 	}
 }
