Work out the capacity at the size to come from measured slopes

Cause: nothing said what each role needs at 390 nodes before 2,000 workers. BenchmarkDecide measures a planning round at 20 to 2,000 endpoints and 10 to 750 models; make capacity runs it.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # capacity measures the slopes that docs/CAPACITY.md works with.
 capacity:
 	CAPACITY=1 $(GO) test ./e2e -run 'TestCapacity' -count=1 -timeout 20m -v
-	$(GO) test ./catalog ./quorum ./storage ./routing -run '^$$' -bench . -benchmem -benchtime 200ms
+	$(GO) test ./catalog ./control ./placement ./quorum ./storage -run '^$$' -bench . -benchmem -benchtime 200ms
 
 # generate needs protoc; the generated code is committed.
 generate:
