Scope idempotency keys by the caller's name, not its address

Where a site gives no caller keys out, a key belonged to the address that the entry saw. Behind a balancer or a NAT a resend can come from another address, found no claim and would have booked twice. Keys then share one scope; with caller keys they belong to the caller's name. The same key with another body is refused as before.

TestResendFromAnotherAddress books from two addresses: one run, the same answer.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -45,7 +45,7 @@
 
 func claimOpen(r Request, endpoint *wirepb.EndpointView, attempt uint32, peek bool) *wirepb.Command {
 	return &wirepb.Command{Kind: &wirepb.Command_ClaimOpen{ClaimOpen: &wirepb.ClaimOpen{
-		Caller: r.Caller, Key: r.Key, RequestId: r.ID, Service: r.Service, Attempt: attempt, Peek: peek,
+		Caller: r.Scope, Key: r.Key, RequestId: r.ID, Service: r.Service, Attempt: attempt, Peek: peek,
 		Endpoint: endpoint.GetName(), Incarnation: endpoint.GetIncarnation(), BodyHash: r.bodyHash(),
 		RemainingMs: uint64(max(time.Until(r.Deadline), 0).Milliseconds()),
 	}}}
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -221,3 +221,15 @@
 		})
 	}
 }
+
+// TestResendFromAnotherAddress sends one booking from two addresses, as a balancer may show them.
+func TestResendFromAnotherAddress(t *testing.T) {
+	t.Parallel()
+	b := newBed(t, bedSize{entries: 2, services: 2})
+	first := b.bookAs(t.Context(), "10.0.0.1", 0, "key", longDeadline)
+	second := b.bookAs(t.Context(), "10.0.0.2", 1, "key", longDeadline)
+	want := []any{"Answered", "Answered", first.body, 1}
+	if diff := cmp.Diff(want, []any{first.run(), second.run(), second.body, b.runs("key")}); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -13,8 +13,12 @@
 
 // Request is one caller's request, checked.
 type Request struct {
-	ID          string
-	Caller      string
+	ID string
+	// Caller is who takes turns and has limits.
+	Caller string
+	// Scope is whose keys are told apart: the caller's name, or empty where
+	// callers are known by their addresses only, which change behind a balancer.
+	Scope       string
 	Service     string
 	Model       string
 	Adapter     string
--- a/web/body.go
+++ b/web/body.go
@@ -48,6 +48,9 @@
 		return request, release, &p
 	}
 	request = entry.Request{ID: id, Caller: caller, Method: r.Method, ContentType: r.Header.Get("Content-Type"), Key: r.Header.Get(HeaderKey)}
+	if len(c.keys) > 0 {
+		request.Scope = caller
+	}
 	if len(request.Key) > maxKeyBytes || strings.ContainsFunc(request.Key, func(one rune) bool { return one < ' ' || one > '~' }) {
 		p := badRequest("Idempotency-Key may have at most " + strconv.Itoa(maxKeyBytes) + " printable ASCII characters")
 		return request, release, &p
