--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROTOC_GEN_GO := google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 SEEDS ?= 20
+FIRST ?= 1
 
 .PHONY: bench-requests build capacity e2e fmt generate lint replay soak system test unit vet
 
@@ -45,7 +46,7 @@
 # soak runs SEEDS long randomised histories over the log's core and storage and over the whole system,
 # in which it also breaks each thing alone at each stage; the seeds are printed.
 soak:
-	$(GO) test ./storage -run TestSoak -count=1 -timeout 60m -v -args -seeds=$(SEEDS)
+	$(GO) test ./storage -run TestSoak -count=1 -timeout 60m -v -args -seeds=$(SEEDS) -first=$(FIRST)
 	SEEDS=$(SEEDS) $(GO) test ./e2e -run 'TestSoak|TestEachBreak' -count=1 -timeout 60m -v
 
 # replay prints the placement policy beside its baselines over SEEDS seeds for both deployments.
