--- a/e2e/world_fault_test.go
+++ b/e2e/world_fault_test.go
@@ -123,10 +123,16 @@
 
 // reclaim announces the end of an engine's VM, ends it and brings a new one up.
 func reclaim(w *world, r *rand.Rand) func() {
-	name := engineAgent(r.IntN(engines))
+	i := r.IntN(engines)
+	name := engineAgent(i)
 	w.platform.SetVM(name, true)
 	return func() {
+		// The list has shown it for some seconds by now.
+		before := w.runs(i)
 		time.Sleep(3 * time.Second)
+		if after := w.runs(i); after != before {
+			w.t.Errorf("%s began %d runs though its VM is leaving", engineName(i), after-before)
+		}
 		w.kill(name)
 		time.Sleep(time.Second)
 		w.platform.SetVM(name, false)
@@ -135,6 +141,14 @@
 	}
 }
 
+// runs counts what an engine has begun.
+func (w *world) runs(i int) (begun int) {
+	for _, n := range w.engines[i].Counts().Runs {
+		begun += n
+	}
+	return begun
+}
+
 // loseTwo loses a member with its disk, waits for its replacement and kills another.
 func loseTwo(w *world, _ *rand.Rand) func() {
 	leader := w.awaitLeader()
