Say why replicas are loaded, kept and dropped

The dump named a replica's reason but not the plan for an idle model, and nothing described the design, the presets' effect or the log lines. TestExplain checks the plan of a model with a steady rhythm.

--- a/control/operate.go
+++ b/control/operate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"burdocksaddle/catalog"
+	"burdocksaddle/placement"
 	"burdocksaddle/wirepb"
 )
 
@@ -72,6 +73,10 @@
 	ProofAgeMS int64
 	Leading    bool
 	Replicas   []ReplicaDump
+	// Plans say what the leader plans for each model and why; other members have none.
+	Plans []placement.Explanation
+	// StoreSlots is how many loads from the weight store run at once by what was measured.
+	StoreSlots int
 }
 
 // ReplicaDump describes one replica.
@@ -82,22 +87,30 @@
 	State    string
 	Fence    uint64
 	Reason   string
+	// Source and ExpectedMS are the estimate that its load was decided with.
+	Source     string
+	ExpectedMS int64
+	Attempts   int
 }
 
 // Dump returns the member's state for operators, without secrets.
 func (m *Member) Dump() Dump {
 	// Asked before the lock, since the log applies entries under its own.
 	leading := m.leader()
+	plans, slots := m.planner.explain(time.Now())
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	d := Dump{
 		Index: m.machine.index, Catalog: m.machine.catalog.Version, Preset: m.machine.catalog.Preset,
 		Fleet: m.machine.fleet.Version(), Claims: m.machine.ledger.Len(), Watchers: len(m.holders), Replicas: []ReplicaDump{},
-		ProofAgeMS: time.Since(m.proof.at).Milliseconds(), Leading: leading,
+		ProofAgeMS: time.Since(m.proof.at).Milliseconds(), Leading: leading, Plans: plans, StoreSlots: slots,
 	}
 	for _, endpoint := range m.machine.fleet.Endpoints() {
 		for _, r := range m.machine.fleet.Replicas(endpoint.Name) {
-			d.Replicas = append(d.Replicas, ReplicaDump{ID: r.ID, Model: r.Model, Endpoint: r.Endpoint, State: string(r.State), Fence: r.Fence, Reason: r.Reason})
+			d.Replicas = append(d.Replicas, ReplicaDump{
+				ID: r.ID, Model: r.Model, Endpoint: r.Endpoint, State: string(r.State), Fence: r.Fence,
+				Reason: r.Reason, Source: r.Source, ExpectedMS: r.ExpectedMS, Attempts: r.Attempts,
+			})
 		}
 	}
 	return d
--- a/control/plan.go
+++ b/control/plan.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// explain returns the leader's plans and the store's slots.
+func (p *planner) explain(now time.Time) ([]placement.Explanation, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.leading {
+		return nil, 0
+	}
+	return p.policy.Explain(now.UnixMilli()), p.policy.Store().Slots()
+}
+
 // logDecisions writes one line for each decision with the estimate that it rests on.
 func (m *Member) logDecisions(decisions []placement.Decision, result *wirepb.CommandResult) {
 	for _, d := range decisions {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -253,6 +253,25 @@
 	expect(t, s.decide(c), "load m@1 e1 Stage")
 }
 
+func TestExplain(t *testing.T) {
+	s, c := newSite(t, 1), catalogOf(model("m", 20))
+	for range 30 {
+		s.policy.Arrive("m", 1, s.now)
+		s.policy.Rest("m", s.now+1000)
+		s.now += 21_000
+	}
+	s.now -= 15_000
+	s.decide(c, waiting("m", 1, s.now+60_000))
+	s.report()
+	s.policy.Rest("m", s.now)
+	s.now += 5000
+	s.decide(c)
+	got := s.policy.Explain(s.now)
+	if len(got) != 1 || got[0].IdleSeconds != 5 || got[0].HeldUntil <= 20 || got[0].Loss <= 0 || got[0].Gaps < 29 {
+		t.Errorf("explanation %+v", got)
+	}
+}
+
 // TestPlan gives the plan gaps of one kind and says when the model is held.
 func TestPlan(t *testing.T) {
 	costs := Costs{IdlePerSecond: 0.25, Cold: 100, LoadSeconds: 10, Switch: 2, MostSeconds: 3600}
