Tell demand when it matters, not at each look

Cause: an entry told control what waits at each arrival and ten times a second; at the size to come that is more than the 4 KB a second that a node may spend, and arrivals were lost with a lost message.

--- a/entry/demand.go
+++ b/entry/demand.go
@@ -20,14 +20,16 @@
 	go func() {
 		tick := time.NewTicker(demandInterval)
 		defer tick.Stop()
+		var teller teller
 		for ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
 			case <-e.wake:
 			case <-tick.C:
 			}
-			if demand := e.demand(time.Now()); len(demand.GetModels()) > 0 {
-				e.tell(ctx, demand)
+			now := time.Now()
+			if demand := e.demand(now); teller.due(demand, now) && e.tell(ctx, demand) {
+				teller.told(demand, now)
 			}
 		}
 		ended <- nil
@@ -35,12 +37,27 @@
 	return ended
 }
 
-func (e *Entry) tell(ctx context.Context, demand *wirepb.Demand) {
+// tell tells whether a control member took the demand.
+func (e *Entry) tell(ctx context.Context, demand *wirepb.Demand) bool {
 	for _, address := range e.settings.Controls {
 		reply, err := e.pool.Call(ctx, address, &wirepb.Frame{Body: &wirepb.Frame_Demand{Demand: demand}}, demandTimeout)
 		if err == nil && reply.GetDemandReply() != nil {
 			e.sched.forecast(reply.GetDemandReply())
-			return
+			e.counted(demand)
+			e.count.demands.Inc()
+			return true
+		}
+	}
+	return false
+}
+
+// counted takes the arrivals that control has heard off what is still to be told.
+func (e *Entry) counted(demand *wirepb.Demand) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, model := range demand.GetModels() {
+		if e.arrivals[model.GetModel()] -= model.GetArrivals(); e.arrivals[model.GetModel()] == 0 {
+			delete(e.arrivals, model.GetModel())
 		}
 	}
 }
@@ -52,17 +69,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	demand := &wirepb.Demand{Entry: e.settings.Node}
+	held := map[string]bool{}
 	for _, d := range demands {
 		if model, ok := strings.CutPrefix(d.Queue, modelQueue); ok {
 			demand.Models = append(demand.Models, modelDemand(model, d, e.arrivals[model], now))
-			delete(e.arrivals, model)
+			held[model] = true
 		}
 	}
 	// What was answered between two reports still counts as an arrival.
 	for model, arrivals := range e.arrivals {
-		demand.Models = append(demand.Models, modelDemand(model, admission.Demand{Earliest: now.Add(time.Hour)}, arrivals, now))
+		if !held[model] {
+			demand.Models = append(demand.Models, modelDemand(model, admission.Demand{Earliest: now.Add(time.Hour)}, arrivals, now))
+		}
 	}
-	clear(e.arrivals)
 	return demand
 }
 
@@ -81,6 +100,10 @@
 	e.mu.Lock()
 	e.arrivals[model]++
 	e.mu.Unlock()
+}
+
+// nudge lets the demand be looked at before its interval.
+func (e *Entry) nudge() {
 	select {
 	case e.wake <- struct{}{}:
 	default:
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,6 +22,7 @@
 	enquiries *metrics.Counter
 	unclosed  *metrics.Counter
 	violated  *metrics.Counter
+	demands   *metrics.Counter
 	seconds   *metrics.Histogram
 	firstByte *metrics.Histogram
 }
@@ -33,6 +34,7 @@
 		set:       set,
 		admitted:  set.NewCounter("burdocksaddle_entry_requests_admitted_total"),
 		answered:  set.NewCounter("burdocksaddle_entry_requests_answered_total"),
+		demands:   set.NewCounter("burdocksaddle_entry_demands_total"),
 		refused:   set.NewCounter("burdocksaddle_entry_requests_refused_total"),
 		late:      set.NewCounter("burdocksaddle_entry_answers_late_total"),
 		dropped:   set.NewCounter("burdocksaddle_entry_frames_dropped_total"),
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -27,6 +27,7 @@
 	if err = e.takes(); err == nil {
 		e.arrived(r.Model)
 		w, err = e.sched.offer(r)
+		e.nudge()
 	}
 	if err != nil && !r.mayBeResend() {
 		return err
