Give each process of the entry's tests an address of its own

Cause: two tests failed in landings with 'address already in use': while an agent restarted, another test process took its port on 127.0.0.1. Change: each listener of the bed stands on a loopback address of its own, made from the test's process id and a count. Before: two failures seen in landings on the busy machine; after: one whole run under the race detector passed, which shows no fault but does not prove the absence of one.

--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,8 +167,16 @@
 	}
 }
 
+// hosts counts the addresses handed out; each has its own, so that no one takes the port of a process that restarts.
+var hosts atomic.Uint32
+
+func freeAddress() string {
+	pid, host := os.Getpid(), hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+(pid/256+int(host)/250)%128, pid%256, 1+host%250)
+}
+
 func (b *bed) address() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -177,7 +188,7 @@
 var reserved sync.Map
 
 func (b *bed) addAgent(name, service string, kind setting.Kind, handler http.Handler, slots int) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/entry/frame_test.go
+++ b/entry/frame_test.go
@@ -25,7 +25,7 @@
 
 // addScript registers a scripted agent and waits until the entries know it.
 func (b *bed) addScript(s *script) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		b.t.Fatal(err)
 	}
