Share one network in memory among the tests of the whole and of control

Cause: two packages' tests each held a network in memory that breaks, with two behaviours: control's let a stream go on after lost bytes, which no real connection does. Change: package memnet, made from the stricter one, serves both and has a table of its own faults.

--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -28,11 +28,11 @@
 			client, ended := g.nodeUntil(g.ctx, "n", role, "c1", "c2", "c3")
 			g.ends = append(g.ends, ended)
 			time.Sleep(testLease)
-			bytes, writes := g.network.traffic("n")
+			before := g.network.Traffic("n")
 			time.Sleep(length)
-			bytesAfter, writesAfter := g.network.traffic("n")
-			perSecond := float64(bytesAfter-bytes+headerBytes*(writesAfter-writes)) / length.Seconds()
-			t.Logf("%s: %.0f bytes a second, of which %.0f payload", role, perSecond, float64(bytesAfter-bytes)/length.Seconds())
+			after := g.network.Traffic("n")
+			perSecond := float64(after.Bytes()-before.Bytes()+int64(headerBytes*(after.Writes-before.Writes))) / length.Seconds()
+			t.Logf("%s: %.0f bytes a second, of which %.0f payload", role, perSecond, float64(after.Bytes()-before.Bytes())/length.Seconds())
 			if perSecond > bound || perSecond == 0 || !client.Leased() {
 				t.Errorf("%s: %.0f bytes a second, bound %d, leased %v", role, perSecond, bound, client.Leased())
 			}
@@ -56,7 +56,7 @@
 			for _, node := range nodes {
 				node.Await(b.Context(), version)
 			}
-			before, _ := g.network.traffic("c1")
+			before := g.network.Traffic("c1").Bytes()
 			for i := 0; b.Loop(); i++ {
 				preset := catalog.Change{Preset: []string{"Peak", "Ordinary"}[i%2]}
 				result, err := g.members["c1"].Change(g.ctx, "kit", fmt.Sprintf("%d-%d", watchers, i), version, preset)
@@ -70,7 +70,7 @@
 					}
 				}
 			}
-			after, _ := g.network.traffic("c1")
+			after := g.network.Traffic("c1").Bytes()
 			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(watchers), "us/watcher")
 			b.ReportMetric(float64(after-before)/float64(b.N)/float64(watchers), "bytes/watcher")
 		})
--- a/control/force_test.go
+++ b/control/force_test.go
@@ -38,7 +38,7 @@
 				}
 				time.Sleep(3 * testLease)
 				if test.isolate != "" {
-					g.network.isolate(test.isolate, true)
+					g.network.Isolate(test.isolate, true)
 				}
 				if test.lead != "" {
 					g.lead(test.lead)
@@ -83,7 +83,7 @@
 		}
 		// No member reaches a leader any more, while the nodes still reach the members.
 		g.lead("nobody")
-		g.network.isolate("nobody", true)
+		g.network.Isolate("nobody", true)
 		time.Sleep(testLease)
 		if alone.Leased() || free.Leased() {
 			t.Error("a lease outlived the quorum")
@@ -107,7 +107,7 @@
 		before, ended := g.nodeUntil(ctx, "n", "Entry", "c1")
 		time.Sleep(testLease)
 		// c3 has just proven the quorum and now hears nothing more.
-		g.network.isolate("c3", true)
+		g.network.Isolate("c3", true)
 		version := g.change("c1", "next")
 		if !before.Await(t.Context(), version) || !before.Leased() {
 			t.Fatal("the first process is not at the new version")
@@ -116,9 +116,9 @@
 		if err := <-ended; err != nil {
 			t.Error(err)
 		}
-		g.network.isolate("c3", false)
+		g.network.Isolate("c3", false)
 		g.lead("c2")
-		g.network.isolate("c2", true)
+		g.network.Isolate("c2", true)
 		after, again := g.nodeUntil(g.ctx, "n", "Entry", "c3")
 		for range 40 {
 			time.Sleep(testLease / 20)
@@ -126,7 +126,7 @@
 				t.Fatalf("restarted node holds a lease on version %d after %d", after.Version(), version)
 			}
 		}
-		g.network.isolate("c2", false)
+		g.network.Isolate("c2", false)
 		time.Sleep(testLease)
 		if !after.Leased() || after.Version() != version {
 			t.Errorf("leased %v at version %d", after.Leased(), after.Version())
@@ -144,7 +144,7 @@
 		node := g.node("n", "c1", "c2", "c3")
 		highest := uint64(0)
 		for i := range 40 {
-			g.network.isolate("c"+strconv.Itoa(2+i%2), i%4 < 2)
+			g.network.Isolate("c"+strconv.Itoa(2+i%2), i%4 < 2)
 			g.change("c1", strconv.Itoa(i))
 			for range 10 {
 				time.Sleep(100 * time.Millisecond)
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"runtime"
 	"strconv"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"burdocksaddle/catalog"
+	"burdocksaddle/memnet"
 	"burdocksaddle/quorum"
 	"burdocksaddle/view"
 	"burdocksaddle/wire"
@@ -36,7 +38,7 @@
 type group struct {
 	t       testing.TB
 	ctx     context.Context
-	network *network
+	network *memnet.Network
 	ends    []<-chan error
 	stop    context.CancelFunc
 	pools   []*wire.Pool
@@ -63,7 +65,7 @@
 		g.members[name] = New(WithName(name), WithLease(testLease), WithPool(g.pool(name)), WithShared(g.log(name)))
 	}
 	for _, name := range g.names {
-		g.ends = append(g.ends, wire.Serve(g.ctx, g.network.listen(name), g.members[name].Handlers()), g.members[name].Run(g.ctx))
+		g.ends = append(g.ends, wire.Serve(g.ctx, g.listen(name), g.members[name].Handlers()), g.members[name].Run(g.ctx))
 	}
 	return g
 }
@@ -87,7 +89,7 @@
 		g.members[name], g.logs[name] = m, log
 		handlers := m.Handlers()
 		handlers.Peer = log.Handle
-		g.ends = append(g.ends, wire.Serve(g.ctx, g.network.listen(name), handlers), log.Run(g.ctx), m.Run(g.ctx))
+		g.ends = append(g.ends, wire.Serve(g.ctx, g.listen(name), handlers), log.Run(g.ctx), m.Run(g.ctx))
 	}
 	g.awaitLeader()
 	return g
@@ -98,7 +100,7 @@
 	g.t.Helper()
 	for range 600 {
 		for _, name := range g.names {
-			if _, self := g.logs[name].Leader(); self && !g.network.silent(name, name) {
+			if _, self := g.logs[name].Leader(); self && !g.network.Silent(name, name) {
 				g.lead(name)
 				return
 			}
@@ -111,7 +113,7 @@
 func emptyGroup(t testing.TB, size int) *group {
 	ctx, stop := context.WithCancel(t.Context())
 	g := &group{
-		t: t, ctx: ctx, stop: stop, network: newNetwork(),
+		t: t, ctx: ctx, stop: stop, network: memnet.New(),
 		members: map[string]*Member{}, applied: map[string]int{}, seen: map[string]string{}, logs: map[string]*quorum.Log{},
 	}
 	for i := range size {
@@ -121,7 +123,7 @@
 }
 
 func (g *group) pool(name string) *wire.Pool {
-	pool := wire.NewPool(wire.WithDial(g.network.dialFrom(name)))
+	pool := wire.NewPool(wire.WithDial(g.network.DialFrom(name)))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pools = append(g.pools, pool)
@@ -168,7 +170,7 @@
 		Leader: func() (string, bool) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if !g.network.silent(name, name) {
+			if !g.network.Silent(name, name) {
 				g.seen[name] = g.leader
 			}
 			return g.seen[name], g.seen[name] == name
@@ -189,7 +191,7 @@
 		g.mu.Unlock()
 		return nil, quorum.ErrNotLeader{LeaderAddress: leader}
 	}
-	if g.network.silent(name, name) {
+	if g.network.Silent(name, name) {
 		g.mu.Unlock()
 		<-ctx.Done()
 		return nil, quorum.ErrOutcomeUnknown{Reason: "isolated"}
@@ -198,7 +200,7 @@
 	lost := g.loseAnswers
 	var result any
 	for _, one := range g.names {
-		if !g.network.silent(one, one) && !g.lagging[one] {
+		if !g.network.Silent(one, one) && !g.lagging[one] {
 			if got := g.catchUp(one); one == name {
 				result = got
 			}
@@ -221,7 +223,7 @@
 
 func (g *group) barrier(ctx context.Context, name string) (uint64, error) {
 	g.mu.Lock()
-	if !g.network.silent(name, g.leader) {
+	if !g.network.Silent(name, g.leader) {
 		defer g.mu.Unlock()
 		g.catchUp(name)
 		return uint64(len(g.entries)), nil
@@ -262,3 +264,11 @@
 	}
 	return result.GetCatalogVersion()
 }
+
+func (g *group) listen(name string) net.Listener {
+	listener, err := g.network.Listen(g.ctx, name)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return listener
+}
--- a/control/linear_test.go
+++ b/control/linear_test.go
@@ -139,7 +139,7 @@
 		leader, isolated := g.names[random.IntN(3)], random.IntN(4)
 		g.with(func() { g.leader, g.loseAnswers = leader, random.IntN(3) == 0 })
 		for i, name := range g.names {
-			g.network.isolate(name, i == isolated && name != leader)
+			g.network.Isolate(name, i == isolated && name != leader)
 		}
 		select {
 		case <-ctx.Done():
--- a/control/propose_test.go
+++ b/control/propose_test.go
@@ -23,8 +23,8 @@
 		claims  int
 	}{
 		{name: "leader unknown", through: "c2", fault: func(g *group) { g.lead("") }, never: true},
-		{name: "leader silent", through: "c2", fault: func(g *group) { g.network.isolate("c1", true) }, never: true},
-		{name: "leader isolated takes it", through: "c1", fault: func(g *group) { g.network.isolate("c1", true) }},
+		{name: "leader silent", through: "c2", fault: func(g *group) { g.network.Isolate("c1", true) }, never: true},
+		{name: "leader isolated takes it", through: "c1", fault: func(g *group) { g.network.Isolate("c1", true) }},
 		{name: "answer lost", through: "c1", fault: func(g *group) { g.with(func() { g.loseAnswers = true }) }, claims: 1},
 		{name: "forwarded answer lost", through: "c3", fault: func(g *group) { g.with(func() { g.loseAnswers = true }) }, claims: 1},
 	}
--- a/control/quorum_test.go
+++ b/control/quorum_test.go
@@ -34,7 +34,7 @@
 				}
 				time.Sleep(3 * testLease)
 				if isolated := test.isolate(g); isolated != "" {
-					g.network.isolate(isolated, true)
+					g.network.Isolate(isolated, true)
 					time.Sleep(time.Second)
 					g.awaitLeader()
 				}
@@ -82,7 +82,7 @@
 	for ctx.Err() == nil {
 		isolated := random.IntN(5)
 		for i, name := range g.names {
-			g.network.isolate(name, i == isolated)
+			g.network.Isolate(name, i == isolated)
 		}
 		if isolated >= len(g.names) {
 			for _, name := range g.names {
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -155,10 +155,10 @@
 func (d *deployment) usage() usage {
 	u := usage{cpu: processorTime(d.t)}
 	for i := range d.controls {
-		u.control += d.network.count(control(i), 0)
+		u.control += d.network.Traffic(control(i)).SentBytes
 	}
 	for _, name := range d.all {
-		u.nodes += d.network.count(name, 0)
+		u.nodes += d.network.Traffic(name).SentBytes
 	}
 	return u
 }
--- a/e2e/world_fault_test.go
+++ b/e2e/world_fault_test.go
@@ -64,18 +64,18 @@
 	{"open connections between entries and agents go silent", func(w *world, r *rand.Rand) func() {
 		for i := range entries {
 			for _, agent := range []string{engineAgent(r.IntN(engines)), deskAgent(r.IntN(desks))} {
-				w.network.stall(entry(i), agent)
+				w.network.Stall(entry(i), agent)
 			}
 		}
 		return nothing
 	}},
 	{"open connections to the leader go silent", func(w *world, r *rand.Rand) func() {
-		w.network.stall(w.awaitLeader(), "")
+		w.network.Stall(w.awaitLeader(), "")
 		return nothing
 	}},
 	{"open connections to an engine go silent", func(w *world, r *rand.Rand) func() {
 		i := r.IntN(engines)
-		w.network.stall(engineAgent(i), engineName(i))
+		w.network.Stall(engineAgent(i), engineName(i))
 		return nothing
 	}},
 	{"all control members restart after many changes", func(w *world, r *rand.Rand) func() {
@@ -112,7 +112,7 @@
 
 func (w *world) oneWay(from string, on bool) {
 	for i := range w.controls + w.learners {
-		w.network.lose(control(i), from, on)
+		w.network.Lose(control(i), from, on)
 	}
 }
 
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/catalog"
+	"burdocksaddle/memnet"
 	"burdocksaddle/node"
 	"burdocksaddle/operatorapi"
 	"burdocksaddle/standin"
@@ -31,7 +32,7 @@
 	layout
 	t        *testing.T
 	ctx      context.Context
-	network  *network
+	network  *memnet.Network
 	log      logr.Logger
 	nodes    map[string]*running
 	engines  []*standin.Engine
@@ -70,7 +71,7 @@
 func newWorldOf(ctx context.Context, t *testing.T, folder string, log io.Writer) *world {
 	return &world{
 		layout: layout{folder: folder, controls: 3, host: func(name string) string { return name }},
-		t:      t, ctx: ctx, network: newNetwork(), nodes: map[string]*running{}, accepted: map[string]uint64{},
+		t:      t, ctx: ctx, network: memnet.New(), nodes: map[string]*running{}, accepted: map[string]uint64{},
 		log: logr.FromSlogHandler(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug})),
 	}
 }
@@ -112,7 +113,7 @@
 }
 
 func (w *world) serve(host string, handler http.Handler) {
-	listener, err := w.network.listen(w.ctx, host+":"+standinPort)
+	listener, err := w.network.Listen(w.ctx, host+":"+standinPort)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -128,7 +129,7 @@
 
 // transport dials as a host.
 func (w *world) transport(host string) *http.Transport {
-	dial := w.network.dialFrom(host)
+	dial := w.network.DialFrom(host)
 	t := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}
 	context.AfterFunc(w.ctx, t.CloseIdleConnections)
 	return t
@@ -138,17 +139,17 @@
 
 // start boots a node; its data folder is what an earlier one left.
 func (w *world) start(name string) {
-	w.network.boot(name)
+	w.network.Boot(name)
 	ctx, cancel := context.WithCancel(w.ctx)
 	abandoned, abandon := context.WithCancel(w.ctx)
-	n := node.New(w.settings(name), node.WithAbandon(abandoned), node.WithLog(w.log), node.WithListen(w.network.listen),
-		node.WithDial(w.network.dialFrom(name)), node.WithHTTP(w.client(name)))
+	n := node.New(w.settings(name), node.WithAbandon(abandoned), node.WithLog(w.log), node.WithListen(w.network.Listen),
+		node.WithDial(w.network.DialFrom(name)), node.WithHTTP(w.client(name)))
 	w.nodes[name] = &running{cancel: cancel, abandon: abandon, ended: n.Run(ctx)}
 }
 
 // kill ends a node at once: nothing that it does after this is seen by others.
 func (w *world) kill(name string) {
-	w.network.crash(name)
+	w.network.Crash(name)
 	if n := w.nodes[name]; n != nil {
 		n.abandon()
 	}
@@ -164,7 +165,7 @@
 	}
 	n.cancel()
 	err := <-n.ended
-	w.network.crash(name) // what it left open goes with the process
+	w.network.Crash(name) // what it left open goes with the process
 	return err
 }
 
@@ -172,8 +173,8 @@
 func (w *world) isolate(name string, on bool) {
 	for _, other := range append(w.names(), operatorHost, callerHost, "platform", "store") {
 		if other != name {
-			w.network.lose(name, other, on)
-			w.network.lose(other, name, on)
+			w.network.Lose(name, other, on)
+			w.network.Lose(other, name, on)
 		}
 	}
 }
--- a/e2e/conn_test.go
+++ b/memnet/conn.go
@@ -1,4 +1,4 @@
-package e2e
+package memnet
 
 import (
 	"io"
@@ -8,48 +8,12 @@
 	"time"
 )
 
-// half is one direction of a connection: bytes with the moment from which they can be read.
-type half struct {
-	mu      sync.Mutex
-	parts   []part
-	size    int
-	err     error // what the reader gets once parts are read
-	stalled bool
-	changed chan struct{}
-}
-
-type part struct {
-	data []byte
-	at   time.Time
-}
-
-func newHalf() *half { return &half{changed: make(chan struct{})} }
-
-func (h *half) notify() {
-	close(h.changed)
-	h.changed = make(chan struct{})
-}
-
-// end makes the direction fail for its reader and its writer.
-func (h *half) end(err error, discard bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.err == nil {
-		h.err = err
-	}
-	if discard {
-		h.parts, h.size = nil, 0
-	}
-	h.notify()
-}
-
 // conn is one end of a connection.
 type conn struct {
-	network       *network
+	network       *Network
 	from, to      string
 	local, remote addr
 	in, out       *half
-	peer          *conn
 
 	mu       sync.Mutex
 	closed   bool
@@ -104,30 +68,6 @@
 	}
 }
 
-// take reads what has arrived, or says how long until something does.
-func (h *half) take(p []byte) (n int, wait time.Duration, changed <-chan struct{}, err error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.stalled && h.err == nil {
-		return 0, 0, h.changed, nil
-	}
-	if len(h.parts) == 0 {
-		return 0, 0, h.changed, h.err
-	}
-	first := &h.parts[0]
-	if wait = time.Until(first.at); wait > 0 {
-		return 0, wait, h.changed, nil
-	}
-	n = copy(p, first.data)
-	first.data = first.data[n:]
-	if len(first.data) == 0 {
-		h.parts = h.parts[1:]
-	}
-	h.size -= n
-	h.notify()
-	return n, 0, nil, nil
-}
-
 func (c *conn) Write(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
@@ -136,9 +76,9 @@
 		if closed {
 			return 0, net.ErrClosed
 		}
-		n, changed, err := c.out.put(p, c.network.isSilent(c.from, c.to))
+		n, changed, err := c.out.put(p, c.network.Silent(c.from, c.to))
 		if n > 0 || err != nil || len(p) == 0 {
-			c.network.count(c.from, n)
+			c.network.count(c.from, c.to, n)
 			return n, err
 		}
 		select {
@@ -149,25 +89,6 @@
 	}
 }
 
-// put adds what fits whole; lost bytes are as good as sent until the connection is reset.
-func (h *half) put(p []byte, lost bool) (int, <-chan struct{}, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.err != nil {
-		return 0, nil, errReset
-	}
-	if lost {
-		h.stalled = true // a stream with a hole cannot go on
-	}
-	if h.size > 0 && h.size+len(p) > bufferBytes {
-		return 0, h.changed, nil
-	}
-	h.parts = append(h.parts, part{data: append([]byte{}, p...), at: time.Now().Add(latency)})
-	h.size += len(p)
-	h.notify()
-	return len(p), nil, nil
-}
-
 func (c *conn) stall() {
 	for _, h := range []*half{c.in, c.out} {
 		h.mu.Lock()
@@ -177,8 +98,8 @@
 }
 
 func (c *conn) reset() {
-	c.in.end(errReset, true)
-	c.out.end(errReset, true)
+	c.in.end(ErrReset{}, true)
+	c.out.end(ErrReset{}, true)
 }
 
 // Close ends both directions; the other side reads what was sent and then the end, unless that is lost.
@@ -194,7 +115,7 @@
 	c.out.mu.Lock()
 	lost := c.out.stalled
 	c.out.mu.Unlock()
-	if !lost && !c.network.isSilent(c.from, c.to) {
+	if !lost && !c.network.Silent(c.from, c.to) {
 		c.out.end(io.EOF, false)
 	}
 	c.network.mu.Lock()
