Keep what a watch stream has sent with the stream

Cause: the race detector found two streams of one node, a stalled one and its successor, sharing the number of the catalog version that was being sent; the stalled one then counted a version as sent that only the other had carried, and its node missed that change until the next. Ruled out: a race in the test alone, both sides are in watch.go. Change: the number belongs to the stream.

--- a/control/force_test.go
+++ b/control/force_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"burdocksaddle/catalog"
 	"burdocksaddle/view"
+	"burdocksaddle/wirepb"
 )
 
 // TestInForce changes the catalog with members isolated or not, and wants the wait to end in time and
@@ -205,3 +207,27 @@
 		}
 	})
 }
+
+// TestTwoStreamsOfOneNode has a stalled stream and its successor sent different versions; each must go on from its own.
+func TestTwoStreamsOfOneNode(t *testing.T) {
+	m := New()
+	node := &wirepb.Watch{Node: "n", Process: "p"}
+	old := &watcher{member: m, node: node, holder: m.hold(node)}
+	next := &watcher{member: m, node: node, holder: m.hold(node)}
+	change := func(base uint64, change catalog.Change) {
+		t.Helper()
+		result, err := m.Change(t.Context(), "kit", strconv.FormatUint(base, 10), base, change)
+		if err != nil || result.GetErrorCode() != "" {
+			t.Fatal(result, err)
+		}
+	}
+	first := testCatalog()
+	change(0, catalog.Change{Set: &first})
+	sending := old.update()
+	change(1, catalog.Change{Preset: "Peak"})
+	next.sent(next.update())
+	old.sent(sending)
+	if diff := cmp.Diff([]uint64{1, 2}, []uint64{old.catalog, next.catalog}); diff != "" {
+		t.Errorf("versions sent on the old and the new stream (-want +got):\n%s", diff)
+	}
+}
--- a/control/holder.go
+++ b/control/holder.go
@@ -9,12 +9,11 @@
 // holder is one node's process that may hold a lease from this member; it outlives the node's
 // streams until its last lease has run out.
 type holder struct {
-	id          string
-	confirmed   uint64
-	sentVersion uint64
-	stamp       uint64
-	until       time.Time
-	streams     int
+	id        string
+	confirmed uint64
+	stamp     uint64
+	until     time.Time
+	streams   int
 }
 
 func (m *Member) hold(node *wirepb.Watch) *holder {
--- a/control/watch.go
+++ b/control/watch.go
@@ -28,6 +28,8 @@
 	round   uint64
 	renew   chan struct{}
 	catalog uint64
+	// pending is the catalog's version in the update that is being sent.
+	pending uint64
 	fleet   uint64
 	orders  *wirepb.WatchUpdate
 	leased  bool
@@ -84,12 +86,17 @@
 	if err := w.stream.Send(frame, watchSendTimeout); err != nil {
 		return false
 	}
+	w.sent(update)
+	return true
+}
+
+// sent takes over what the node has now.
+func (w *watcher) sent(update *wirepb.WatchUpdate) {
 	if len(update.GetCatalog()) > 0 {
-		w.catalog = w.holder.sentVersion
+		w.catalog = w.pending
 	}
 	w.fleet, w.leased = max(w.fleet, update.GetFleetVersion()), update.GetLeaseMs() > 0
 	w.orders = &wirepb.WatchUpdate{Orders: update.GetOrders(), AdapterPermits: update.GetAdapterPermits()}
-	return true
 }
 
 // concerns tells whether an update holds news for the node.
@@ -146,7 +153,7 @@
 	if version := m.machine.catalog.Version; version > w.catalog {
 		encoded := m.catalogSince(w.catalog)
 		u.Catalog, u.CatalogDelta = encoded.data, encoded.delta
-		w.holder.sentVersion = version
+		w.pending = version
 	}
 	if w.node.GetEndpoint() != "" {
 		u.Orders = m.orders(w.node.GetEndpoint(), w.node.GetIncarnation())
