Let the demo end when it is told to

Cause: after a signal the demo never ended: one goroutine a node took each end for Done, and Wait then waited for ends that had been taken. A goroutine dump of a demo that hung for ten minutes showed main in Demo.Wait with all nodes stopped. Change: Ends gives every end once and closes; the command waits on it alone.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -15,21 +15,32 @@
 		Usage: "run all roles and the stand-ins in one process on loopback",
 		Flags: []cli.Flag{&cli.IntFlag{Name: "verbosity", Usage: "log detail, 0 to 2"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
 			d, err := demo.Start(ctx, newLog(c.Int("verbosity")), demo.WithAddresses(demoOperator, demoCaller))
 			if err != nil {
 				return err
 			}
 			explain(c, d)
-			select {
-			case err = <-d.Done():
-			case <-ctx.Done():
-				d.Wait()
-			}
-			return err
+			return stopDemo(ctx, cancel, d.Ends())
 		},
 	}
 }
 
+// stopDemo waits for a signal or for the first part that ends by itself, and then for all others.
+func stopDemo(ctx context.Context, cancel context.CancelFunc, ends <-chan error) error {
+	var first error
+	select {
+	case first = <-ends:
+		cancel()
+	case <-ctx.Done():
+	}
+	for range ends {
+		continue
+	}
+	return first
+}
+
 // Addresses of the demo where they are free; ctl takes the first by default.
 const (
 	demoOperator = "127.0.0.1:7400"
--- /dev/null
+++ b/cmd/demo_test.go
@@ -0,0 +1,38 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestDemoStops stops the demo as soon as it has explained itself; it must end by itself.
+func TestDemoStops(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	reader, writer := io.Pipe()
+	code := make(chan int, 1)
+	go func() {
+		code <- Main(ctx, []string{programName, "demo"}, writer, io.Discard)
+		_ = writer.Close()
+	}()
+	buffer, text := make([]byte, 4096), ""
+	for !strings.Contains(text, "stop with") {
+		n, err := reader.Read(buffer)
+		if err != nil {
+			t.Fatalf("the demo ended early: %v, printed %q", err, text)
+		}
+		text += string(buffer[:n])
+	}
+	cancel()
+	select {
+	case got := <-code:
+		if got != exitOK {
+			t.Errorf("exit code %d, want %d", got, exitOK)
+		}
+	case <-time.After(time.Minute):
+		t.Error("the demo still runs a minute after it was told to stop")
+	}
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -85,19 +85,24 @@
 	return d, d.awaitReady(ctx)
 }
 
-// Done returns a channel that gives the first end of a node.
-func (d *Demo) Done() <-chan error {
-	first := make(chan error, len(d.ends))
+// Ends returns a channel that gives each end of a node or stand-in and closes after the last; it is asked for once.
+func (d *Demo) Ends() <-chan error {
+	ends := make(chan error, len(d.ends))
+	var group sync.WaitGroup
 	for _, end := range d.ends {
-		go func() { first <- <-end }()
+		group.Go(func() { ends <- <-end })
 	}
-	return first
+	go func() {
+		group.Wait()
+		close(ends)
+	}()
+	return ends
 }
 
-// Wait returns once every node has ended.
+// Wait returns once everything has ended; it takes the place of Ends.
 func (d *Demo) Wait() {
-	for _, end := range d.ends {
-		if err := <-end; err != nil {
+	for err := range d.Ends() {
+		if err != nil {
 			d.log.V(1).Info("ended", "error", err.Error())
 		}
 	}
