Serve the operators' API by the names that its client uses

Cause: the server repeated the paths, headers, parameters and bodies that package operatorapi holds for ctl, so the two could drift apart. Change: the server takes them from there.

--- a/web/operator.go
+++ b/web/operator.go
@@ -11,14 +11,12 @@
 
 	"burdocksaddle/catalog"
 	"burdocksaddle/control"
+	"burdocksaddle/operatorapi"
 	"burdocksaddle/wirepb"
 )
 
-// Headers that operators use.
+// Bounds of one call by an operator.
 const (
-	HeaderOperation = "Operation-Id"
-	HeaderIfMatch   = "If-Match"
-
 	maxChangeBytes = 16 << 20
 	maxWait        = time.Minute
 	readTimeout    = 2 * time.Second
@@ -38,14 +36,14 @@
 
 // Register adds the routes of the operators' API.
 func (o *Operator) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET /operator/v1/catalog", o.guard.protect(o.catalog))
-	mux.HandleFunc("POST /operator/v1/changes", o.guard.protect(o.change))
-	mux.HandleFunc("POST /operator/v1/preset", o.guard.protect(o.preset))
-	mux.HandleFunc("POST /operator/v1/rollback", o.guard.protect(o.rollback))
-	mux.HandleFunc("GET /operator/v1/members", o.guard.protect(o.members))
-	mux.HandleFunc("GET /operator/v1/wait", o.guard.protect(o.wait))
-	mux.HandleFunc("GET /operator/v1/history", o.guard.protect(o.history))
-	mux.HandleFunc("GET /operator/v1/diff", o.guard.protect(o.diff))
+	mux.HandleFunc("GET "+operatorapi.PathCatalog, o.guard.protect(o.catalog))
+	mux.HandleFunc("POST "+operatorapi.PathChanges, o.guard.protect(o.change))
+	mux.HandleFunc("POST "+operatorapi.PathPreset, o.guard.protect(o.preset))
+	mux.HandleFunc("POST "+operatorapi.PathRollback, o.guard.protect(o.rollback))
+	mux.HandleFunc("GET "+operatorapi.PathMembers, o.guard.protect(o.members))
+	mux.HandleFunc("GET "+operatorapi.PathWait, o.guard.protect(o.wait))
+	mux.HandleFunc("GET "+operatorapi.PathHistory, o.guard.protect(o.history))
+	mux.HandleFunc("GET "+operatorapi.PathDiff, o.guard.protect(o.diff))
 }
 
 // current makes sure that what is read next holds all that was accepted before, or refuses.
@@ -75,19 +73,15 @@
 	}
 }
 
-type presetChange struct{ Preset string }
-
 func (o *Operator) preset(w http.ResponseWriter, r *http.Request, operator string) {
-	var body presetChange
+	var body operatorapi.PresetChange
 	if o.read(w, r, &body) {
 		o.apply(w, r, operator, catalog.Change{Preset: body.Preset})
 	}
 }
 
-type rollbackChange struct{ Version uint64 }
-
 func (o *Operator) rollback(w http.ResponseWriter, r *http.Request, operator string) {
-	var body rollbackChange
+	var body operatorapi.Rollback
 	if !o.read(w, r, &body) || !o.current(w, r) {
 		return
 	}
@@ -109,11 +103,9 @@
 	return true
 }
 
-type versionAnswer struct{ Version uint64 }
-
 func (o *Operator) apply(w http.ResponseWriter, r *http.Request, operator string, change catalog.Change) {
-	operation := r.Header.Get(HeaderOperation)
-	base, err := strconv.ParseUint(strings.Trim(r.Header.Get(HeaderIfMatch), `"`), 10, 64)
+	operation := r.Header.Get(operatorapi.HeaderOperationID)
+	base, err := strconv.ParseUint(strings.Trim(r.Header.Get(operatorapi.HeaderIfMatch), `"`), 10, 64)
 	if operation == "" || err != nil {
 		writeProblem(w, badRequest("a change needs the headers Operation-Id and If-Match with the version it is based on"), 0)
 		return
@@ -130,7 +122,7 @@
 		return
 	}
 	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(result.GetCatalogVersion(), 10)))
-	writeJSON(w, versionAnswer{Version: result.GetCatalogVersion()})
+	writeJSON(w, operatorapi.Accepted{Version: result.GetCatalogVersion()})
 }
 
 // notCommitted says whether a change is certainly not accepted; if it may be, a resend under the same
@@ -159,13 +151,13 @@
 }
 
 func (o *Operator) wait(w http.ResponseWriter, r *http.Request, _ string) {
-	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	version, err := strconv.ParseUint(r.URL.Query().Get(operatorapi.QueryVersion), 10, 64)
 	if err != nil {
 		writeProblem(w, badRequest("version must be a number"), 0)
 		return
 	}
 	timeout := maxWait
-	if ms, err := strconv.ParseInt(r.URL.Query().Get("timeout_ms"), 10, 64); err == nil && ms >= 0 {
+	if ms, err := strconv.ParseInt(r.URL.Query().Get(operatorapi.QueryTimeoutMS), 10, 64); err == nil && ms >= 0 {
 		timeout = min(maxWait, time.Duration(ms)*time.Millisecond)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
@@ -193,8 +185,8 @@
 }
 
 func (o *Operator) diff(w http.ResponseWriter, r *http.Request, _ string) {
-	from, errFrom := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
-	to, errTo := strconv.ParseUint(r.URL.Query().Get("to"), 10, 64)
+	from, errFrom := strconv.ParseUint(r.URL.Query().Get(operatorapi.QueryFrom), 10, 64)
+	to, errTo := strconv.ParseUint(r.URL.Query().Get(operatorapi.QueryTo), 10, 64)
 	if errFrom != nil || errTo != nil {
 		writeProblem(w, badRequest("from and to must be versions"), 0)
 		return
