--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -33,6 +33,8 @@
 			catalogCommand(),
 			ctlCommand(),
 			standinCommand(),
+			gatewayCommand(),
+			stewardCommand(),
 		},
 	})
 	quiet(root)
--- /dev/null
+++ b/gateway/choose.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"burdocksaddle/route"
+	"burdocksaddle/routing"
+	"burdocksaddle/wirepb"
+	"burdocksaddle/worker"
+)
+
+const (
+	// absentFor is how long a worker's word that it lacks a model outweighs what the stewards show, which lags as long.
+	absentFor = 500 * time.Millisecond
+	// adapterWait is the time that an adapter takes from its order on, by the sheets, with a margin.
+	adapterWait    = 12 * time.Millisecond
+	adapterTimeout = 500 * time.Millisecond
+)
+
+// choice is the worker that was chosen for a request.
+type choice struct {
+	endpoint routing.Endpoint
+	state    worker.State
+	query    routing.Request
+	// bring tells that the adapter must be brought first.
+	bring bool
+}
+
+// chooseLocked picks a worker that can run a request now; held tells whether any worker holds its model.
+func (g *Gateway) chooseLocked(q *Request, service string, avoid []string, now time.Time) (c choice, held, ok bool) {
+	var having, others []routing.Endpoint
+	for _, w := range g.workers {
+		if w.Service != service || w.Draining {
+			continue
+		}
+		if q.Model != "" && (!w.Holds(q.Model) || now.Before(g.absent[place{w.ID, q.Model, ""}])) {
+			continue
+		}
+		held = true
+		e := routing.Endpoint{Name: w.ID, DataCentre: w.DataCentre, Slots: w.Slots, Incarnation: uint64(w.Born)}
+		wanted := worker.Adapter{Model: q.Model, Name: q.Adapter}
+		if q.Adapter == "" || w.HoldsAdapter(wanted) && now.After(g.absent[place{w.ID, q.Model, q.Adapter}]) {
+			having = append(having, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	query := routing.Request{Adapter: q.Adapter, Prefix: q.Prefix, Avoid: avoid}
+	if e, found := g.router.Choose(query, having, now); found {
+		return choice{endpoint: e, state: g.workers[e.Name], query: query}, held, true
+	}
+	if e, found := g.router.Choose(query, others, now); found {
+		return choice{endpoint: e, state: g.workers[e.Name], query: query, bring: true}, held, true
+	}
+	return choice{}, held, false
+}
+
+// bringAdapter asks the leader to have an adapter loaded and waits until it should be there.
+func (g *Gateway) bringAdapter(ctx context.Context, id string, q *Request) bool {
+	g.mu.Lock()
+	leader := g.leading
+	g.mu.Unlock()
+	if leader == "" {
+		return false
+	}
+	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
+		Worker: id, Model: q.Model, Adapter: q.Adapter,
+	}}}
+	reply, err := g.pool.Call(ctx, leader, frame, adapterTimeout)
+	if err != nil || !reply.GetAdapterReply().GetAccepted() {
+		g.log.Info("adapter not brought", "id", q.ID, "worker", id, "model", q.Model, "adapter", q.Adapter,
+			"answer", reply.GetAdapterReply().GetError(), "error", errorText(err))
+		return false
+	}
+	select {
+	case <-time.After(adapterWait):
+	case <-ctx.Done():
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w, ok := g.workers[id]; ok {
+		g.workers[id] = withAdapter(w, worker.Adapter{Model: q.Model, Name: q.Adapter})
+		delete(g.absent, place{id, q.Model, q.Adapter})
+	}
+	return true
+}
+
+func withAdapter(w worker.State, a worker.Adapter) worker.State {
+	if w.HoldsAdapter(a) {
+		return w
+	}
+	models := make([]worker.Model, len(w.Models))
+	copy(models, w.Models)
+	for i, m := range models {
+		if m.Name == a.Model {
+			models[i].Adapters = append(append([]string{}, m.Adapters...), a.Name)
+		}
+	}
+	w.Models = models
+	return w
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// loadTime returns how long until a model is at some worker, by what is shown of loads under way.
+func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
+	expected := time.Duration(0)
+	if s, ok := table.Service(service); ok && s.Engine != nil {
+		if m, known := s.Engine.Model(model); known {
+			expected = m.FromStore
+		}
+	}
+	for _, w := range g.workers {
+		if w.Service == service && w.Loading == model {
+			expected = min(expected, w.LoadingLeft)
+		}
+	}
+	return expected
+}
--- /dev/null
+++ b/gateway/error.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrNotSent tells that a request has certainly not reached its worker.
+type ErrNotSent struct {
+	Worker string
+	Cause  error
+}
+
+// Error implements error.
+func (e ErrNotSent) Error() string {
+	return fmt.Sprintf("worker %s was not reached: %v", e.Worker, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrNotSent) Unwrap() error { return e.Cause }
+
+// IsErrNotSent tells whether an error is an ErrNotSent.
+func IsErrNotSent(err error) bool {
+	var e ErrNotSent
+	return errors.As(err, &e)
+}
+
+// ErrBroken tells that an answer broke off or could not be read; the request may have run.
+type ErrBroken struct {
+	Worker string
+	Cause  error
+}
+
+// Error implements error.
+func (e ErrBroken) Error() string {
+	return fmt.Sprintf("the answer of worker %s broke off: %v", e.Worker, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrBroken) Unwrap() error { return e.Cause }
+
+// ErrUnsigned tells that a success came without the worker's signature.
+type ErrUnsigned struct{ Worker string }
+
+// Error implements error.
+func (e ErrUnsigned) Error() string {
+	return "worker " + e.Worker + " sent a success without a signature"
+}
+
+// ErrSilent tells that a worker sent nothing for too long.
+type ErrSilent struct{ Worker string }
+
+// Error implements error.
+func (e ErrSilent) Error() string { return "worker " + e.Worker + " is silent" }
+
+// errNoEvents is the cause where a stream that goes on is answered by something else.
+var errNoEvents = errors.New("no events in the answer")
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"burdocksaddle/route"
+	"burdocksaddle/routing"
+	"burdocksaddle/wire"
+	"burdocksaddle/worker"
+)
+
+// Config says who a gateway is and what bounds it.
+type Config struct {
+	Node       string
+	DataCentre string
+	// Stewards are the first addresses to find the stewards at.
+	Stewards []string
+	// RetryRatio is the share of a service's requests that may be sent again.
+	RetryRatio float64
+}
+
+// Gateway is the aggregate of one entry machine's requests.
+type Gateway struct {
+	config Config
+	log    logr.Logger
+	pool   *wire.Pool
+	decode func([]byte) (*route.Table, error)
+	send   func(context.Context, Call) (*Answer, error)
+	list   func(context.Context) ([]worker.State, int, error)
+
+	table    atomic.Pointer[route.Table]
+	draining atomic.Bool
+
+	mu      sync.Mutex
+	router  *routing.Router
+	workers map[string]worker.State
+	// absent are models that a worker said it doesn't hold, until the time given.
+	absent  map[place]time.Time
+	shown   time.Time
+	changed chan struct{}
+	budgets map[string]*routing.Budget
+	demands map[string]*demand
+	links   map[string]*link
+	// stewards are the addresses of the last proven word of a steward.
+	stewards []string
+	leading  string
+	active   int
+}
+
+// place is a model, or an adapter of it, at a worker.
+type place struct{ worker, model, adapter string }
+
+// demand counts a model's requests at this gateway.
+type demand struct {
+	service                string
+	came, running, waiting int
+}
+
+// Option sets one property of a Gateway.
+type Option func(*Gateway)
+
+// WithLog sets where events are logged.
+func WithLog(log logr.Logger) Option { return func(g *Gateway) { g.log = log } }
+
+// WithDecode sets what reads an operator's table.
+func WithDecode(decode func([]byte) (*route.Table, error)) Option {
+	return func(g *Gateway) { g.decode = decode }
+}
+
+// WithSend sets what sends a request to a worker; it fails with ErrNotSent or ErrBroken.
+func WithSend(send func(context.Context, Call) (*Answer, error)) Option {
+	return func(g *Gateway) { g.send = send }
+}
+
+// WithList sets what reads the platform's list while no steward shows the workers.
+func WithList(list func(context.Context) ([]worker.State, int, error)) Option {
+	return func(g *Gateway) { g.list = list }
+}
+
+// New makes a Gateway that has no table and knows no workers yet.
+func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
+	g := &Gateway{
+		config: config, log: logr.Discard(), pool: pool, workers: map[string]worker.State{}, absent: map[place]time.Time{},
+		changed: make(chan struct{}), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, links: map[string]*link{},
+		router: routing.New(config.DataCentre, rand.IntN),
+	}
+	for _, option := range options {
+		option(g)
+	}
+	return g
+}
+
+// Ready returns the status for the platform's question whether this gateway takes new connections.
+func (g *Gateway) Ready() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining.Load() || g.table.Load() == nil || len(g.workers) == 0 {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
+
+// Drain makes the gateway say that it takes no new connections; requests are still served.
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+	g.log.Info("draining", "active", g.Active())
+}
+
+// Draining tells whether the gateway is about to stop.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// Active returns the number of requests under way.
+func (g *Gateway) Active() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.active
+}
+
+// wakeLocked wakes the requests that wait for a worker.
+func (g *Gateway) wakeLocked() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
--- a/quorum/export_test.go
+++ b/quorum/export_test.go
@@ -5,6 +5,3 @@
 
 // Syncs returns how many fsyncs the log took; it is exact once the log has stopped.
 func (l *Log) Syncs() uint64 { return l.store.Syncs() }
-
-// Term returns the term that the member is in.
-func (l *Log) Term() uint64 { return l.view.Load().status.Term }
--- a/quorum/join.go
+++ b/quorum/join.go
@@ -54,7 +54,7 @@
 
 // first tells whether this member is the one that starts the group.
 func (l *Log) first() bool {
-	return len(l.config.Bootstrap) == 0 || l.config.Bootstrap[0].Name == l.config.Name
+	return !l.config.Rejoin && (len(l.config.Bootstrap) == 0 || l.config.Bootstrap[0].Name == l.config.Name)
 }
 
 // others returns the peers of the settings and of the log but this member.
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -78,3 +78,6 @@
 	}
 	return members
 }
+
+// Term returns the term that this member is in, which no two leaders share.
+func (l *Log) Term() uint64 { return l.view.Load().status.Term }
--- /dev/null
+++ b/scaling/order.go
@@ -0,0 +1,81 @@
+package scaling
+
+import "burdocksaddle/worker"
+
+// Order is one order to a worker.
+type Order struct {
+	Worker string
+	Model  string
+	// Adapter is empty for an order about the model itself.
+	Adapter string
+	Unload  bool
+	// Sequence is the count of accepted orders that the worker must have for the order to hold, so that a late copy does nothing.
+	Sequence int
+	Reason   string
+	Source   Source
+}
+
+// Outcome is what a worker said of an order.
+type Outcome int
+
+// Outcomes of orders.
+const (
+	// OutcomeUnknown means no clear answer: the order may still be carried out.
+	OutcomeUnknown Outcome = iota
+	OutcomeAccepted
+	// OutcomeHolds means that what was ordered is so already.
+	OutcomeHolds
+	// OutcomeConflict means that another order is under way or the sequence differs.
+	OutcomeConflict
+	// OutcomeFenced means that the worker has seen a higher fencing number.
+	OutcomeFenced
+	// OutcomeRefused means that the order will not be carried out.
+	OutcomeRefused
+)
+
+// Source is where a model's weights are loaded from.
+type Source int
+
+// Sources of weights, the fastest first.
+const (
+	SourceMemory Source = iota
+	SourceDisk
+	SourceStore
+)
+
+// String returns the name of a source.
+func (s Source) String() string { return [...]string{"Memory", "Disk", "Store"}[s] }
+
+// Demand is what all gateways together are asked for of one model.
+type Demand struct {
+	Service string
+	Model   string
+	// Came counts the requests since the last report; Running and Waiting are those of now.
+	Came    int
+	Running int
+	Waiting int
+}
+
+// AdapterState tells how an adapter stands at a worker.
+type AdapterState int
+
+// States of an adapter.
+const (
+	AdapterAbsent AdapterState = iota
+	AdapterPending
+	AdapterHeld
+)
+
+func adapterState(w worker.State, a worker.Adapter) AdapterState {
+	if w.HoldsAdapter(a) {
+		return AdapterHeld
+	}
+	if w.Load != nil {
+		for _, p := range w.Load.Pending {
+			if p == a {
+				return AdapterPending
+			}
+		}
+	}
+	return AdapterAbsent
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,290 @@
+package steward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"burdocksaddle/quorum"
+	"burdocksaddle/route"
+	"burdocksaddle/scaling"
+	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
+	"burdocksaddle/worker"
+)
+
+const (
+	// changeTimeout is under the second after which an operator moves on to another steward.
+	changeTimeout = 900 * time.Millisecond
+	// snapshotEntries keeps the log within a disk of 128 MB at 100 KB an entry.
+	snapshotEntries = 200
+)
+
+// Config says who a steward is.
+type Config struct {
+	Name       string
+	Address    string
+	DataFolder string
+	// Peers are the stewards' addresses by the settings.
+	Peers      []string
+	FirstStart bool
+	// HolderLease is how long the last holder's order shuts other holders out.
+	HolderLease time.Duration
+}
+
+// Steward is one member of the core.
+type Steward struct {
+	config Config
+	log    logr.Logger
+	pool   *wire.Pool
+	shared *quorum.Log
+
+	decode  func([]byte) (*route.Table, error)
+	list    func(context.Context) ([]worker.State, int, error)
+	report  func(context.Context, string) (worker.Report, error)
+	give    func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)
+	planner *scaling.Planner
+
+	mu      sync.Mutex
+	table   *route.Table
+	raw     []byte
+	version uint64
+	changed chan struct{}
+	demands map[string]demandReport
+	workers []worker.State
+	leads   bool
+	since   time.Time
+	proven  time.Time
+	adapter chan adapterAsk
+	metrics counters
+}
+
+// demandReport is a gateway's last word on what it is asked for.
+type demandReport struct {
+	at     time.Time
+	models []*wirepb.GatewayDemand
+}
+
+// Option sets one property of a Steward.
+type Option func(*Steward)
+
+// WithLog sets where events are logged.
+func WithLog(log logr.Logger) Option { return func(s *Steward) { s.log = log } }
+
+// WithDecode sets what reads an operator's table.
+func WithDecode(decode func([]byte) (*route.Table, error)) Option {
+	return func(s *Steward) { s.decode = decode }
+}
+
+// WithList sets what reads the platform's list of workers and counts the entries that it could not read.
+func WithList(list func(context.Context) ([]worker.State, int, error)) Option {
+	return func(s *Steward) { s.list = list }
+}
+
+// WithReport sets what reads a worker's report.
+func WithReport(report func(context.Context, string) (worker.Report, error)) Option {
+	return func(s *Steward) { s.report = report }
+}
+
+// WithGive sets what gives an order to a worker under a fencing number.
+func WithGive(give func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)) Option {
+	return func(s *Steward) { s.give = give }
+}
+
+// Open opens the data folder and makes a Steward; it fails as quorum.Open does.
+func Open(config Config, pool *wire.Pool, options ...Option) (*Steward, error) {
+	s := &Steward{
+		config: config, log: logr.Discard(), pool: pool, planner: scaling.New(), changed: make(chan struct{}),
+		demands: map[string]demandReport{}, adapter: make(chan adapterAsk, queuedAdapters),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	var peers []quorum.Peer
+	for _, address := range config.Peers {
+		peers = append(peers, quorum.Peer{Name: address, Address: address})
+	}
+	var err error
+	s.shared, err = quorum.Open(quorum.Config{
+		DataFolder: config.DataFolder, Name: config.Address, Address: config.Address, Bootstrap: peers,
+		Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
+	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
+		quorum.WithPool(pool), quorum.WithLog(s.log))
+	return s, err
+}
+
+// replaceAfter is how long a voter may be silent before a machine that was added takes its place.
+const replaceAfter = 3 * time.Second
+
+// Run carries the duties out until the context ends; the channel gives the end.
+func (s *Steward) Run(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	shared, led := s.shared.Run(ctx), s.lead(ctx)
+	go func() {
+		err := <-shared
+		if second := <-led; err == nil {
+			err = second
+		}
+		ended <- err
+	}()
+	return ended
+}
+
+// Handlers returns what serves other processes' calls.
+func (s *Steward) Handlers() wire.Handlers {
+	return wire.Handlers{
+		Peer: s.shared.Handle, Subscribe: s.subscribe, TableChange: s.changeFor, Adapter: s.adapterFor,
+	}
+}
+
+// apply carries a committed change out: the highest version is in force.
+func (s *Steward) apply(_ uint64, command []byte) any {
+	change := &wirepb.TableChange{}
+	if err := proto.Unmarshal(command, change); err != nil {
+		s.log.Error(err, "committed change cannot be read")
+		return err
+	}
+	s.install(change)
+	return nil
+}
+
+// install puts a table in force unless one with its version or a higher one is.
+func (s *Steward) install(change *wirepb.TableChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if change.GetVersion() <= s.version {
+		return
+	}
+	table, err := s.decode(change.GetTable())
+	if err != nil {
+		// It was checked before it was proposed; the table before it stays in force here.
+		s.log.Error(err, "committed table is invalid", "version", change.GetVersion())
+		return
+	}
+	s.table, s.raw, s.version = table, change.GetTable(), change.GetVersion()
+	s.log.Info("table in force", "version", s.version, "routes", len(table.Routes), "bytes", len(s.raw))
+	s.wakeLocked()
+}
+
+func (s *Steward) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Steward) snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return proto.Marshal(&wirepb.TableChange{Table: s.raw, Version: s.version})
+}
+
+func (s *Steward) restore(_ uint64, state []byte) error {
+	change := &wirepb.TableChange{}
+	if err := proto.Unmarshal(state, change); err != nil {
+		return err
+	}
+	if change.GetVersion() > 0 {
+		s.install(change)
+	}
+	return nil
+}
+
+// Change commits a table and returns once it is in the log; it fails with ErrNotCommitted.
+func (s *Steward) Change(ctx context.Context, raw []byte, version uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	change := &wirepb.TableChange{Table: raw, Version: version}
+	for {
+		err := s.try(ctx, change)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ErrNotCommitted{Cause: err}
+		case <-time.After(changePause):
+		}
+	}
+}
+
+// changePause lies between two tries of a change while no leader is known.
+const changePause = 50 * time.Millisecond
+
+func (s *Steward) try(ctx context.Context, change *wirepb.TableChange) error {
+	if s.holds(change.GetVersion()) {
+		return nil
+	}
+	address, self := s.shared.Leader()
+	switch {
+	case self:
+		return s.commit(ctx, change)
+	case address == "":
+		return quorum.ErrNoQuorum{Reason: "no leader is known"}
+	}
+	frame := &wirepb.Frame{Body: &wirepb.Frame_TableChange{TableChange: change}}
+	reply, err := s.pool.Call(ctx, address, frame, changeTimeout)
+	if err != nil {
+		return err
+	}
+	if r := reply.GetTableChangeReply(); !r.GetCommitted() {
+		return errReply{r.GetError()}
+	}
+	return nil
+}
+
+// holds tells whether a committed table has a version or a higher one.
+func (s *Steward) holds(version uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version >= version
+}
+
+func (s *Steward) commit(ctx context.Context, change *wirepb.TableChange) error {
+	data, err := proto.Marshal(change)
+	if err != nil {
+		return err
+	}
+	_, err = s.shared.Propose(ctx, data)
+	return err
+}
+
+// changeFor commits a change that another steward passed on.
+func (s *Steward) changeFor(ctx context.Context, change *wirepb.TableChange) *wirepb.Frame {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	reply := &wirepb.TableChangeReply{}
+	if _, self := s.shared.Leader(); !self {
+		reply.Error = "this steward does not lead"
+	} else if err := s.commit(ctx, change); err != nil {
+		reply.Error = err.Error()
+	} else {
+		reply.Committed = true
+	}
+	return &wirepb.Frame{Body: &wirepb.Frame_TableChangeReply{TableChangeReply: reply}}
+}
+
+// Read returns the newest committed table; it fails with quorum.ErrNoQuorum, quorum.ErrStopped or ErrNoTable.
+func (s *Steward) Read(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if _, err := s.shared.ReadBarrier(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == 0 {
+		return nil, ErrNoTable{}
+	}
+	return s.raw, nil
+}
+
+// Ready tells whether this steward knows a leader, for health checks.
+func (s *Steward) Ready() int {
+	if address, _ := s.shared.Leader(); address == "" {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
--- /dev/null
+++ b/steward/subscribe.go
@@ -0,0 +1,110 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
+	"burdocksaddle/worker"
+)
+
+const (
+	// heartbeat is the longest silence on a gateway's stream.
+	heartbeat = 500 * time.Millisecond
+	// gather lets changes that come close together go out as one.
+	gather = 5 * time.Millisecond
+	// sendTimeout is when a gateway that does not read is given up.
+	sendTimeout = 2 * time.Second
+	// provenFor is how old a proof of the quorum may be for a table to be taken as current.
+	provenFor = time.Second
+)
+
+// subscribe serves one gateway's stream until either side ends it.
+func (s *Steward) subscribe(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.log.Info("gateway connected", "gateway", node.GetNode(), "version", node.GetVersion())
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		defer cancel()
+		s.readDemand(node.GetNode(), stream)
+	}()
+	s.show(ctx, node.GetVersion(), stream)
+	stream.Close()
+	cancel()
+	<-read
+	s.log.Info("gateway left", "gateway", node.GetNode())
+}
+
+func (s *Steward) readDemand(node string, stream *wire.Stream) {
+	for {
+		frame, err := stream.Receive(0)
+		if err != nil {
+			return // the gateway closed its stream or is gone
+		}
+		if d := frame.GetDemandReport(); d != nil {
+			s.mu.Lock()
+			s.demands[node] = demandReport{at: time.Now(), models: d.GetModels()}
+			s.mu.Unlock()
+		}
+	}
+}
+
+func (s *Steward) show(ctx context.Context, version uint64, stream *wire.Stream) {
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for {
+		snapshot, changed := s.snapshotSince(version)
+		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
+		if err := stream.Send(frame, sendTimeout); err != nil {
+			return // the gateway comes back by itself
+		}
+		version = max(version, snapshot.GetVersion())
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+		case <-changed:
+			time.Sleep(gather)
+		}
+	}
+}
+
+func (s *Steward) snapshotSince(version uint64) (*wirepb.Snapshot, <-chan struct{}) {
+	proven := s.shared.Vouch() < provenFor
+	var stewards []string
+	for _, m := range s.shared.Members() {
+		stewards = append(stewards, m.Address)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snapshot := &wirepb.Snapshot{Version: s.version, Stewards: stewards, Leads: s.leads, Proven: proven}
+	if s.version > version {
+		snapshot.Table = s.raw
+	}
+	if s.leads {
+		snapshot.HasWorkers = true
+		for _, w := range s.workers {
+			snapshot.Workers = append(snapshot.Workers, stateToWire(w))
+		}
+	}
+	return snapshot, s.changed
+}
+
+func stateToWire(w worker.State) *wirepb.WorkerState {
+	out := &wirepb.WorkerState{
+		Id: w.ID, BornMs: w.Born, Service: w.Service, Address: w.Address, DataCentre: w.DataCentre, Slots: uint32(w.Slots),
+		Draining: w.Draining, Loading: w.Loading, LoadingLeftMs: uint32(w.LoadingLeft.Milliseconds()),
+		RemainingMs: uint32(w.Remaining.Milliseconds()),
+	}
+	for _, m := range w.Models {
+		out.Models = append(out.Models, &wirepb.HeldModel{Name: m.Name, Adapters: m.Adapters})
+	}
+	if w.Load != nil {
+		out.Reported, out.Running, out.Waiting = true, uint32(w.Load.Running), uint32(w.Load.Waiting)
+		out.KvUsed, out.KvTotal = uint64(w.Load.KVUsed), uint64(w.Load.KVTotal)
+	}
+	return out
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -29,6 +29,10 @@
 	Peer     func(context.Context, *wirepb.PeerMessage, *Stream)
 	Members  func(context.Context) *wirepb.Frame
 	Force    func(context.Context, *wirepb.ForceQuery) *wirepb.Frame
+
+	Subscribe   func(context.Context, *wirepb.Subscribe, *Stream)
+	TableChange func(context.Context, *wirepb.TableChange) *wirepb.Frame
+	Adapter     func(context.Context, *wirepb.AdapterCall) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends; the channel gives the reason, once.
@@ -107,6 +111,10 @@
 		if handlers.Watch != nil {
 			handlers.Watch(ctx, body.Watch, stream)
 		}
+	case *wirepb.Frame_Subscribe:
+		if handlers.Subscribe != nil {
+			handlers.Subscribe(ctx, body.Subscribe, stream)
+		}
 	case *wirepb.Frame_PeerMessage:
 		if handlers.Peer != nil {
 			handlers.Peer(ctx, body.PeerMessage, stream)
@@ -137,6 +145,10 @@
 		}
 	case *wirepb.Frame_ForceQuery:
 		return call(ctx, handlers.Force, body.ForceQuery)
+	case *wirepb.Frame_TableChange:
+		return call(ctx, handlers.TableChange, body.TableChange)
+	case *wirepb.Frame_AdapterCall:
+		return call(ctx, handlers.Adapter, body.AdapterCall)
 	case *wirepb.Frame_Ping:
 		return &wirepb.Frame{Body: &wirepb.Frame_Pong{Pong: &wirepb.Pong{}}}
 	}
--- /dev/null
+++ b/worker/worker.go
@@ -0,0 +1,87 @@
+package worker
+
+import (
+	"slices"
+	"time"
+)
+
+// Model is a model that a worker holds, with its loaded adapters.
+type Model struct {
+	Name     string
+	Version  int
+	Adapters []string
+}
+
+// State is one worker as last seen.
+type State struct {
+	// ID names one start of a worker, mostly; Born tells two starts under one ID apart.
+	ID         string
+	Born       int64
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
+	// Remaining is the time until the worker is taken away; 0 if unknown.
+	Remaining time.Duration
+	Models    []Model
+	// Load is what the worker reported of itself; nil before its first report.
+	Load *Load
+	// Loading is the model that is being loaded, with the time that is left.
+	Loading     string
+	LoadingLeft time.Duration
+}
+
+// Load is a worker's report of its work and orders.
+type Load struct {
+	Running int
+	Waiting int
+	KVUsed  int
+	KVTotal int
+	// Busy tells that an order is being carried out.
+	Busy bool
+	// Sequence counts the orders that the worker has accepted.
+	Sequence int
+	// Pending are adapters on their way, as model and name.
+	Pending []Adapter
+	// InMemory and OnDisk are models whose weights the worker's machine keeps copies of.
+	InMemory []string
+	OnDisk   []string
+}
+
+// Adapter names an adapter of a model.
+type Adapter struct {
+	Model string
+	Name  string
+}
+
+// Holds tells whether a worker holds a model.
+func (s State) Holds(model string) bool {
+	_, ok := s.Model(model)
+	return ok
+}
+
+// Model returns what a worker holds of a model.
+func (s State) Model(name string) (Model, bool) {
+	for _, m := range s.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// HoldsAdapter tells whether a worker holds an adapter.
+func (s State) HoldsAdapter(a Adapter) bool {
+	m, ok := s.Model(a.Model)
+	return ok && slices.Contains(m.Adapters, a.Name)
+}
+
+// Report is a worker's own report: its load, what it holds, and whether it leaves.
+type Report struct {
+	Born      int64
+	Draining  bool
+	Remaining time.Duration
+	Models    []Model
+	Load      Load
+}
