--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,9 @@
 
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
+	// leaving ends when requests that have no worker yet shall go elsewhere, stopping when no answer is waited for any more.
+	leaving, stopping         context.Context
+	turnAwayNow, endAnswering context.CancelFunc
 
 	mu      sync.Mutex
 	router  *routing.Router
@@ -91,6 +94,8 @@
 		changed: make(chan struct{}), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, links: map[string]*link{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
+	g.leaving, g.turnAwayNow = context.WithCancel(context.Background())
+	g.stopping, g.endAnswering = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(g)
 	}
@@ -107,12 +112,25 @@
 	return http.StatusOK
 }
 
+// Follow sets the stewards' addresses by the settings, which may change while the process runs.
+func (g *Gateway) Follow(stewards []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.config.Stewards = stewards
+}
+
 // Drain makes the gateway say that it takes no new connections; requests are still served.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
 	g.log.Info("draining", "active", g.Active())
 }
 
+// TurnAway refuses the requests that wait for a worker, and all that come later: another gateway serves them sooner.
+func (g *Gateway) TurnAway() { g.turnAwayNow() }
+
+// EndAnswers gives every request that is still under way its final answer.
+func (g *Gateway) EndAnswers() { g.endAnswering() }
+
 // Draining tells whether the gateway is about to stop.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -30,6 +30,8 @@
 	plainLeast  = 250 * time.Millisecond
 	// comeBack is when a client had better come back to a gateway that knows no table yet.
 	comeBack = 500 * time.Millisecond
+	// elsewhere is when a client had better try another gateway.
+	elsewhere = 50 * time.Millisecond
 	// lowestUrgency is the last of the ranks that workers know.
 	lowestUrgency = 9
 )
@@ -80,6 +82,7 @@
 	t.deadline = t.began.Add(patience - min(answerMargin, patience/10))
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.stopping, cancel)()
 	t.enter()
 	defer t.leave()
 	t.run(ctx)
@@ -166,7 +169,7 @@
 	case <-time.After(retryPause):
 		return true
 	case <-ctx.Done():
-		t.giveUp(ctx, "no worker in time")
+		t.giveUp(ctx, "no worker in time", comeBack)
 		return false
 	}
 }
@@ -179,7 +182,7 @@
 		chosen, held, ok := t.chooseLocked(t.request, t.service, t.avoid, now)
 		if ok && t.owes && !t.budgets[t.service].Retry() {
 			t.mu.Unlock()
-			t.giveUp(ctx, "the retry budget is used up")
+			t.giveUp(ctx, "the retry budget is used up", comeBack)
 			return choice{}, false
 		}
 		if ok {
@@ -196,14 +199,17 @@
 		}
 		t.mu.Unlock()
 		if wait > time.Until(t.deadline) {
-			t.refuse(wait, "its model cannot be loaded in time")
+			t.giveUp(ctx, "its model cannot be loaded in time", wait)
 			return choice{}, false
 		}
 		select {
+		case <-t.leaving.Done():
+			t.giveUp(ctx, "this gateway is about to stop", elsewhere)
+			return choice{}, false
 		case <-changed:
 		case <-time.After(retryPause):
 		case <-ctx.Done():
-			t.giveUp(ctx, "no worker in time")
+			t.giveUp(ctx, "no worker in time", comeBack)
 			return choice{}, false
 		}
 	}
@@ -346,7 +352,7 @@
 		t.outcome = "client left"
 		return true
 	}
-	if time.Now().Before(t.deadline) && (IsErrNotSent(err) || t.mayRepeat()) {
+	if ctx.Err() == nil && time.Now().Before(t.deadline) && (IsErrNotSent(err) || t.mayRepeat()) {
 		return false
 	}
 	t.end()
@@ -358,8 +364,8 @@
 	return t.request.Wire.Context().Err() != nil
 }
 
-// giveUp ends a request that found no worker.
-func (t *try) giveUp(ctx context.Context, reason string) {
+// giveUp ends a request that found no worker; after is when the client had better come back if it has not run.
+func (t *try) giveUp(ctx context.Context, reason string, after time.Duration) {
 	if t.clientLeft(ctx) {
 		t.outcome = "client left"
 		return
@@ -368,7 +374,7 @@
 		t.end()
 		return
 	}
-	t.refuse(comeBack, reason)
+	t.refuse(after, reason)
 }
 
 // refuse says that the request has not run and when to come back.
--- /dev/null
+++ b/gateway/serve_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestAnswers plays what workers do to one request and checks what its client gets.
+func TestAnswers(t *testing.T) {
+	type step func() (*Answer, error)
+	stream := func(count int, end error) step { return func() (*Answer, error) { return events(count, end), nil } }
+	plain := func(status int) step { return func() (*Answer, error) { return whole(status), nil } }
+	refused := func() (*Answer, error) { return notRun(), nil }
+	unsent := func() (*Answer, error) { return nil, ErrNotSent{Worker: "w1", Cause: io.EOF} }
+	crash := func() (*Answer, error) { return nil, errCrash }
+	tests := map[string]struct {
+		path, model string
+		steps       []step
+		want        got
+		sends       int
+	}{
+		"a stream is passed on":                      {"/live/a", bedModel, []step{stream(3, io.EOF)}, got{Status: 200, Begun: true, Events: 3}, 1},
+		"a crash before the first event is repeated": {"/live/a", bedModel, []step{crash, stream(3, io.EOF)}, got{Status: 200, Begun: true, Events: 3}, 2},
+		"a cut stream goes on elsewhere":             {"/live/a", bedModel, []step{stream(2, errCrash), stream(1, io.EOF)}, got{Status: 200, Begun: true, Events: 3}, 2},
+		"two runs are the most":                      {"/live/a", bedModel, []step{stream(2, errCrash), stream(1, errCrash)}, got{Status: 200, Begun: true, Events: 3, Cut: true}, 2},
+		"a stream that may not go on is cut":         {"/draft/a", bedModel, []step{stream(2, errCrash)}, got{Status: 200, Begun: true, Events: 2, Cut: true}, 1},
+		"a failure on the way on cuts the stream":    {"/live/a", bedModel, []step{stream(2, errCrash), plain(500)}, got{Status: 200, Begun: true, Events: 2, Cut: true}, 2},
+		"a full worker is passed over":               {"/draft/a", bedModel, []step{refused, stream(1, io.EOF)}, got{Status: 200, Begun: true, Events: 1}, 2},
+		"a booking runs once":                        {"/book/a", "", []step{crash}, got{Status: 502, Refused: true}, 1},
+		"a booking that never left goes on":          {"/book/a", "", []step{unsent, plain(200)}, got{Status: 200}, 2},
+		"a booking that was refused goes on":         {"/book/a", "", []step{refused, plain(200)}, got{Status: 200}, 2},
+		"a booking's failure is passed on":           {"/book/a", "", []step{plain(500)}, got{Status: 500}, 1},
+		"a read's failure is tried once more":        {"/read/a", "", []step{plain(500), plain(200)}, got{Status: 200}, 2},
+		"a read's second failure is passed on":       {"/read/a", "", []step{plain(500), plain(500)}, got{Status: 500}, 2},
+		"a success without a signature isn't passed on": {"/book/a", "", []step{func() (*Answer, error) {
+			return &Answer{Status: 200, Close: func() {}}, nil
+		}}, got{Status: 502, Refused: true}, 1},
+		"no route": {"/none/a", "", nil, got{Status: 404, Refused: true}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				steps := test.steps
+				b := newBed(t, func(context.Context, Call) (*Answer, error) {
+					if len(steps) == 0 {
+						t.Error("one sending too many")
+						return nil, errCrash
+					}
+					next := steps[0]
+					steps = steps[1:]
+					return next()
+				}, engineWorker("w1", bedModel), engineWorker("w2", bedModel), deskWorker("d1"), deskWorker("d2"))
+				seen := b.ask(t.Context(), test.path, test.model, 0)
+				seen.Took, seen.After = 0, 0
+				if diff := cmp.Diff(test.want, seen); diff != "" {
+					t.Error(diff)
+				}
+				if len(b.calls) != test.sends {
+					t.Errorf("%d sendings, want %d", len(b.calls), test.sends)
+				}
+				if b.Active() != 0 || len(b.demands) > 0 && b.demands[bedModel].running+b.demands[bedModel].waiting != 0 {
+					t.Errorf("active %d, demand %+v", b.Active(), b.demands[bedModel])
+				}
+			})
+		})
+	}
+}
+
+// TestBegunStreamIsNeverRefused loses the only worker of a model in the middle of a stream: a refusal would be bytes after
+// the events that look like the stream's whole end.
+func TestBegunStreamIsNeverRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b *bed
+		b = newBed(t, func(context.Context, Call) (*Answer, error) {
+			answer := events(2, errCrash)
+			next := answer.Next
+			answer.Next = func() ([]byte, string, error) {
+				event, id, err := next()
+				if err != nil {
+					b.show() // the worker is gone, and its model needs 6 s elsewhere
+				}
+				return event, id, err
+			}
+			return answer, nil
+		}, engineWorker("w1", bedModel))
+		seen := b.ask(t.Context(), "/live/a", bedModel, 4*time.Second)
+		seen.Took = 0
+		if diff := cmp.Diff(got{Status: http.StatusOK, Begun: true, Events: 2, Cut: true}, seen); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// TestHopelessIsRefusedAtOnce asks for a model that takes 6 s to load with 4 s to go.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, nil, engineWorker("w1"))
+		seen := b.ask(t.Context(), "/live/a", bedModel, 4*time.Second)
+		if !seen.Refused || seen.Status != http.StatusServiceUnavailable || seen.Took > 0 || seen.After <= 0 {
+			t.Errorf("%+v", seen)
+		}
+	})
+}
+
+// TestStoppingAnswersAll stops a gateway while one request waits for a worker and another for its answer.
+func TestStoppingAnswersAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, func(ctx context.Context, _ Call) (*Answer, error) {
+			<-ctx.Done()
+			return nil, errCrash
+		}, engineWorker("w1"), deskWorker("d1"))
+		waits, runs := make(chan got), make(chan got)
+		go func() { waits <- b.ask(t.Context(), "/live/a", bedModel, 0) }()
+		go func() { runs <- b.ask(t.Context(), "/book/a", "", 0) }()
+		synctest.Wait()
+		b.TurnAway()
+		if seen := <-waits; seen.Status != http.StatusServiceUnavailable || seen.After <= 0 || seen.Took > 0 {
+			t.Errorf("waiting: %+v", seen)
+		}
+		b.EndAnswers()
+		if seen := <-runs; seen.Status != http.StatusBadGateway || seen.Took > 0 {
+			t.Errorf("running: %+v", seen)
+		}
+	})
+}
--- a/quorum/join.go
+++ b/quorum/join.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// SetPeers replaces the peers of the settings, where a member without a place looks for its group.
+func (l *Log) SetPeers(peers []Peer) { l.settings.Store(&peers) }
+
 // first tells whether this member is the one that starts the group.
 func (l *Log) first() bool {
 	return !l.config.Rejoin && (len(l.config.Bootstrap) == 0 || l.config.Bootstrap[0].Name == l.config.Name)
@@ -61,7 +64,7 @@
 func (l *Log) others(status consensus.Status) []Peer {
 	var others []Peer
 	seen := map[string]bool{l.config.Address: true}
-	for _, p := range l.config.Bootstrap {
+	for _, p := range *l.settings.Load() {
 		if p.Name != l.config.Name && !seen[p.Address] {
 			seen[p.Address] = true
 			others = append(others, p)
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -55,6 +55,9 @@
 	applies   chan work
 	taken     chan taken
 
+	// settings are the peers that the settings name, which may change.
+	settings atomic.Pointer[[]Peer]
+
 	view    atomic.Pointer[view]
 	applied atomic.Uint64
 	// stopped closes when the role ends; cause is set before.
@@ -83,6 +86,7 @@
 		l.pool = wire.NewPool()
 	}
 	l.peers = newPeers(l)
+	l.SetPeers(config.Bootstrap)
 	state, err := l.openStorage()
 	if err != nil {
 		return nil, err
--- a/steward/error.go
+++ b/steward/error.go
@@ -9,7 +9,9 @@
 type ErrNotCommitted struct{ Cause error }
 
 // Error implements error.
-func (e ErrNotCommitted) Error() string { return fmt.Sprintf("the change is not known to be committed: %v", e.Cause) }
+func (e ErrNotCommitted) Error() string {
+	return fmt.Sprintf("the change is not known to be committed: %v", e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e ErrNotCommitted) Unwrap() error { return e.Cause }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -104,13 +104,9 @@
 	for _, option := range options {
 		option(s)
 	}
-	var peers []quorum.Peer
-	for _, address := range config.Peers {
-		peers = append(peers, quorum.Peer{Name: address, Address: address})
-	}
 	var err error
 	s.shared, err = quorum.Open(quorum.Config{
-		DataFolder: config.DataFolder, Name: config.Address, Address: config.Address, Bootstrap: peers,
+		DataFolder: config.DataFolder, Name: config.Address, Address: config.Address, Bootstrap: peersOf(config.Peers),
 		Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
 		quorum.WithPool(pool), quorum.WithLog(s.log))
@@ -120,6 +116,17 @@
 // replaceAfter is how long a voter may be silent before a machine that was added takes its place.
 const replaceAfter = 3 * time.Second
 
+// Follow sets the stewards' addresses by the settings, where one that has lost its group looks for it.
+func (s *Steward) Follow(stewards []string) { s.shared.SetPeers(peersOf(stewards)) }
+
+func peersOf(addresses []string) []quorum.Peer {
+	var peers []quorum.Peer
+	for _, address := range addresses {
+		peers = append(peers, quorum.Peer{Name: address, Address: address})
+	}
+	return peers
+}
+
 // Run carries the duties out until the context ends; the channel gives the end.
 func (s *Steward) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
