--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 	"burdocksaddle/wirepb"
@@ -50,12 +54,27 @@
 	if e, found := g.router.Choose(query, having, now); found {
 		return choice{endpoint: e, state: g.workers[e.Name], query: query}, held, true
 	}
-	if e, found := g.router.Choose(query, others, now); found {
+	if e, found := g.adapterHomeLocked(query, others, now); found {
 		return choice{endpoint: e, state: g.workers[e.Name], query: query, bring: true}, held, true
 	}
 	return choice{}, held, false
 }
 
+// adapterHomeLocked picks the worker that an adapter is brought to: the same one for all gateways as long as it is free, so
+// that workers don't drop adapters for each other's sake.
+func (g *Gateway) adapterHomeLocked(query routing.Request, others []routing.Endpoint, now time.Time) (routing.Endpoint, bool) {
+	slices.SortFunc(others, func(a, b routing.Endpoint) int {
+		return cmp.Compare(xxhash.Sum64String(query.Adapter+a.Name), xxhash.Sum64String(query.Adapter+b.Name))
+	})
+	for len(others) > 0 {
+		if e, ok := g.router.Choose(query, others[:1], now); ok {
+			return e, true
+		}
+		others = others[1:]
+	}
+	return routing.Endpoint{}, false
+}
+
 // bringAdapter asks the leader to have an adapter loaded and waits until it should be there.
 func (g *Gateway) bringAdapter(ctx context.Context, id string, q *Request) bool {
 	g.mu.Lock()
@@ -109,18 +128,15 @@
 	return err.Error()
 }
 
-// loadTime returns how long until a model is at some worker, by what is shown of loads under way.
+// loadTimeLocked returns how long until a model that no worker holds can serve, by the leader's word or else from the store.
 func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
-	expected := time.Duration(0)
+	if expected, ok := g.expected[model]; ok {
+		return max(0, expected-time.Since(g.shown))
+	}
 	if s, ok := table.Service(service); ok && s.Engine != nil {
 		if m, known := s.Engine.Model(model); known {
-			expected = m.FromStore
-		}
-	}
-	for _, w := range g.workers {
-		if w.Service == service && w.Loading == model {
-			expected = min(expected, w.LoadingLeft)
+			return m.FromStore
 		}
 	}
-	return expected
+	return 0
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,8 +45,12 @@
 	router  *routing.Router
 	workers map[string]worker.State
 	// absent are models that a worker said it doesn't hold, until the time given.
-	absent  map[place]time.Time
-	shown   time.Time
+	absent map[place]time.Time
+	shown  time.Time
+	// expected is how long until a model that no worker holds can serve, as of shown.
+	expected map[string]time.Duration
+	// urgent asks for the leader to hear of new demand at once.
+	urgent  chan struct{}
 	changed chan struct{}
 	budgets map[string]*routing.Budget
 	demands map[string]*demand
@@ -91,7 +95,7 @@
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
 		config: config, log: logr.Discard(), pool: pool, workers: map[string]worker.State{}, absent: map[place]time.Time{},
-		changed: make(chan struct{}), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, links: map[string]*link{},
+		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, links: map[string]*link{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
 	g.leaving, g.turnAwayNow = context.WithCancel(context.Background())
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -54,6 +54,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-g.urgent:
+			g.tellDemand()
 		case now := <-ticker.C:
 			g.follow(ctx, &running)
 			if now.After(nextDemand) {
@@ -248,7 +250,10 @@
 	for _, w := range s.GetWorkers() {
 		workers = append(workers, stateFromWire(w))
 	}
-	g.shown = now
+	g.shown, g.expected = now, make(map[string]time.Duration, len(s.GetAbsent()))
+	for _, a := range s.GetAbsent() {
+		g.expected[a.GetName()] = time.Duration(a.GetExpectedMs()) * time.Millisecond
+	}
 	g.takeWorkersLocked(workers, now)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,8 +54,10 @@
 	avoid     []string
 	lastEvent string
 	begun     bool
-	events    int
-	outcome   string
+	// hurried tells that the leader was told of a model that no worker holds.
+	hurried bool
+	events  int
+	outcome string
 }
 
 // Serve answers one request; it returns when the answer is out or the client has left.
@@ -196,6 +198,7 @@
 		wait := time.Duration(0)
 		if !held && t.request.Model != "" {
 			wait = t.loadTimeLocked(t.table, t.service, t.request.Model)
+			t.hurryLocked()
 		}
 		t.mu.Unlock()
 		if wait > time.Until(t.deadline) {
@@ -215,6 +218,18 @@
 	}
 }
 
+// hurryLocked tells the leader at once of a model that no worker holds.
+func (t *try) hurryLocked() {
+	if t.hurried {
+		return
+	}
+	t.hurried = true
+	select {
+	case t.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // release gives a chosen worker back; fault is what it did wrong, nil for nothing.
 func (t *try) release(c choice, fault error) {
 	t.mu.Lock()
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -33,6 +33,11 @@
 	OutcomeRefused
 )
 
+// String returns the name of an outcome.
+func (o Outcome) String() string {
+	return [...]string{"Unknown", "Accepted", "Holds", "Conflict", "Fenced", "Refused"}[o]
+}
+
 // Source is where a model's weights are loaded from.
 type Source int
 
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -72,36 +72,35 @@
 	return orders
 }
 
-// pressure is a model's concurrent requests for each of its replicas.
-func (p *Planner) pressure(model string, replicas int, now time.Time) float64 {
-	value := p.levels[model].now(now)
-	if replicas <= 0 {
-		return value * 100
-	}
-	return value / float64(replicas)
+// need is a model that wants one more replica.
+type need struct {
+	model route.Model
+	// replicas is how many it has, those that are being loaded included; pressure is its requests for each.
+	replicas int
+	pressure float64
 }
 
-// next returns the order that relieves the model with the most requests for each replica.
+// next returns the order that relieves the model with the most requests for each replica; models without any go first.
 func (p *Planner) next(f *fleet) (Order, bool) {
-	type need struct {
-		model    route.Model
-		pressure float64
-	}
 	var needs []need
 	for _, name := range sortedKeys(p.levels) {
 		m, ok := f.engine.Model(name)
 		if !ok {
 			continue
 		}
-		n := f.replicas[name]
-		pressure := p.pressure(name, n, f.now)
-		if n == 0 && pressure > 0 || n > 0 && n < len(f.workers) && pressure > replicaLoad {
-			needs = append(needs, need{m, pressure})
+		l, n := p.levels[name], f.replicas[name]
+		switch value := l.now(f.now); {
+		case n == 0 && l.waiting > 0:
+			needs = append(needs, need{model: m, pressure: value})
+		case n > 0 && n < len(f.workers) && value > replicaLoad*float64(n):
+			needs = append(needs, need{m, n, value / float64(n)})
 		}
 	}
-	slices.SortStableFunc(needs, func(a, b need) int { return cmp.Compare(b.pressure, a.pressure) })
+	slices.SortStableFunc(needs, func(a, b need) int {
+		return cmp.Or(cmp.Compare(min(a.replicas, 1), min(b.replicas, 1)), cmp.Compare(b.pressure, a.pressure))
+	})
 	for _, n := range needs {
-		if o, ok := p.place(f, n.model, n.pressure); ok {
+		if o, ok := p.place(f, n); ok {
 			return o, true
 		}
 	}
@@ -109,23 +108,25 @@
 }
 
 // place finds the worker that can have a model soonest at the least loss.
-func (p *Planner) place(f *fleet, m route.Model, pressure float64) (Order, bool) {
+func (p *Planner) place(f *fleet, n need) (Order, bool) {
 	var best *tracked
 	var bestEvict []string
 	bestCost := 0.0
+	copied := f.copied(n.model.Name)
 	for _, t := range f.workers {
-		if t.busy(f.now) || t.state.Holds(m.Name) {
+		if t.busy(f.now) || t.state.Holds(n.model.Name) {
 			continue
 		}
-		source := t.sourceOf(m.Name)
-		if source == SourceStore && f.store >= storeSlots {
+		source := t.sourceOf(n.model.Name)
+		if source == SourceStore && !f.storeFor(n, copied) {
 			continue
 		}
-		evict, lost, ok := p.evictions(f, t, m, pressure)
+		evict, lost, ok := p.evictions(f, t, n)
 		if !ok {
 			continue
 		}
-		cost := loadTime(m, source).Seconds() + lost + float64(t.state.Load.Running+t.state.Load.Waiting)/float64(max(t.state.Slots, 1))
+		load := float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
+		cost := loadTime(n.model, source).Seconds() + lost + load
 		if best == nil || cost < bestCost {
 			best, bestEvict, bestCost = t, evict, cost
 		}
@@ -133,66 +134,130 @@
 	if best == nil {
 		return Order{}, false
 	}
-	best.quiet = f.now.Add(orderTimeout)
-	best.ordered = f.now
-	if len(bestEvict) > 0 {
-		best.leaving = bestEvict[0]
-		f.replicas[bestEvict[0]]--
-		// The room is for this model: nothing else is planned for it in this round.
-		f.replicas[m.Name]++
-		return Order{
-			Worker: best.state.ID, Model: bestEvict[0], Unload: true, Sequence: best.sequence,
-			Reason: fmt.Sprintf("room for %s with %.1f requests a replica", m.Name, pressure),
-		}, true
-	}
-	source := best.sourceOf(m.Name)
-	best.loading, best.source, best.until = m.Name, source, f.now.Add(loadTime(m, source))
-	f.replicas[m.Name]++
+	return p.orderFor(f, best, n, bestEvict), true
+}
+
+// copied tells whether a worker without the model has a copy of its weights at hand.
+func (f *fleet) copied(model string) bool {
+	return slices.ContainsFunc(f.workers, func(t *tracked) bool {
+		return !t.state.Holds(model) && t.sourceOf(model) != SourceStore
+	})
+}
+
+// storeFor tells whether a load from the store may begin for a need. A first replica waits for a worker with a copy, which is
+// there in a fraction of the time; further ones leave the store's last place to models that no worker has a copy of.
+func (f *fleet) storeFor(n need, copied bool) bool {
+	if n.replicas == 0 {
+		return !copied && f.store < storeSlots
+	}
+	return f.store < storeSlots-1
+}
+
+func (p *Planner) orderFor(f *fleet, t *tracked, n need, evict []string) Order {
+	t.ordered, t.asked = f.now, true
+	f.replicas[n.model.Name]++
+	order := Order{Worker: t.state.ID, Sequence: t.sequence}
+	if len(evict) > 0 {
+		t.leaving = evict[0]
+		f.replicas[t.leaving]--
+		order.Model, order.Unload = t.leaving, true
+		order.Reason = fmt.Sprintf("room for %s: %d replicas, %.1f requests each", n.model.Name, n.replicas, n.pressure)
+		return order
+	}
+	source := t.sourceOf(n.model.Name)
+	t.loading, t.source, t.until = n.model.Name, source, f.now.Add(loadTime(n.model, source))
 	if source == SourceStore {
 		f.store++
 	}
-	return Order{
-		Worker: best.state.ID, Model: m.Name, Sequence: best.sequence, Source: source,
-		Reason: fmt.Sprintf("%.1f requests a replica", pressure),
-	}, true
+	order.Model, order.Source = n.model.Name, source
+	order.Reason = fmt.Sprintf("%d replicas, %.1f requests each", n.replicas, n.pressure)
+	return order
 }
 
 // evictions returns what must leave a worker for a model, the least needed first, and what is lost by it.
-func (p *Planner) evictions(f *fleet, t *tracked, m route.Model, pressure float64) (evict []string, lost float64, ok bool) {
+func (p *Planner) evictions(f *fleet, t *tracked, n need) (evict []string, lost float64, ok bool) {
 	free := f.engine.MemoryMB - t.used(f.engine)
-	held := slices.Clone(t.state.Models)
-	slices.SortStableFunc(held, func(a, b worker.Model) int {
-		return cmp.Compare(p.loss(f, a.Name), p.loss(f, b.Name))
-	})
-	for _, victim := range held {
-		if free >= m.WeightsMB {
+	type victim struct {
+		model worker.Model
+		loss  float64
+	}
+	var victims []victim
+	for _, m := range t.state.Models {
+		if loss, allowed := p.loss(f, m.Name, n); allowed {
+			victims = append(victims, victim{m, loss})
+		}
+	}
+	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	for _, v := range victims {
+		if free >= n.model.WeightsMB {
 			break
 		}
-		after := p.pressure(victim.Name, f.replicas[victim.Name]-1, f.now)
-		if pressure < after*gain || pressure <= 0 {
-			return nil, 0, false
+		evict = append(evict, v.model.Name)
+		lost += v.loss
+		if m, known := f.engine.Model(v.model.Name); known {
+			free += m.WeightsMB
+		}
+		free += float64(len(v.model.Adapters)) * adapterMB(f.engine, v.model.Name)
+	}
+	return evict, lost, free >= n.model.WeightsMB
+}
+
+// loss weighs what one replica less of a model costs: little while those that stay serve its requests well, more for the last
+// one of a model that is asked for now and then; false where it must stay.
+func (p *Planner) loss(f *fleet, model string, n need) (loss float64, allowed bool) {
+	l, after := p.levels[model], f.replicas[model]-1
+	value := l.now(f.now)
+	if after <= 0 {
+		return 1 + 10*l.rateNow(f.now), l.idle(f.now)
+	}
+	each := value / float64(after)
+	if n.replicas == 0 {
+		return max(0, each-replicaLoad) + each/100, each <= 2*replicaLoad
+	}
+	return each / 10, each*gain <= n.pressure
+}
+
+// Expect returns how long until a model that no worker holds can serve, by the copies of its weights.
+func (p *Planner) Expect(service, model string, now time.Time) (time.Duration, bool) {
+	engine := p.engines[service]
+	if engine == nil {
+		return 0, false
+	}
+	m, ok := engine.Model(model)
+	if !ok {
+		return 0, false
+	}
+	expected := m.FromStore
+	for _, t := range p.workers {
+		if t.state.Service != service || t.state.Draining || now.Sub(t.reported) > reportMost {
+			continue
 		}
-		evict = append(evict, victim.Name)
-		lost += p.loss(f, victim.Name)
-		if v, known := f.engine.Model(victim.Name); known {
-			free += v.WeightsMB
+		if t.loading == model {
+			expected = min(expected, max(0, t.until.Sub(now)))
+		} else {
+			expected = min(expected, loadTime(m, t.sourceOf(model)))
 		}
-		free += float64(len(victim.Adapters)) * adapterMB(f.engine, victim.Name)
 	}
-	return evict, lost, free >= m.WeightsMB
+	return expected + planLag, true
 }
 
-// loss weighs how much a replica's going hurts: by the requests for those that stay, and most if none stays.
-func (p *Planner) loss(f *fleet, model string) float64 {
-	n := f.replicas[model]
-	loss := p.pressure(model, n-1, f.now)
-	if n <= 1 {
-		loss++ // the only one of an idle model goes after surplus ones
-		if l := p.levels[model]; l != nil {
-			loss += 1 / (1 + f.now.Sub(l.used).Seconds())
+// Wanted returns the models that are asked for or were lately, and that no worker holds.
+func (p *Planner) Wanted(now time.Time) map[string]time.Duration {
+	held := map[string]bool{}
+	for _, t := range p.workers {
+		for _, m := range t.state.Models {
+			held[m.Name] = held[m.Name] || m.Name != t.leaving
+		}
+	}
+	wanted := map[string]time.Duration{}
+	for service, engine := range p.engines {
+		for _, m := range engine.Models {
+			if expected, ok := p.Expect(service, m.Name, now); ok && !held[m.Name] {
+				wanted[m.Name] = expected
+			}
 		}
 	}
-	return loss
+	return wanted
 }
 
 // used is the memory that is taken at a worker, what is being loaded included.
@@ -221,7 +286,7 @@
 
 // busy tells that no order can be given now: one is under way, or what the last one did is not known.
 func (t *tracked) busy(now time.Time) bool {
-	return t.state.Load == nil || t.state.Load.Busy || t.loading != "" || t.leaving != "" || now.Before(t.quiet)
+	return t.state.Load == nil || t.state.Load.Busy || t.loading != "" || t.leaving != "" || t.asked || t.unsure || now.Before(t.quiet)
 }
 
 func (t *tracked) sourceOf(model string) Source {
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -10,20 +10,28 @@
 )
 
 const (
-	// levelHalfLife is how fast a model's demand is forgotten; a busy model falls silent within about 5 s on the days of
-	// the sheets, and a load from the store takes 6 s.
+	// levelHalfLife is how fast a model's demand is forgotten; demand moves to other models within about 5 s.
 	levelHalfLife = 4 * time.Second
-	// replicaLoad is the number of concurrent requests that one more replica is worth a load for; a batch of 32 slows each
-	// token by about a tenth, and a worker serves two or three models.
-	replicaLoad = 5.0
+	// rateHalfLife is the memory of how often an idle model is asked for.
+	rateHalfLife = 10 * time.Second
+	// replicaLoad is the number of concurrent requests that one replica serves well: a batch of 32 slows each token by about
+	// a tenth, and a worker serves two or three models.
+	replicaLoad = 6.0
 	// gain is how much busier a model must be than the one it displaces, so that two models don't displace each other in turns.
 	gain = 1.5
-	// storeSlots is the number of loads from the store at a time that run at full speed, by the sheets.
+	// restFor is how long a model that nobody asks for any more stays where another one wants its only place.
+	restFor = time.Second
+	// storeSlots is the number of loads from the store at a time that run at full speed, by the sheets; one of them is kept
+	// for models that no worker has a copy of.
 	storeSlots = 4
 	// orderTimeout is when an order without a report of its effect is given again; reports lag by some 100 ms.
 	orderTimeout = 600 * time.Millisecond
+	// reportLag is how old a worker's report may be when it is read.
+	reportLag = 150 * time.Millisecond
 	// reportMost is the age at which a worker's report says nothing any more.
 	reportMost = 2 * time.Second
+	// planLag is the time from a first request to the order that its model needs, and from the load to what gateways see.
+	planLag = 300 * time.Millisecond
 )
 
 // Planner is the aggregate; one owner changes it.
@@ -40,11 +48,19 @@
 	// sequence is the count of accepted orders as known by reports and answers.
 	sequence int
 	// loading is the model that was ordered and is not yet reported as held.
-	loading  string
-	source   Source
-	until    time.Time
-	ordered  time.Time
-	leaving  string
+	loading string
+	source  Source
+	until   time.Time
+	ordered time.Time
+	leaving string
+	// asked tells that an order waits for its answer.
+	asked bool
+	// unsure tells that the sequence must be read again before the next order.
+	unsure bool
+	// dropping are adapters that are on their way out.
+	dropping map[worker.Adapter]time.Time
+	// brought is when an adapter was last ordered.
+	brought  map[worker.Adapter]time.Time
 	quiet    time.Time
 	adapters map[worker.Adapter]time.Time
 }
@@ -53,7 +69,9 @@
 type level struct {
 	service string
 	value   float64
+	rate    float64
 	waiting int
+	running int
 	at      time.Time
 	used    time.Time
 }
@@ -76,6 +94,12 @@
 // Engine tells whether a service's workers load models.
 func (p *Planner) Engine(service string) bool { return p.engines[service] != nil }
 
+func newTracked(w worker.State) *tracked {
+	return &tracked{
+		state: w, adapters: map[worker.Adapter]time.Time{}, dropping: map[worker.Adapter]time.Time{}, brought: map[worker.Adapter]time.Time{},
+	}
+}
+
 // List takes the platform's list; workers that are not on it are forgotten.
 func (p *Planner) List(listed []worker.State) {
 	known := make(map[string]bool, len(listed))
@@ -83,7 +107,7 @@
 		known[w.ID] = true
 		t, ok := p.workers[w.ID]
 		if !ok || t.state.Address != w.Address || w.Born != 0 && t.state.Born != 0 && w.Born > t.state.Born {
-			t = &tracked{state: w, adapters: map[worker.Adapter]time.Time{}}
+			t = newTracked(w)
 			p.workers[w.ID] = t
 			continue
 		}
@@ -100,6 +124,23 @@
 	}
 }
 
+// Prior takes the replicas that were there before any demand was seen for a sign of demand: the platform places busy models
+// on many workers.
+func (p *Planner) Prior(now time.Time) {
+	replicas, services := map[string]int{}, map[string]string{}
+	for _, t := range p.workers {
+		for _, m := range t.state.Models {
+			replicas[m.Name]++
+			services[m.Name] = t.state.Service
+		}
+	}
+	for model, n := range replicas {
+		if p.levels[model] == nil && n > 1 {
+			p.levels[model] = &level{service: services[model], value: float64(n) * replicaLoad / gain, at: now, used: now}
+		}
+	}
+}
+
 // Report takes a worker's own report.
 func (p *Planner) Report(id string, r worker.Report, now time.Time) {
 	t, ok := p.workers[id]
@@ -107,7 +148,7 @@
 		return
 	}
 	if r.Born != 0 && t.state.Born != 0 && r.Born != t.state.Born {
-		t.loading, t.leaving, t.sequence, t.adapters = "", "", 0, map[worker.Adapter]time.Time{}
+		*t = *newTracked(t.state)
 	}
 	if r.Born != 0 {
 		t.state.Born = r.Born
@@ -116,8 +157,9 @@
 	t.state.Load, t.state.Models, t.reported = &load, r.Models, now
 	t.state.Draining = t.state.Draining || r.Draining
 	// A report may be older than the answer to the last order.
-	if load.Sequence > t.sequence || now.Sub(t.ordered) > orderTimeout {
+	if load.Sequence > t.sequence || now.Sub(t.ordered) > orderTimeout || t.unsure && now.After(t.quiet) {
 		t.sequence = load.Sequence
+		t.unsure = t.unsure && !now.After(t.quiet)
 	}
 	settled := !load.Busy && now.Sub(t.ordered) > orderTimeout
 	if t.loading != "" && (t.state.Holds(t.loading) || settled) {
@@ -131,6 +173,11 @@
 			delete(t.adapters, a)
 		}
 	}
+	for a, at := range t.dropping {
+		if adapterState(t.state, a) != AdapterHeld || now.Sub(at) > orderTimeout {
+			delete(t.dropping, a)
+		}
+	}
 }
 
 // Demand takes what all gateways are asked for now; models that are not named have no requests.
@@ -143,20 +190,25 @@
 			l = &level{service: d.Service}
 			p.levels[d.Model] = l
 		}
-		l.value = max(l.now(now), float64(d.Running+d.Waiting))
-		l.at, l.waiting = now, d.Waiting
-		if d.Came > 0 || d.Running+d.Waiting > 0 {
-			l.used = now
-		}
+		l.take(d, now)
 	}
 	for model, l := range p.levels {
 		if !seen[model] {
-			l.waiting = 0
-			l.value, l.at = l.now(now), now
+			l.take(Demand{}, now)
 		}
 	}
 }
 
+func (l *level) take(d Demand, now time.Time) {
+	l.value = max(l.now(now), float64(d.Running+d.Waiting))
+	l.rate = l.rateNow(now) + float64(d.Came)*math.Ln2/rateHalfLife.Seconds()
+	l.at, l.waiting, l.running = now, d.Waiting, d.Running
+	if d.Came > 0 || d.Running+d.Waiting > 0 {
+		l.used = now
+	}
+}
+
+// now returns a model's concurrent requests, falling slowly after a peak.
 func (l *level) now(now time.Time) float64 {
 	if l == nil || l.at.IsZero() {
 		return 0
@@ -168,28 +220,50 @@
 	return value
 }
 
+// rateNow returns how many requests a second a model gets, over some ten seconds.
+func (l *level) rateNow(now time.Time) float64 {
+	if l == nil || l.at.IsZero() {
+		return 0
+	}
+	return l.rate * math.Exp2(-float64(now.Sub(l.at))/float64(rateHalfLife))
+}
+
+// idle tells that nobody asks for a model now, nor did a moment ago.
+func (l *level) idle(now time.Time) bool {
+	return l == nil || l.waiting+l.running == 0 && now.Sub(l.used) > restFor
+}
+
 // Answered notes what a worker said of an order.
 func (p *Planner) Answered(o Order, outcome Outcome, now time.Time) {
 	t, ok := p.workers[o.Worker]
 	if !ok {
 		return
 	}
+	t.asked = false
+	a := worker.Adapter{Model: o.Model, Name: o.Adapter}
 	switch outcome {
 	case OutcomeAccepted:
 		t.sequence = max(t.sequence, o.Sequence+1)
 		t.ordered = now
+		if o.Adapter != "" && o.Unload {
+			t.dropping[a] = now
+		}
 		return
 	case OutcomeHolds:
 		if o.Adapter != "" && o.Unload {
 			t.sequence = max(t.sequence, o.Sequence+1)
-			p.dropAdapter(t, worker.Adapter{Model: o.Model, Name: o.Adapter})
+			t.dropping[a] = now
+			p.dropAdapter(t, a)
 		}
-	case OutcomeUnknown, OutcomeConflict, OutcomeFenced, OutcomeRefused:
+	case OutcomeConflict:
+		// Reports lag, so that only one from later on tells the sequence.
+		t.quiet, t.unsure = now.Add(reportLag), true
+	case OutcomeUnknown, OutcomeFenced, OutcomeRefused:
 		// What the worker holds and has accepted is known by its next report only.
 		t.quiet = now.Add(orderTimeout / 2)
 	}
 	if o.Adapter != "" {
-		delete(t.adapters, worker.Adapter{Model: o.Model, Name: o.Adapter})
+		delete(t.adapters, a)
 		return
 	}
 	t.loading, t.leaving = "", ""
@@ -205,6 +279,12 @@
 	t.state.Models = models
 }
 
+// Unsettled tells that what an order to a worker did is still to be seen.
+func (p *Planner) Unsettled(id string) bool {
+	t, ok := p.workers[id]
+	return ok && (t.loading != "" || t.leaving != "" || t.asked || t.unsure)
+}
+
 // Workers returns what is known of each worker, without models that are about to leave it.
 func (p *Planner) Workers(now time.Time) []worker.State {
 	all := make([]worker.State, 0, len(p.workers))
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -19,6 +19,10 @@
 	// be known everywhere within 3 s, and a model moves within some seconds.
 	listEvery   = 500 * time.Millisecond
 	reportEvery = 400 * time.Millisecond
+	// settleEvery is how often a worker's report is read while an order to it is under way; reports lag by 100 ms.
+	settleEvery = 100 * time.Millisecond
+	// adapterTries bounds the orders for one gateway's call.
+	adapterTries = 4
 	// demandMost is the age at which a gateway's word on its demand is dropped.
 	demandMost = time.Second
 	// provenMost is how old the proof of leadership may be for an order; a machine that wakes from a freeze has 300 ms.
@@ -34,18 +38,23 @@
 type adapterAsk struct {
 	call  *wirepb.AdapterCall
 	reply chan string
+	tries int
 }
 
 // leader is the state of the leading duty; its one goroutine owns the planner.
 type leader struct {
 	*Steward
-	results  chan func()
-	running  sync.WaitGroup
-	nextList time.Time
-	nextAsk  map[string]time.Time
-	asking   map[string]bool
-	listing  bool
-	version  uint64
+	results   chan func()
+	running   sync.WaitGroup
+	nextList  time.Time
+	nextAsk   map[string]time.Time
+	asking    map[string]bool
+	listing   bool
+	primed    bool
+	published time.Time
+	version   uint64
+	// asks wait for the order to their worker that is under way.
+	asks map[string][]*adapterAsk
 }
 
 // lead is the duty that plans and gives orders while this steward leads; the channel gives its end.
@@ -53,6 +62,7 @@
 	ended := make(chan error, 1)
 	l := &leader{
 		Steward: s, results: make(chan func(), queuedResults), nextAsk: map[string]time.Time{}, asking: map[string]bool{},
+		asks: map[string][]*adapterAsk{},
 	}
 	go func() {
 		l.run(ctx)
@@ -73,7 +83,11 @@
 		case result := <-l.results:
 			result()
 		case ask := <-l.adapter:
-			ask.reply <- l.bringAdapter(ctx, ask.call)
+			l.bringAdapter(ctx, ask)
+		case <-l.wake:
+			if now := time.Now(); l.leadsNow(now) {
+				l.plan(ctx, now)
+			}
 		case <-ticker.C:
 			l.tick(ctx, time.Now())
 		}
@@ -86,13 +100,24 @@
 	}
 	l.readList(ctx, now)
 	l.readReports(ctx, now)
+	l.plan(ctx, now)
+	l.publish(now, false)
+}
+
+// plan gives the orders that the demand asks for.
+func (l *leader) plan(ctx context.Context, now time.Time) {
 	l.planner.Demand(l.demand(now), now)
-	if l.mayOrder(ctx, now) {
-		for _, o := range l.planner.Plan(now) {
-			l.order(ctx, o, nil)
-		}
+	if !l.mayOrder(ctx, now) {
+		return
+	}
+	unloads := false
+	for _, o := range l.planner.Plan(now) {
+		l.order(ctx, o, nil)
+		unloads = unloads || o.Unload
+	}
+	if unloads {
+		l.publish(now, true) // gateways send no more to what leaves
 	}
-	l.publish(now)
 }
 
 // leadsNow notes when this steward begins and ceases to lead.
@@ -103,7 +128,7 @@
 	if self != l.leads {
 		l.leads, l.since = self, now
 		l.planner = scaling.New()
-		l.version = 0
+		l.version, l.primed = 0, false
 		l.workers = nil
 		l.wakeLocked()
 		l.log.Info("leadership changed", "leads", self)
@@ -149,7 +174,8 @@
 		for _, m := range d.models {
 			sum := sums[m.GetModel()]
 			sum.Service, sum.Model = m.GetService(), m.GetModel()
-			sum.Came += int(m.GetCame())
+			sum.Came += d.came[m.GetModel()]
+			delete(d.came, m.GetModel())
 			sum.Running += int(m.GetRunning())
 			sum.Waiting += int(m.GetWaiting())
 			sums[m.GetModel()] = sum
@@ -175,6 +201,10 @@
 				l.log.V(1).Info("entries of the list not read", "count", unread)
 			}
 			l.planner.List(listed)
+			if !l.primed && len(listed) > 0 {
+				l.primed = true
+				l.planner.Prior(time.Now())
+			}
 		})
 	})
 }
@@ -192,7 +222,11 @@
 		if !l.planner.Engine(w.Service) || l.asking[w.ID] || now.Before(l.nextAsk[w.ID]) {
 			continue
 		}
-		l.asking[w.ID], l.nextAsk[w.ID] = true, now.Add(reportEvery)
+		every := reportEvery
+		if l.planner.Unsettled(w.ID) {
+			every = settleEvery
+		}
+		l.asking[w.ID], l.nextAsk[w.ID] = true, now.Add(every)
 		l.running.Go(func() {
 			report, err := l.report(ctx, w.Address)
 			l.finish(ctx, func() {
@@ -201,7 +235,7 @@
 					l.log.V(1).Info("worker's report not read", "worker", w.ID, "error", err.Error())
 					return
 				}
-				l.planner.Report(w.ID, report, time.Now())
+				l.takeReport(ctx, w.ID, report)
 			})
 		})
 	}
@@ -212,6 +246,18 @@
 	}
 }
 
+// takeReport takes a worker's report and, where it shows that an order is done, plans and shows it at once.
+func (l *leader) takeReport(ctx context.Context, id string, report worker.Report) {
+	now := time.Now()
+	before := l.planner.Unsettled(id)
+	l.planner.Report(id, report, now)
+	if before && !l.planner.Unsettled(id) && l.leadsNow(now) {
+		l.publish(now, true)
+		l.plan(ctx, now)
+	}
+	l.askAgain(ctx, id)
+}
+
 // order gives one order; then is called with what became of it.
 func (l *leader) order(ctx context.Context, o scaling.Order, then func(scaling.Outcome)) {
 	var target worker.State
@@ -228,12 +274,14 @@
 		l.finish(ctx, func() {
 			if err != nil || outcome != scaling.OutcomeAccepted {
 				l.log.Info("order not accepted", "worker", o.Worker, "model", o.Model, "adapter", o.Adapter,
-					"outcome", int(outcome), "error", errorText(err))
+					"outcome", outcome.String(), "error", errorText(err))
 			}
 			l.planner.Answered(o, outcome, time.Now())
+			l.nextAsk[o.Worker] = time.Now().Add(settleEvery / 2)
 			if then != nil {
 				then(outcome)
 			}
+			l.askAgain(ctx, o.Worker)
 		})
 	})
 }
@@ -245,37 +293,50 @@
 	return err.Error()
 }
 
-// bringAdapter starts what brings an adapter to a worker and returns why not, empty if it is there or on its way.
-func (l *leader) bringAdapter(ctx context.Context, call *wirepb.AdapterCall) string {
+// bringAdapter gives the orders that bring an adapter to a worker and answers the gateway once the last one is accepted.
+func (l *leader) bringAdapter(ctx context.Context, ask *adapterAsk) {
 	now := time.Now()
 	if !l.leadsNow(now) || !l.mayOrder(ctx, now) {
-		return "this steward gives no orders"
-	}
-	a := worker.Adapter{Model: call.GetModel(), Name: call.GetAdapter()}
-	o, state, ok := l.planner.Adapter(call.GetWorker(), a, now)
-	switch {
-	case !ok && state == scaling.AdapterAbsent:
-		return "the worker takes no adapter now"
-	case !ok:
-		return ""
-	case !o.Unload:
-		l.order(ctx, o, nil)
-		return ""
+		ask.reply <- "this steward gives no orders"
+		return
 	}
-	l.order(ctx, o, func(outcome scaling.Outcome) {
-		if outcome != scaling.OutcomeHolds || !l.mayOrder(ctx, time.Now()) {
+	id, a := ask.call.GetWorker(), worker.Adapter{Model: ask.call.GetModel(), Name: ask.call.GetAdapter()}
+	o, verdict := l.planner.Adapter(id, a, now)
+	switch verdict {
+	case scaling.VerdictNo:
+		ask.reply <- "the worker takes no adapter now"
+	case scaling.VerdictHeld, scaling.VerdictComing:
+		ask.reply <- ""
+	case scaling.VerdictWait:
+		l.asks[id] = append(l.asks[id], ask)
+	case scaling.VerdictOrder:
+		if ask.tries++; ask.tries > adapterTries {
+			l.planner.Answered(o, scaling.OutcomeRefused, now)
+			ask.reply <- "the worker did not accept the orders"
 			return
 		}
-		if next, _, ok := l.planner.Adapter(call.GetWorker(), a, time.Now()); ok && !next.Unload {
-			l.order(ctx, next, nil)
-		}
-	})
-	return ""
+		l.order(ctx, o, func(outcome scaling.Outcome) {
+			if !o.Unload && (outcome == scaling.OutcomeAccepted || outcome == scaling.OutcomeHolds) {
+				ask.reply <- ""
+				return
+			}
+			l.bringAdapter(ctx, ask)
+		})
+	}
+}
+
+// askAgain goes on with the adapters that wait for an order to a worker.
+func (l *leader) askAgain(ctx context.Context, id string) {
+	waiting := l.asks[id]
+	delete(l.asks, id)
+	for _, ask := range waiting {
+		l.bringAdapter(ctx, ask)
+	}
 }
 
 // adapterFor takes a gateway's call for an adapter.
 func (s *Steward) adapterFor(ctx context.Context, call *wirepb.AdapterCall) *wirepb.Frame {
-	ask := adapterAsk{call: call, reply: make(chan string, 1)}
+	ask := &adapterAsk{call: call, reply: make(chan string, 1)}
 	reply := &wirepb.AdapterReply{Error: "too many adapters are asked for"}
 	select {
 	case s.adapter <- ask:
@@ -289,20 +350,17 @@
 	return &wirepb.Frame{Body: &wirepb.Frame_AdapterReply{AdapterReply: reply}}
 }
 
-// publish shows the workers to the gateways.
-func (l *leader) publish(now time.Time) {
-	workers := l.planner.Workers(now)
+// publish shows the workers to the gateways, at once or when it is time.
+func (l *leader) publish(now time.Time, atOnce bool) {
+	workers, absent := l.planner.Workers(now), l.planner.Wanted(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.workers = workers
-	if now.Sub(l.metrics.published) >= publishEvery {
-		l.metrics.published = now
+	l.workers, l.absent = workers, absent
+	if atOnce || now.Sub(l.published) >= publishEvery {
+		l.published = now
 		l.wakeLocked()
 	}
 }
 
 // publishEvery is how often gateways see the workers' loads anew.
 const publishEvery = 200 * time.Millisecond
-
-// counters are what the metrics address shows.
-type counters struct{ published time.Time }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -59,14 +59,19 @@
 	leads   bool
 	since   time.Time
 	proven  time.Time
-	adapter chan adapterAsk
-	metrics counters
+	adapter chan *adapterAsk
+	// wake tells the leading duty of new demand.
+	wake chan struct{}
+	// absent are the models that no worker holds, with the time until one could.
+	absent map[string]time.Duration
 }
 
 // demandReport is a gateway's last word on what it is asked for.
 type demandReport struct {
 	at     time.Time
 	models []*wirepb.GatewayDemand
+	// came counts the requests that the leader has not yet taken into account.
+	came map[string]int
 }
 
 // Option sets one property of a Steward.
@@ -99,7 +104,8 @@
 func Open(config Config, pool *wire.Pool, options ...Option) (*Steward, error) {
 	s := &Steward{
 		config: config, log: logr.Discard(), pool: pool, planner: scaling.New(), changed: make(chan struct{}),
-		demands: map[string]demandReport{}, adapter: make(chan adapterAsk, queuedAdapters),
+		demands: map[string]demandReport{}, adapter: make(chan *adapterAsk, queuedAdapters),
+		wake: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -45,13 +45,28 @@
 			return // the gateway closed its stream or is gone
 		}
 		if d := frame.GetDemandReport(); d != nil {
-			s.mu.Lock()
-			s.demands[node] = demandReport{at: time.Now(), models: d.GetModels()}
-			s.mu.Unlock()
+			s.takeDemand(node, d)
 		}
 	}
 }
 
+func (s *Steward) takeDemand(node string, d *wirepb.DemandReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	came := s.demands[node].came
+	if came == nil {
+		came = map[string]int{}
+	}
+	for _, m := range d.GetModels() {
+		came[m.GetModel()] += int(m.GetCame())
+	}
+	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), came: came}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Steward) show(ctx context.Context, version uint64, stream *wire.Stream) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
@@ -89,6 +104,9 @@
 		for _, w := range s.workers {
 			snapshot.Workers = append(snapshot.Workers, stateToWire(w))
 		}
+		for name, expected := range s.absent {
+			snapshot.Absent = append(snapshot.Absent, &wirepb.AbsentModel{Name: name, ExpectedMs: uint32(expected.Milliseconds())})
+		}
 	}
 	return snapshot, s.changed
 }
