--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -35,6 +35,7 @@
 			standinCommand(),
 			gatewayCommand(),
 			stewardCommand(),
+			sidecarCommand(),
 		},
 	})
 	quiet(root)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -46,7 +46,8 @@
 		wanted := worker.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || w.HoldsAdapter(wanted) && now.After(g.absent[place{w.ID, q.Model, q.Adapter}]) {
 			having = append(having, e)
-		} else {
+		} else if w.Loading == "" && (w.Load == nil || !w.Load.Busy) {
+			// A worker that loads or drops a model takes no orders about adapters.
 			others = append(others, e)
 		}
 	}
@@ -75,28 +76,25 @@
 	return routing.Endpoint{}, false
 }
 
-// bringAdapter asks the leader to have an adapter loaded and waits until it should be there.
-func (g *Gateway) bringAdapter(ctx context.Context, id string, q *Request) bool {
-	g.mu.Lock()
-	leader := g.leading
-	g.mu.Unlock()
-	if leader == "" {
-		return false
-	}
+// bringAdapter asks a worker's sidecar to have an adapter loaded and waits until it should be there.
+func (g *Gateway) bringAdapter(ctx context.Context, w worker.State, q *Request) bool {
 	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
-		Worker: id, Model: q.Model, Adapter: q.Adapter,
+		Worker: w.ID, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
 	}}}
-	reply, err := g.pool.Call(ctx, leader, frame, adapterTimeout)
+	reply, err := g.pool.Call(ctx, g.sidecar(w.Address), frame, adapterTimeout)
 	if err != nil || !reply.GetAdapterReply().GetAccepted() {
-		g.log.Info("adapter not brought", "id", q.ID, "worker", id, "model", q.Model, "adapter", q.Adapter,
+		g.log.Info("adapter not brought", "id", q.ID, "worker", w.ID, "model", q.Model, "adapter", q.Adapter,
 			"answer", reply.GetAdapterReply().GetError(), "error", errorText(err))
 		return false
 	}
-	select {
-	case <-time.After(adapterWait):
-	case <-ctx.Done():
-		return false
+	if !reply.GetAdapterReply().GetHeld() {
+		select {
+		case <-time.After(adapterWait):
+		case <-ctx.Done():
+			return false
+		}
 	}
+	id := w.ID
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if w, ok := g.workers[id]; ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
+	"burdocksaddle/uplink"
 	"burdocksaddle/wire"
 	"burdocksaddle/worker"
 )
@@ -31,9 +32,12 @@
 	config Config
 	log    logr.Logger
 	pool   *wire.Pool
-	decode func([]byte) (*route.Table, error)
-	send   func(context.Context, Call) (*Answer, error)
-	list   func(context.Context) ([]worker.State, int, error)
+	links  *uplink.Uplink
+	// sidecar returns the address of a worker's sidecar.
+	sidecar func(worker string) string
+	decode  func([]byte) (*route.Table, error)
+	send    func(context.Context, Call) (*Answer, error)
+	list    func(context.Context) ([]worker.State, int, error)
 
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
@@ -54,11 +58,8 @@
 	changed chan struct{}
 	budgets map[string]*routing.Budget
 	demands map[string]*demand
-	links   map[string]*link
-	// stewards are the addresses of the last proven word of a steward.
-	stewards []string
-	leading  string
-	active   int
+	leading string
+	active  int
 }
 
 // place is a model, or an adapter of it, at a worker.
@@ -91,11 +92,16 @@
 	return func(g *Gateway) { g.list = list }
 }
 
+// WithSidecar sets what returns the address of a worker's sidecar.
+func WithSidecar(sidecar func(worker string) string) Option {
+	return func(g *Gateway) { g.sidecar = sidecar }
+}
+
 // New makes a Gateway that has no table and knows no workers yet.
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
 		config: config, log: logr.Discard(), pool: pool, workers: map[string]worker.State{}, absent: map[place]time.Time{},
-		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, links: map[string]*link{},
+		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
 	g.leaving, g.turnAwayNow = context.WithCancel(context.Background())
@@ -103,6 +109,8 @@
 	for _, option := range options {
 		option(g)
 	}
+	g.links = uplink.New(config.Node, config.Stewards, pool, uplink.WithLog(g.log), uplink.WithTake(g.take),
+		uplink.WithLost(g.lost), uplink.WithVersion(g.version))
 	return g
 }
 
@@ -118,9 +126,15 @@
 
 // Follow sets the stewards' addresses by the settings, which may change while the process runs.
 func (g *Gateway) Follow(stewards []string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.config.Stewards = stewards
+	g.links.Follow(stewards)
+}
+
+// version returns the version of the table in force, 0 for none.
+func (g *Gateway) version() uint64 {
+	if t := g.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
 }
 
 // Drain makes the gateway say that it takes no new connections; requests are still served.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -8,38 +8,26 @@
 	"time"
 
 	"burdocksaddle/routing"
-	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 	"burdocksaddle/worker"
 )
 
 const (
-	// silentAfter gives a steward's stream up after three missed heartbeats.
-	silentAfter = 1500 * time.Millisecond
-	redialAfter = 200 * time.Millisecond
 	// demandEvery is how often the leader hears what this gateway is asked for.
 	demandEvery = 200 * time.Millisecond
 	// shownMost is the age of the leader's last word at which the platform's list is read instead.
-	shownMost    = 1200 * time.Millisecond
-	listEvery    = time.Second
-	watchTick    = 100 * time.Millisecond
-	demandQueue  = 1
-	sendDeadline = time.Second
+	shownMost = 1200 * time.Millisecond
+	listEvery = time.Second
+	watchTick = 100 * time.Millisecond
 )
 
-// link is the stream to one steward.
-type link struct {
-	address string
-	cancel  context.CancelFunc
-	demand  chan *wirepb.DemandReport
-}
-
 // Run keeps the streams to the stewards until the context ends; the channel gives the end.
 func (g *Gateway) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
+	linked := g.links.Run(ctx)
 	go func() {
 		g.watch(ctx)
-		ended <- nil
+		ended <- <-linked
 	}()
 	return ended
 }
@@ -57,7 +45,6 @@
 		case <-g.urgent:
 			g.tellDemand()
 		case now := <-ticker.C:
-			g.follow(ctx, &running)
 			if now.After(nextDemand) {
 				nextDemand = now.Add(demandEvery)
 				g.tellDemand()
@@ -92,119 +79,19 @@
 	g.takeWorkersLocked(listed, time.Now())
 }
 
-// follow keeps a stream to each steward of the settings and of the last word of a steward, and ends the others.
-func (g *Gateway) follow(ctx context.Context, running *sync.WaitGroup) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	wanted := slices.Concat(g.config.Stewards, g.stewards)
-	for _, address := range wanted {
-		if _, known := g.links[address]; known || address == "" {
-			continue
-		}
-		linkCtx, cancel := context.WithCancel(ctx)
-		l := &link{address: address, cancel: cancel, demand: make(chan *wirepb.DemandReport, demandQueue)}
-		g.links[address] = l
-		running.Go(func() { g.keep(linkCtx, l) })
-	}
-	for address, l := range g.links {
-		if !slices.Contains(wanted, address) {
-			l.cancel()
-			delete(g.links, address)
-		}
-	}
-}
-
-// keep opens the stream to a steward again whenever it breaks.
-func (g *Gateway) keep(ctx context.Context, l *link) {
-	connected := false
-	for ctx.Err() == nil {
-		err := g.subscribe(ctx, l, &connected)
-		if connected && ctx.Err() == nil {
-			g.log.Info("steward lost", "steward", l.address, "error", errorText(err))
-		}
-		connected = false
-		g.lost(l.address)
-		select {
-		case <-time.After(redialAfter):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (g *Gateway) lost(address string) {
+func (g *Gateway) lost(steward string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.leading == address {
+	if g.leading == steward {
 		g.leading = ""
 	}
 }
 
-func (g *Gateway) subscribe(ctx context.Context, l *link, connected *bool) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dialling, stop := context.WithTimeout(ctx, silentAfter)
-	stream, err := g.pool.Open(dialling, l.address)
-	if err != nil {
-		stop()
-		return err
-	}
-	stream.Detach()
-	stop()
-	defer stream.Close()
-	version := uint64(0)
-	if t := g.table.Load(); t != nil {
-		version = t.Version
-	}
-	hello := &wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: &wirepb.Subscribe{Node: g.config.Node, Version: version}}}
-	if err := stream.Send(hello, sendDeadline); err != nil {
-		return err
-	}
-	sent := make(chan struct{})
-	go func() {
-		defer close(sent)
-		g.sendDemand(ctx, l, stream)
-	}()
-	defer func() {
-		cancel()
-		<-sent
-	}()
-	for {
-		frame, err := stream.Receive(silentAfter)
-		if err != nil {
-			g.pool.DropOlder(stream)
-			return err
-		}
-		if !*connected {
-			*connected = true
-			g.log.Info("steward connected", "steward", l.address)
-		}
-		if snapshot := frame.GetSnapshot(); snapshot != nil {
-			g.take(l.address, snapshot)
-		}
-	}
-}
-
-func (g *Gateway) sendDemand(ctx context.Context, l *link, stream *wire.Stream) {
-	for {
-		select {
-		case <-ctx.Done():
-			stream.Close()
-			return
-		case report := <-l.demand:
-			frame := &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}
-			if stream.Send(frame, sendDeadline) != nil {
-				return // the receiving side sees the broken stream too
-			}
-		}
-	}
-}
-
 // tellDemand tells the leader what this gateway is asked for.
 func (g *Gateway) tellDemand() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.links[g.leading]
-	if l == nil {
+	if g.leading == "" {
 		return
 	}
 	report := &wirepb.DemandReport{}
@@ -214,9 +101,7 @@
 			Service: d.service, Model: model, Came: uint32(d.came), Running: uint32(d.running), Waiting: uint32(d.waiting),
 		})
 	}
-	select {
-	case l.demand <- report:
-	default:
+	if !g.links.Tell(g.leading, &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}) {
 		return // the last report is still to be sent; the counts stay for the next
 	}
 	for model, d := range g.demands {
@@ -239,16 +124,13 @@
 	} else if !s.GetLeads() && g.leading == steward {
 		g.leading = ""
 	}
-	if s.GetProven() && len(s.GetStewards()) > 0 {
-		g.stewards = s.GetStewards()
-	}
 	if !s.GetLeads() || !s.GetHasWorkers() || !s.GetProven() || len(s.GetWorkers()) == 0 {
 		return
 	}
 	now := time.Now()
 	workers := make([]worker.State, 0, len(s.GetWorkers()))
 	for _, w := range s.GetWorkers() {
-		workers = append(workers, stateFromWire(w))
+		workers = append(workers, worker.FromWire(w))
 	}
 	g.shown, g.expected = now, make(map[string]time.Duration, len(s.GetAbsent()))
 	for _, a := range s.GetAbsent() {
@@ -297,21 +179,3 @@
 	}
 	g.wakeLocked()
 }
-
-func stateFromWire(w *wirepb.WorkerState) worker.State {
-	s := worker.State{
-		ID: w.GetId(), Born: w.GetBornMs(), Service: w.GetService(), Address: w.GetAddress(), DataCentre: w.GetDataCentre(),
-		Slots: int(w.GetSlots()), Draining: w.GetDraining(), Loading: w.GetLoading(),
-		LoadingLeft: time.Duration(w.GetLoadingLeftMs()) * time.Millisecond,
-		Remaining:   time.Duration(w.GetRemainingMs()) * time.Millisecond,
-	}
-	for _, m := range w.GetModels() {
-		s.Models = append(s.Models, worker.Model{Name: m.GetName(), Adapters: m.GetAdapters()})
-	}
-	if w.GetReported() {
-		s.Load = &worker.Load{
-			Running: int(w.GetRunning()), Waiting: int(w.GetWaiting()), KVUsed: int(w.GetKvUsed()), KVTotal: int(w.GetKvTotal()),
-		}
-	}
-	return s
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -30,6 +30,10 @@
 	plainLeast  = 250 * time.Millisecond
 	// comeBack is when a client had better come back to a gateway that knows no table yet.
 	comeBack = 500 * time.Millisecond
+	// tableWait and tableShare, of the client's time, bound the wait for a gateway's first table; a core that lost power as a
+	// whole has a leader within 2 s.
+	tableWait  = 3 * time.Second
+	tableShare = 0.4
 	// elsewhere is when a client had better try another gateway.
 	elsewhere = 50 * time.Millisecond
 	// lowestUrgency is the last of the ranks that workers know.
@@ -62,7 +66,7 @@
 
 // Serve answers one request; it returns when the answer is out or the client has left.
 func (g *Gateway) Serve(ctx context.Context, request *Request, client Client) {
-	table := g.table.Load()
+	table := g.awaitTable(ctx, request)
 	if table == nil {
 		client.Refuse(Refusal{Status: http.StatusServiceUnavailable, After: comeBack, Reason: "no configuration yet"})
 		return
@@ -92,6 +96,27 @@
 		"sends", t.sends, "events", t.events, "ms", time.Since(t.began).Milliseconds(), "version", table.Version)
 }
 
+// awaitTable returns the table in force; a gateway that has just started waits for its first one for a share of the client's
+// time, since clients come back once only.
+func (g *Gateway) awaitTable(ctx context.Context, request *Request) *route.Table {
+	end := request.Arrived.Add(min(tableWait, time.Duration(float64(request.Patience)*tableShare)))
+	for {
+		g.mu.Lock()
+		table, changed := g.table.Load(), g.changed
+		g.mu.Unlock()
+		left := time.Until(end)
+		if table != nil || left <= 0 {
+			return table
+		}
+		select {
+		case <-changed:
+		case <-time.After(left):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // point is where a request falls among a route's weights, the same for each of its sendings.
 func point(id string) float64 {
 	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
@@ -149,7 +174,7 @@
 		if !ok {
 			return
 		}
-		if chosen.bring && !t.bringAdapter(ctx, chosen.state.ID, t.request) {
+		if chosen.bring && !t.bringAdapter(ctx, chosen.state, t.request) {
 			t.release(chosen, nil)
 			t.avoid = append(t.avoid, chosen.state.ID)
 			if !t.pause(ctx) {
--- a/scaling/adapter.go
+++ b/scaling/adapter.go
@@ -1,8 +1,10 @@
 package scaling
 
 import (
+	"slices"
 	"time"
 
+	"burdocksaddle/route"
 	"burdocksaddle/worker"
 )
 
@@ -15,73 +17,63 @@
 	VerdictNo Verdict = iota
 	// VerdictOrder means that the order shall be given.
 	VerdictOrder
-	// VerdictWait means that another order to the worker is under way.
-	VerdictWait
+	// VerdictBusy means that the worker takes no order about adapters while it loads or drops a model.
+	VerdictBusy
 	// VerdictComing means that the adapter is on its way, VerdictHeld that it is there.
 	VerdictComing
 	VerdictHeld
 )
 
-// Adapter returns the order that brings an adapter to a worker: first to drop the one loaded longest ago if there is no room.
-func (p *Planner) Adapter(id string, a worker.Adapter, now time.Time) (Order, Verdict) {
-	t, known := p.workers[id]
-	if !known || t.state.Draining || t.state.Load == nil || !t.state.Holds(a.Model) || t.leaving == a.Model {
+// Adapter returns the order that brings an adapter to a worker which reports what it holds now: first to drop the one that was
+// brought longest ago if there is no room. Adapters in skip are in use and stay.
+func Adapter(engine *route.Engine, r worker.Report, a worker.Adapter, brought map[worker.Adapter]time.Time, skip []worker.Adapter) (Order, Verdict) {
+	state := worker.State{Models: r.Models}
+	switch {
+	case !state.Holds(a.Model):
 		return Order{}, VerdictNo
-	}
-	engine := p.engines[t.state.Service]
-	if engine == nil {
-		return Order{}, VerdictNo
-	}
-	switch _, ordered := t.adapters[a]; {
-	case adapterState(t.state, a) == AdapterHeld:
+	case state.HoldsAdapter(a):
 		return Order{}, VerdictHeld
-	case ordered || adapterState(t.state, a) == AdapterPending:
+	case slices.Contains(r.Load.Pending, a):
 		return Order{}, VerdictComing
-	case t.asked || t.unsure:
-		return Order{}, VerdictWait
+	case r.Load.Busy:
+		return Order{}, VerdictBusy
 	}
-	order := Order{Worker: id, Model: a.Model, Adapter: a.Name, Sequence: t.sequence, Reason: "a request waits for it"}
-	if t.adapterCount() < engine.AdapterSlots && engine.MemoryMB-t.used(engine) >= adapterMB(engine, a.Model) {
-		t.adapters[a], t.brought[a], t.ordered, t.asked = now, now, now, true
+	order := Order{Model: a.Model, Adapter: a.Name, Sequence: r.Load.Sequence, Reason: "a request waits for it"}
+	held := adapters(r.Models)
+	if len(held)+len(r.Load.Pending) < engine.AdapterSlots && Used(engine, r.Models, &r.Load)+adapterMB(engine, a.Model) <= engine.MemoryMB {
 		return order, VerdictOrder
 	}
-	if len(t.dropping) > 0 {
-		return Order{}, VerdictWait
-	}
-	victim, found := t.oldestAdapter()
-	if !found {
+	held = slices.DeleteFunc(held, func(one worker.Adapter) bool { return slices.Contains(skip, one) })
+	if len(held) == 0 {
 		return Order{}, VerdictNo
 	}
-	t.ordered, t.asked = now, true
+	victim := slices.MinFunc(held, func(one, other worker.Adapter) int { return brought[one].Compare(brought[other]) })
 	order.Model, order.Adapter, order.Unload, order.Reason = victim.Model, victim.Name, true, "room for adapter "+a.Name
 	return order, VerdictOrder
 }
 
-// adapterCount counts the adapters that a worker holds or was ordered to load.
-func (t *tracked) adapterCount() int {
-	count := 0
-	for _, m := range t.state.Models {
-		count += len(m.Adapters)
-	}
-	for a := range t.adapters {
-		if adapterState(t.state, a) != AdapterHeld {
-			count++
+func adapters(models []worker.Model) []worker.Adapter {
+	var all []worker.Adapter
+	for _, m := range models {
+		for _, name := range m.Adapters {
+			all = append(all, worker.Adapter{Model: m.Name, Name: name})
 		}
 	}
-	return count
+	return all
 }
 
-// oldestAdapter returns the adapter that was brought longest ago.
-func (t *tracked) oldestAdapter() (worker.Adapter, bool) {
-	var oldest worker.Adapter
-	found := false
-	for _, m := range t.state.Models {
-		for _, name := range m.Adapters {
-			a := worker.Adapter{Model: m.Name, Name: name}
-			if !found || t.brought[a].Before(t.brought[oldest]) {
-				oldest, found = a, true
-			}
-		}
+// Weights returns the order that loads or unloads a model at a worker which reports what it holds now; an outcome other than
+// OutcomeAccepted tells why there is nothing to order.
+func Weights(engine *route.Engine, r worker.Report, model string, unload bool) (Order, Outcome) {
+	m, known := engine.Model(model)
+	held := worker.State{Models: r.Models}.Holds(model)
+	switch {
+	case unload != held:
+		return Order{}, OutcomeHolds
+	case r.Load.Busy:
+		return Order{}, OutcomeConflict
+	case !unload && (!known || Used(engine, r.Models, &r.Load)+m.WeightsMB > engine.MemoryMB):
+		return Order{}, OutcomeRefused
 	}
-	return oldest, found
+	return Order{Model: model, Unload: unload, Sequence: r.Load.Sequence}, OutcomeAccepted
 }
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -1,7 +1,5 @@
 package scaling
 
-import "burdocksaddle/worker"
-
 // Order is one order to a worker.
 type Order struct {
 	Worker string
@@ -60,27 +58,3 @@
 	Running int
 	Waiting int
 }
-
-// AdapterState tells how an adapter stands at a worker.
-type AdapterState int
-
-// States of an adapter.
-const (
-	AdapterAbsent AdapterState = iota
-	AdapterPending
-	AdapterHeld
-)
-
-func adapterState(w worker.State, a worker.Adapter) AdapterState {
-	if w.HoldsAdapter(a) {
-		return AdapterHeld
-	}
-	if w.Load != nil {
-		for _, p := range w.Load.Pending {
-			if p == a {
-				return AdapterPending
-			}
-		}
-	}
-	return AdapterAbsent
-}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
-		if source == SourceStore && !f.storeFor(n, copied) {
+		if source == SourceStore && (!f.storeFor(n, copied) || p.lastForAdapters(f, t)) {
 			continue
 		}
 		evict, lost, ok := p.evictions(f, t, n)
@@ -137,6 +137,24 @@
 	return p.orderFor(f, best, n, bestEvict), true
 }
 
+// lastForAdapters tells whether a worker is the last one that takes orders about the adapters of a model that is asked for:
+// while it loads from the store, for seconds, it takes none.
+func (p *Planner) lastForAdapters(f *fleet, t *tracked) bool {
+	for _, m := range t.state.Models {
+		known, ok := f.engine.Model(m.Name)
+		if !ok || known.Adapters == 0 || p.levels[m.Name].now(f.now) == 0 {
+			continue
+		}
+		others := slices.ContainsFunc(f.workers, func(o *tracked) bool {
+			return o != t && !o.busy(f.now) && o.state.Holds(m.Name)
+		})
+		if !others {
+			return true
+		}
+	}
+	return false
+}
+
 // copied tells whether a worker without the model has a copy of its weights at hand.
 func (f *fleet) copied(model string) bool {
 	return slices.ContainsFunc(f.workers, func(t *tracked) bool {
@@ -156,7 +174,7 @@
 func (p *Planner) orderFor(f *fleet, t *tracked, n need, evict []string) Order {
 	t.ordered, t.asked = f.now, true
 	f.replicas[n.model.Name]++
-	order := Order{Worker: t.state.ID, Sequence: t.sequence}
+	order := Order{Worker: t.state.ID}
 	if len(evict) > 0 {
 		t.leaving = evict[0]
 		f.replicas[t.leaving]--
@@ -262,20 +280,26 @@
 
 // used is the memory that is taken at a worker, what is being loaded included.
 func (t *tracked) used(engine *route.Engine) float64 {
+	used := Used(engine, t.state.Models, t.state.Load)
+	if m, ok := engine.Model(t.loading); ok && !t.state.Holds(t.loading) {
+		used += m.WeightsMB
+	}
+	return used
+}
+
+// Used returns the memory in MB that models and adapters take, with those on their way.
+func Used(engine *route.Engine, models []worker.Model, load *worker.Load) float64 {
 	used := 0.0
-	for _, m := range t.state.Models {
+	for _, m := range models {
 		if model, ok := engine.Model(m.Name); ok {
 			used += model.WeightsMB + float64(len(m.Adapters))*model.AdapterMB
 		}
 	}
-	for a := range t.adapters {
-		if adapterState(t.state, a) != AdapterHeld {
+	if load != nil {
+		for _, a := range load.Pending {
 			used += adapterMB(engine, a.Model)
 		}
 	}
-	if m, ok := engine.Model(t.loading); ok && !t.state.Holds(t.loading) {
-		used += m.WeightsMB
-	}
 	return used
 }
 
@@ -286,7 +310,7 @@
 
 // busy tells that no order can be given now: one is under way, or what the last one did is not known.
 func (t *tracked) busy(now time.Time) bool {
-	return t.state.Load == nil || t.state.Load.Busy || t.loading != "" || t.leaving != "" || t.asked || t.unsure || now.Before(t.quiet)
+	return t.state.Load == nil || t.state.Load.Busy || t.loading != "" || t.leaving != "" || t.asked || now.Before(t.quiet)
 }
 
 func (t *tracked) sourceOf(model string) Source {
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -26,7 +26,7 @@
 	storeSlots = 4
 	// orderTimeout is when an order without a report of its effect is given again; reports lag by some 100 ms.
 	orderTimeout = 600 * time.Millisecond
-	// reportLag is how old a worker's report may be when it is read.
+	// reportLag is when a worker that did not take an order has reported anew.
 	reportLag = 150 * time.Millisecond
 	// reportMost is the age at which a worker's report says nothing any more.
 	reportMost = 2 * time.Second
@@ -45,8 +45,6 @@
 type tracked struct {
 	state    worker.State
 	reported time.Time
-	// sequence is the count of accepted orders as known by reports and answers.
-	sequence int
 	// loading is the model that was ordered and is not yet reported as held.
 	loading string
 	source  Source
@@ -55,14 +53,7 @@
 	leaving string
 	// asked tells that an order waits for its answer.
 	asked bool
-	// unsure tells that the sequence must be read again before the next order.
-	unsure bool
-	// dropping are adapters that are on their way out.
-	dropping map[worker.Adapter]time.Time
-	// brought is when an adapter was last ordered.
-	brought  map[worker.Adapter]time.Time
-	quiet    time.Time
-	adapters map[worker.Adapter]time.Time
+	quiet time.Time
 }
 
 // level is a model's demand, in concurrent requests.
@@ -94,12 +85,6 @@
 // Engine tells whether a service's workers load models.
 func (p *Planner) Engine(service string) bool { return p.engines[service] != nil }
 
-func newTracked(w worker.State) *tracked {
-	return &tracked{
-		state: w, adapters: map[worker.Adapter]time.Time{}, dropping: map[worker.Adapter]time.Time{}, brought: map[worker.Adapter]time.Time{},
-	}
-}
-
 // List takes the platform's list; workers that are not on it are forgotten.
 func (p *Planner) List(listed []worker.State) {
 	known := make(map[string]bool, len(listed))
@@ -107,7 +92,7 @@
 		known[w.ID] = true
 		t, ok := p.workers[w.ID]
 		if !ok || t.state.Address != w.Address || w.Born != 0 && t.state.Born != 0 && w.Born > t.state.Born {
-			t = newTracked(w)
+			t = &tracked{state: w}
 			p.workers[w.ID] = t
 			continue
 		}
@@ -148,7 +133,7 @@
 		return
 	}
 	if r.Born != 0 && t.state.Born != 0 && r.Born != t.state.Born {
-		*t = *newTracked(t.state)
+		*t = tracked{state: t.state}
 	}
 	if r.Born != 0 {
 		t.state.Born = r.Born
@@ -156,11 +141,6 @@
 	load := r.Load
 	t.state.Load, t.state.Models, t.reported = &load, r.Models, now
 	t.state.Draining = t.state.Draining || r.Draining
-	// A report may be older than the answer to the last order.
-	if load.Sequence > t.sequence || now.Sub(t.ordered) > orderTimeout || t.unsure && now.After(t.quiet) {
-		t.sequence = load.Sequence
-		t.unsure = t.unsure && !now.After(t.quiet)
-	}
 	settled := !load.Busy && now.Sub(t.ordered) > orderTimeout
 	if t.loading != "" && (t.state.Holds(t.loading) || settled) {
 		t.loading = ""
@@ -168,16 +148,6 @@
 	if t.leaving != "" && (!t.state.Holds(t.leaving) || settled) {
 		t.leaving = ""
 	}
-	for a, at := range t.adapters {
-		if adapterState(t.state, a) == AdapterHeld || now.Sub(at) > orderTimeout && adapterState(t.state, a) == AdapterAbsent {
-			delete(t.adapters, a)
-		}
-	}
-	for a, at := range t.dropping {
-		if adapterState(t.state, a) != AdapterHeld || now.Sub(at) > orderTimeout {
-			delete(t.dropping, a)
-		}
-	}
 }
 
 // Demand takes what all gateways are asked for now; models that are not named have no requests.
@@ -240,49 +210,18 @@
 		return
 	}
 	t.asked = false
-	a := worker.Adapter{Model: o.Model, Name: o.Adapter}
-	switch outcome {
-	case OutcomeAccepted:
-		t.sequence = max(t.sequence, o.Sequence+1)
+	if outcome == OutcomeAccepted {
 		t.ordered = now
-		if o.Adapter != "" && o.Unload {
-			t.dropping[a] = now
-		}
-		return
-	case OutcomeHolds:
-		if o.Adapter != "" && o.Unload {
-			t.sequence = max(t.sequence, o.Sequence+1)
-			t.dropping[a] = now
-			p.dropAdapter(t, a)
-		}
-	case OutcomeConflict:
-		// Reports lag, so that only one from later on tells the sequence.
-		t.quiet, t.unsure = now.Add(reportLag), true
-	case OutcomeUnknown, OutcomeFenced, OutcomeRefused:
-		// What the worker holds and has accepted is known by its next report only.
-		t.quiet = now.Add(orderTimeout / 2)
-	}
-	if o.Adapter != "" {
-		delete(t.adapters, a)
 		return
 	}
-	t.loading, t.leaving = "", ""
-}
-
-func (p *Planner) dropAdapter(t *tracked, a worker.Adapter) {
-	models := slices.Clone(t.state.Models)
-	for i, m := range models {
-		if m.Name == a.Model {
-			models[i].Adapters = slices.DeleteFunc(slices.Clone(m.Adapters), func(name string) bool { return name == a.Name })
-		}
-	}
-	t.state.Models = models
+	// What the worker holds is known by its next report only.
+	t.loading, t.leaving, t.quiet = "", "", now.Add(reportLag)
 }
 
 // Unsettled tells that what an order to a worker did is still to be seen.
 func (p *Planner) Unsettled(id string) bool {
 	t, ok := p.workers[id]
-	return ok && (t.loading != "" || t.leaving != "" || t.asked || t.unsure)
+	return ok && (t.loading != "" || t.leaving != "" || t.asked)
 }
 
 // Workers returns what is known of each worker, without models that are about to leave it.
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -15,55 +15,37 @@
 const (
 	// leadTick is how often the leader looks for orders to give.
 	leadTick = 100 * time.Millisecond
-	// listEvery and reportEvery are how often the leader reads the list and each worker's report; a worker that leaves must
-	// be known everywhere within 3 s, and a model moves within some seconds.
-	listEvery   = 500 * time.Millisecond
-	reportEvery = 400 * time.Millisecond
-	// settleEvery is how often a worker's report is read while an order to it is under way; reports lag by 100 ms.
-	settleEvery = 100 * time.Millisecond
-	// adapterTries bounds the orders for one gateway's call.
-	adapterTries = 4
-	// demandMost is the age at which a gateway's word on its demand is dropped.
+	// listEvery is how often the leader reads the list; a worker that leaves must be known everywhere within 3 s.
+	listEvery = 500 * time.Millisecond
+	// reportMost and demandMost are the ages at which a sidecar's or a gateway's word is dropped.
+	reportMost = 2 * time.Second
 	demandMost = time.Second
 	// provenMost is how old the proof of leadership may be for an order; a machine that wakes from a freeze has 300 ms.
 	provenMost   = 150 * time.Millisecond
 	proveTimeout = 250 * time.Millisecond
-	// holderMargin is added to the lease of the holder before: its last order may have been under way.
-	holderMargin   = 700 * time.Millisecond
-	queuedAdapters = 256
-	queuedResults  = 256
+	// orderTimeout bounds a call to a sidecar.
+	orderTimeout  = time.Second
+	queuedResults = 256
 )
 
-// adapterAsk is a gateway's call for an adapter.
-type adapterAsk struct {
-	call  *wirepb.AdapterCall
-	reply chan string
-	tries int
-}
-
 // leader is the state of the leading duty; its one goroutine owns the planner.
 type leader struct {
 	*Steward
-	results   chan func()
-	running   sync.WaitGroup
-	nextList  time.Time
-	nextAsk   map[string]time.Time
-	asking    map[string]bool
-	listing   bool
-	primed    bool
+	results  chan func()
+	running  sync.WaitGroup
+	nextList time.Time
+	listing  bool
+	primed   bool
+	// taken is when the planner took each worker's last report.
+	taken     map[string]time.Time
 	published time.Time
 	version   uint64
-	// asks wait for the order to their worker that is under way.
-	asks map[string][]*adapterAsk
 }
 
 // lead is the duty that plans and gives orders while this steward leads; the channel gives its end.
 func (s *Steward) lead(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
-	l := &leader{
-		Steward: s, results: make(chan func(), queuedResults), nextAsk: map[string]time.Time{}, asking: map[string]bool{},
-		asks: map[string][]*adapterAsk{},
-	}
+	l := &leader{Steward: s, results: make(chan func(), queuedResults), taken: map[string]time.Time{}}
 	go func() {
 		l.run(ctx)
 		ended <- nil
@@ -82,10 +64,9 @@
 			return
 		case result := <-l.results:
 			result()
-		case ask := <-l.adapter:
-			l.bringAdapter(ctx, ask)
 		case <-l.wake:
 			if now := time.Now(); l.leadsNow(now) {
+				l.takeReports(now)
 				l.plan(ctx, now)
 			}
 		case <-ticker.C:
@@ -99,7 +80,7 @@
 		return
 	}
 	l.readList(ctx, now)
-	l.readReports(ctx, now)
+	l.takeReports(now)
 	l.plan(ctx, now)
 	l.publish(now, false)
 }
@@ -112,7 +93,7 @@
 	}
 	unloads := false
 	for _, o := range l.planner.Plan(now) {
-		l.order(ctx, o, nil)
+		l.order(ctx, o)
 		unloads = unloads || o.Unload
 	}
 	if unloads {
@@ -140,9 +121,9 @@
 	return self
 }
 
-// mayOrder tells whether no other holder's order can be recent and no other steward can lead.
+// mayOrder tells whether a table is there and no other steward can lead.
 func (l *leader) mayOrder(ctx context.Context, now time.Time) bool {
-	if now.Sub(l.since) < l.config.HolderLease+holderMargin || l.version == 0 {
+	if l.version == 0 {
 		return false
 	}
 	if now.Sub(l.proven) < provenMost {
@@ -217,71 +198,63 @@
 	}
 }
 
-func (l *leader) readReports(ctx context.Context, now time.Time) {
-	for _, w := range l.planner.Workers(now) {
-		if !l.planner.Engine(w.Service) || l.asking[w.ID] || now.Before(l.nextAsk[w.ID]) {
-			continue
-		}
-		every := reportEvery
-		if l.planner.Unsettled(w.ID) {
-			every = settleEvery
+// takeReports hands the sidecars' new words to the planner; what shows that an order is done is shown to the gateways at once.
+func (l *leader) takeReports(now time.Time) {
+	fresh := map[string]workerReport{}
+	l.mu.Lock()
+	for address, r := range l.reports {
+		switch {
+		case now.Sub(r.at) > reportMost:
+			delete(l.reports, address)
+			delete(l.taken, address)
+		case r.at.After(l.taken[address]):
+			fresh[address] = r
 		}
-		l.asking[w.ID], l.nextAsk[w.ID] = true, now.Add(every)
-		l.running.Go(func() {
-			report, err := l.report(ctx, w.Address)
-			l.finish(ctx, func() {
-				delete(l.asking, w.ID)
-				if err != nil {
-					l.log.V(1).Info("worker's report not read", "worker", w.ID, "error", err.Error())
-					return
-				}
-				l.takeReport(ctx, w.ID, report)
-			})
-		})
 	}
-	for id, at := range l.nextAsk {
-		if now.Sub(at) > demandMost && !l.asking[id] {
-			delete(l.nextAsk, id)
+	l.mu.Unlock()
+	changed := false
+	for _, w := range l.planner.Workers(now) {
+		r, ok := fresh[w.Address]
+		if !ok {
+			continue
 		}
+		l.taken[w.Address] = r.at
+		l.planner.Report(w.ID, worker.Report{
+			Born: r.state.Born, Draining: r.state.Draining, Remaining: r.state.Remaining, Models: r.state.Models, Load: *r.state.Load,
+		}, r.at)
+		changed = changed || !r.state.SameOrders(w)
 	}
-}
-
-// takeReport takes a worker's report and, where it shows that an order is done, plans and shows it at once.
-func (l *leader) takeReport(ctx context.Context, id string, report worker.Report) {
-	now := time.Now()
-	before := l.planner.Unsettled(id)
-	l.planner.Report(id, report, now)
-	if before && !l.planner.Unsettled(id) && l.leadsNow(now) {
+	if changed {
 		l.publish(now, true)
-		l.plan(ctx, now)
 	}
-	l.askAgain(ctx, id)
 }
 
-// order gives one order; then is called with what became of it.
-func (l *leader) order(ctx context.Context, o scaling.Order, then func(scaling.Outcome)) {
+// order gives one order through the worker's sidecar.
+func (l *leader) order(ctx context.Context, o scaling.Order) {
 	var target worker.State
 	for _, w := range l.planner.Workers(time.Now()) {
 		if w.ID == o.Worker {
 			target = w
 		}
 	}
-	fence := l.shared.Term()
-	l.log.Info("order given", "worker", o.Worker, "model", o.Model, "adapter", o.Adapter, "unload", o.Unload,
-		"sequence", o.Sequence, "fence", fence, "source", o.Source.String(), "reason", o.Reason)
+	term := l.shared.Term()
+	l.log.Info("order decided", "worker", o.Worker, "model", o.Model, "unload", o.Unload, "term", term,
+		"source", o.Source.String(), "reason", o.Reason)
+	frame := &wirepb.Frame{Body: &wirepb.Frame_WorkerOrder{WorkerOrder: &wirepb.WorkerOrder{
+		Worker: o.Worker, Service: target.Service, Model: o.Model, Unload: o.Unload, Term: term, Reason: o.Reason,
+	}}}
 	l.running.Go(func() {
-		outcome, err := l.give(ctx, target, o, fence)
+		reply, err := l.pool.Call(ctx, l.sidecar(target.Address), frame, orderTimeout)
+		outcome := scaling.OutcomeUnknown
+		if err == nil {
+			outcome = scaling.Outcome(reply.GetWorkerOrderReply().GetOutcome())
+		}
 		l.finish(ctx, func() {
-			if err != nil || outcome != scaling.OutcomeAccepted {
-				l.log.Info("order not accepted", "worker", o.Worker, "model", o.Model, "adapter", o.Adapter,
-					"outcome", outcome.String(), "error", errorText(err))
+			if outcome != scaling.OutcomeAccepted {
+				l.log.Info("order not accepted", "worker", o.Worker, "model", o.Model, "unload", o.Unload,
+					"outcome", outcome.String(), "answer", reply.GetWorkerOrderReply().GetError(), "error", errorText(err))
 			}
 			l.planner.Answered(o, outcome, time.Now())
-			l.nextAsk[o.Worker] = time.Now().Add(settleEvery / 2)
-			if then != nil {
-				then(outcome)
-			}
-			l.askAgain(ctx, o.Worker)
 		})
 	})
 }
@@ -293,63 +266,6 @@
 	return err.Error()
 }
 
-// bringAdapter gives the orders that bring an adapter to a worker and answers the gateway once the last one is accepted.
-func (l *leader) bringAdapter(ctx context.Context, ask *adapterAsk) {
-	now := time.Now()
-	if !l.leadsNow(now) || !l.mayOrder(ctx, now) {
-		ask.reply <- "this steward gives no orders"
-		return
-	}
-	id, a := ask.call.GetWorker(), worker.Adapter{Model: ask.call.GetModel(), Name: ask.call.GetAdapter()}
-	o, verdict := l.planner.Adapter(id, a, now)
-	switch verdict {
-	case scaling.VerdictNo:
-		ask.reply <- "the worker takes no adapter now"
-	case scaling.VerdictHeld, scaling.VerdictComing:
-		ask.reply <- ""
-	case scaling.VerdictWait:
-		l.asks[id] = append(l.asks[id], ask)
-	case scaling.VerdictOrder:
-		if ask.tries++; ask.tries > adapterTries {
-			l.planner.Answered(o, scaling.OutcomeRefused, now)
-			ask.reply <- "the worker did not accept the orders"
-			return
-		}
-		l.order(ctx, o, func(outcome scaling.Outcome) {
-			if !o.Unload && (outcome == scaling.OutcomeAccepted || outcome == scaling.OutcomeHolds) {
-				ask.reply <- ""
-				return
-			}
-			l.bringAdapter(ctx, ask)
-		})
-	}
-}
-
-// askAgain goes on with the adapters that wait for an order to a worker.
-func (l *leader) askAgain(ctx context.Context, id string) {
-	waiting := l.asks[id]
-	delete(l.asks, id)
-	for _, ask := range waiting {
-		l.bringAdapter(ctx, ask)
-	}
-}
-
-// adapterFor takes a gateway's call for an adapter.
-func (s *Steward) adapterFor(ctx context.Context, call *wirepb.AdapterCall) *wirepb.Frame {
-	ask := &adapterAsk{call: call, reply: make(chan string, 1)}
-	reply := &wirepb.AdapterReply{Error: "too many adapters are asked for"}
-	select {
-	case s.adapter <- ask:
-		select {
-		case reply.Error = <-ask.reply:
-			reply.Accepted = reply.Error == ""
-		case <-ctx.Done():
-		}
-	default:
-	}
-	return &wirepb.Frame{Body: &wirepb.Frame_AdapterReply{AdapterReply: reply}}
-}
-
 // publish shows the workers to the gateways, at once or when it is time.
 func (l *leader) publish(now time.Time, atOnce bool) {
 	workers, absent := l.planner.Workers(now), l.planner.Wanted(now)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -20,6 +20,8 @@
 const (
 	// changeTimeout is under the second after which an operator moves on to another steward.
 	changeTimeout = 900 * time.Millisecond
+	// tick makes an election take 0.5 to 1 s; the core's links take 1 to 3 ms and a sync 1 to 5 ms.
+	tick = 50 * time.Millisecond
 	// snapshotEntries keeps the log within a disk of 128 MB at 100 KB an entry.
 	snapshotEntries = 200
 )
@@ -32,8 +34,6 @@
 	// Peers are the stewards' addresses by the settings.
 	Peers      []string
 	FirstStart bool
-	// HolderLease is how long the last holder's order shuts other holders out.
-	HolderLease time.Duration
 }
 
 // Steward is one member of the core.
@@ -45,21 +45,22 @@
 
 	decode  func([]byte) (*route.Table, error)
 	list    func(context.Context) ([]worker.State, int, error)
-	report  func(context.Context, string) (worker.Report, error)
-	give    func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)
+	sidecar func(worker string) string
 	planner *scaling.Planner
 
 	mu      sync.Mutex
 	table   *route.Table
 	raw     []byte
 	version uint64
-	changed chan struct{}
-	demands map[string]demandReport
-	workers []worker.State
-	leads   bool
-	since   time.Time
-	proven  time.Time
-	adapter chan *adapterAsk
+	// changed closes at any change that gateways see, tabled at a new table.
+	changed, tabled chan struct{}
+	demands         map[string]demandReport
+	workers         []worker.State
+	leads           bool
+	since           time.Time
+	proven          time.Time
+	// reports are the sidecars' words on their workers, by the worker's address.
+	reports map[string]workerReport
 	// wake tells the leading duty of new demand.
 	wake chan struct{}
 	// absent are the models that no worker holds, with the time until one could.
@@ -74,6 +75,12 @@
 	came map[string]int
 }
 
+// workerReport is a sidecar's last word on its worker.
+type workerReport struct {
+	at    time.Time
+	state worker.State
+}
+
 // Option sets one property of a Steward.
 type Option func(*Steward)
 
@@ -90,21 +97,16 @@
 	return func(s *Steward) { s.list = list }
 }
 
-// WithReport sets what reads a worker's report.
-func WithReport(report func(context.Context, string) (worker.Report, error)) Option {
-	return func(s *Steward) { s.report = report }
-}
-
-// WithGive sets what gives an order to a worker under a fencing number.
-func WithGive(give func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)) Option {
-	return func(s *Steward) { s.give = give }
+// WithSidecar sets what returns the address of a worker's sidecar.
+func WithSidecar(sidecar func(worker string) string) Option {
+	return func(s *Steward) { s.sidecar = sidecar }
 }
 
 // Open opens the data folder and makes a Steward; it fails as quorum.Open does.
 func Open(config Config, pool *wire.Pool, options ...Option) (*Steward, error) {
 	s := &Steward{
-		config: config, log: logr.Discard(), pool: pool, planner: scaling.New(), changed: make(chan struct{}),
-		demands: map[string]demandReport{}, adapter: make(chan *adapterAsk, queuedAdapters),
+		config: config, log: logr.Discard(), pool: pool, planner: scaling.New(), changed: make(chan struct{}), tabled: make(chan struct{}),
+		demands: map[string]demandReport{}, reports: map[string]workerReport{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -115,7 +117,7 @@
 		DataFolder: config.DataFolder, Name: config.Address, Address: config.Address, Bootstrap: peersOf(config.Peers),
 		Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
-		quorum.WithPool(pool), quorum.WithLog(s.log))
+		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(tick))
 	return s, err
 }
 
@@ -150,7 +152,7 @@
 // Handlers returns what serves other processes' calls.
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
-		Peer: s.shared.Handle, Subscribe: s.subscribe, TableChange: s.changeFor, Adapter: s.adapterFor,
+		Peer: s.shared.Handle, Subscribe: s.subscribe, TableChange: s.changeFor,
 	}
 }
 
@@ -180,6 +182,8 @@
 	}
 	s.table, s.raw, s.version = table, change.GetTable(), change.GetVersion()
 	s.log.Info("table in force", "version", s.version, "routes", len(table.Routes), "bytes", len(s.raw))
+	close(s.tabled)
+	s.tabled = make(chan struct{})
 	s.wakeLocked()
 }
 
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -31,7 +31,7 @@
 		defer cancel()
 		s.readDemand(node.GetNode(), stream)
 	}()
-	s.show(ctx, node.GetVersion(), stream)
+	s.show(ctx, node, stream)
 	stream.Close()
 	cancel()
 	<-read
@@ -47,6 +47,9 @@
 		if d := frame.GetDemandReport(); d != nil {
 			s.takeDemand(node, d)
 		}
+		if w := frame.GetWorkerState(); w != nil {
+			s.takeWorker(worker.FromWire(w))
+		}
 	}
 }
 
@@ -67,14 +70,26 @@
 	}
 }
 
-func (s *Steward) show(ctx context.Context, version uint64, stream *wire.Stream) {
+// takeWorker takes a sidecar's word on its worker.
+func (s *Steward) takeWorker(w worker.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[w.Address] = workerReport{at: time.Now(), state: w}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Steward) show(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream) {
+	version := node.GetVersion()
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	for {
-		snapshot, changed := s.snapshotSince(version)
+		snapshot, changed := s.snapshotSince(version, node.GetTableOnly())
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
 		if err := stream.Send(frame, sendTimeout); err != nil {
-			return // the gateway comes back by itself
+			return // the other side comes back by itself
 		}
 		version = max(version, snapshot.GetVersion())
 		select {
@@ -87,7 +102,7 @@
 	}
 }
 
-func (s *Steward) snapshotSince(version uint64) (*wirepb.Snapshot, <-chan struct{}) {
+func (s *Steward) snapshotSince(version uint64, tableOnly bool) (*wirepb.Snapshot, <-chan struct{}) {
 	proven := s.shared.Vouch() < provenFor
 	var stewards []string
 	for _, m := range s.shared.Members() {
@@ -99,10 +114,13 @@
 	if s.version > version {
 		snapshot.Table = s.raw
 	}
+	if tableOnly {
+		return snapshot, s.tabled
+	}
 	if s.leads {
 		snapshot.HasWorkers = true
 		for _, w := range s.workers {
-			snapshot.Workers = append(snapshot.Workers, stateToWire(w))
+			snapshot.Workers = append(snapshot.Workers, w.Shown().ToWire())
 		}
 		for name, expected := range s.absent {
 			snapshot.Absent = append(snapshot.Absent, &wirepb.AbsentModel{Name: name, ExpectedMs: uint32(expected.Milliseconds())})
@@ -110,19 +128,3 @@
 	}
 	return snapshot, s.changed
 }
-
-func stateToWire(w worker.State) *wirepb.WorkerState {
-	out := &wirepb.WorkerState{
-		Id: w.ID, BornMs: w.Born, Service: w.Service, Address: w.Address, DataCentre: w.DataCentre, Slots: uint32(w.Slots),
-		Draining: w.Draining, Loading: w.Loading, LoadingLeftMs: uint32(w.LoadingLeft.Milliseconds()),
-		RemainingMs: uint32(w.Remaining.Milliseconds()),
-	}
-	for _, m := range w.Models {
-		out.Models = append(out.Models, &wirepb.HeldModel{Name: m.Name, Adapters: m.Adapters})
-	}
-	if w.Load != nil {
-		out.Reported, out.Running, out.Waiting = true, uint32(w.Load.Running), uint32(w.Load.Waiting)
-		out.KvUsed, out.KvTotal = uint64(w.Load.KVUsed), uint64(w.Load.KVTotal)
-	}
-	return out
-}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -77,6 +77,15 @@
 	return ok && slices.Contains(m.Adapters, a.Name)
 }
 
+// SameOrders tells whether two states of a worker show the same orders carried out and under way.
+func (s State) SameOrders(other State) bool {
+	if (s.Load == nil) != (other.Load == nil) || s.Born != other.Born || s.Draining != other.Draining || len(s.Models) != len(other.Models) {
+		return false
+	}
+	return s.Load == nil || s.Load.Sequence == other.Load.Sequence && s.Load.Busy == other.Load.Busy &&
+		len(s.Load.Pending) == len(other.Load.Pending)
+}
+
 // Report is a worker's own report: its load, what it holds, and whether it leaves.
 type Report struct {
 	Born      int64
