--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"log/slog"
+	"errors"
 	"os"
 
-	"github.com/go-logr/logr"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/urfave/cli/v3"
 
+	"burdocksaddle/logging"
 	"burdocksaddle/platform"
 )
 
@@ -26,7 +27,7 @@
 	return platformCommand("sidecar", "give the model worker of this machine its orders", platform.RunSidecar)
 }
 
-func platformCommand(name, usage string, run func(context.Context, platform.Settings, logr.Logger) error) *cli.Command {
+func platformCommand(name, usage string, run func(context.Context, platform.Settings, platform.Observer) error) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage,
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -37,8 +38,14 @@
 			if err != nil {
 				return err
 			}
-			handler := slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelInfo})
-			return run(ctx, settings, logr.FromSlogHandler(handler).WithValues("node", settings.Node))
+			writer := logging.New(os.Stdout)
+			writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+			written := writer.Run(writing)
+			err = run(ctx, settings, platform.Observer{
+				Log: writer.Logger(0).WithValues("node", settings.Node), Metrics: metrics.NewSet(), Dropped: writer.Dropped,
+			})
+			stop()
+			return errors.Join(err, <-written)
 		},
 	}
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -81,6 +81,7 @@
 	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
 		Worker: w.ID, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
 	}}}
+	g.count(metricAdapters)
 	reply, err := g.pool.Call(ctx, g.sidecar(w.Address), frame, adapterTimeout)
 	if err != nil || !reply.GetAdapterReply().GetAccepted() {
 		g.log.Info("adapter not brought", "id", q.ID, "worker", w.ID, "model", q.Model, "adapter", q.Adapter,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/route"
@@ -39,6 +40,7 @@
 	send    func(context.Context, Call) (*Answer, error)
 	list    func(context.Context) ([]worker.State, int, error)
 
+	metrics  *metrics.Set
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
 	// leaving ends when requests that have no worker yet shall go elsewhere, stopping when no answer is waited for any more.
@@ -51,6 +53,8 @@
 	// absent are models that a worker said it doesn't hold, until the time given.
 	absent map[place]time.Time
 	shown  time.Time
+	// tabled is when the table came into force here.
+	tabled time.Time
 	// expected is how long until a model that no worker holds can serve, as of shown.
 	expected map[string]time.Duration
 	// urgent asks for the leader to hear of new demand at once.
@@ -71,6 +75,9 @@
 	came, running, waiting int
 }
 
+// WithMetrics sets where counters and histograms are kept.
+func WithMetrics(set *metrics.Set) Option { return func(g *Gateway) { g.metrics = set } }
+
 // Option sets one property of a Gateway.
 type Option func(*Gateway)
 
@@ -100,7 +107,7 @@
 // New makes a Gateway that has no table and knows no workers yet.
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
-		config: config, log: logr.Discard(), pool: pool, workers: map[string]worker.State{}, absent: map[place]time.Time{},
+		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, workers: map[string]worker.State{}, absent: map[place]time.Time{},
 		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
@@ -109,6 +116,7 @@
 	for _, option := range options {
 		option(g)
 	}
+	g.registerGauges()
 	g.links = uplink.New(config.Node, config.Stewards, pool, uplink.WithLog(g.log), uplink.WithTake(g.take),
 		uplink.WithLost(g.lost), uplink.WithVersion(g.version))
 	return g
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -157,6 +157,7 @@
 		return
 	}
 	g.table.Store(table)
+	g.tabled = time.Now()
 	g.log.Info("table in force", "version", table.Version, "steward", steward, "routes", len(table.Routes))
 	g.wakeLocked()
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +42,16 @@
 	lowestUrgency = 9
 )
 
+// Outcomes of requests, in logs and metrics.
+const (
+	outcomeAnswered = "Answered"
+	outcomeRefused  = "Refused"
+	outcomeTimedOut = "TimedOut"
+	outcomeFailed   = "Failed"
+	outcomeCut      = "Cut"
+	outcomeLeft     = "ClientLeft"
+)
+
 // try is one request on its way through the gateway.
 type try struct {
 	*Gateway
@@ -61,7 +73,8 @@
 	// hurried tells that the leader was told of a model that no worker holds.
 	hurried bool
 	events  int
-	outcome string
+	// outcome and reason are how it ended, for logs and metrics; worker is the last one that it was sent to.
+	outcome, reason, worker string
 }
 
 // Serve answers one request; it returns when the answer is out or the client has left.
@@ -92,8 +105,10 @@
 	t.enter()
 	defer t.leave()
 	t.run(ctx)
-	g.log.V(1).Info("request ended", "id", request.ID, "route", matched.Name, "model", request.Model, "outcome", t.outcome,
-		"sends", t.sends, "events", t.events, "ms", time.Since(t.began).Milliseconds(), "version", table.Version)
+	t.ended()
+	g.log.Info("request ended", "id", request.ID, "route", matched.Name, "model", request.Model, "adapter", request.Adapter,
+		"outcome", t.outcome, "worker", t.worker, "sends", t.sends, "events", t.events, "ms", time.Since(t.began).Milliseconds(),
+		"version", table.Version)
 }
 
 // awaitTable returns the table in force; a gateway that has just started waits for its first one for a share of the client's
@@ -271,6 +286,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.sends++
+	t.worker = c.state.ID
 	stream := t.route.Kind == route.KindStream
 	silent := t.watchdog(cancel, t.firstLimit())
 	defer silent.Stop()
@@ -337,9 +353,9 @@
 	if answer.Status < http.StatusInternalServerError {
 		t.succeed(c)
 	}
-	t.outcome = "answered"
+	t.outcome = outcomeAnswered
 	if err := t.client.Answer(answer.Status, answer.Header, answer.Body); err != nil {
-		t.outcome = "client left"
+		t.outcome = outcomeLeft
 	}
 	return true
 }
@@ -372,6 +388,7 @@
 	}
 	t.mu.Unlock()
 	t.release(c, nil)
+	t.count(fmt.Sprintf("%s{elsewhere=%q}", metricNotRun, strconv.FormatBool(answer.Elsewhere)))
 	t.log.Info("worker did not run the request", "id", t.request.ID, "worker", c.state.ID, "status", answer.Status,
 		"model", t.request.Model, "adapter", t.request.Adapter, "send", t.sends)
 	return !t.pause(ctx)
@@ -389,7 +406,7 @@
 		"ran", t.ran, "events", t.events, "error", err.Error(), "ms", time.Since(t.began).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
 	if t.clientLeft(ctx) {
-		t.outcome = "client left"
+		t.outcome = outcomeLeft
 		return true
 	}
 	if ctx.Err() == nil && time.Now().Before(t.deadline) && (IsErrNotSent(err) || t.mayRepeat()) {
@@ -407,7 +424,7 @@
 // giveUp ends a request that found no worker; after is when the client had better come back if it has not run.
 func (t *try) giveUp(ctx context.Context, reason string, after time.Duration) {
 	if t.clientLeft(ctx) {
-		t.outcome = "client left"
+		t.outcome = outcomeLeft
 		return
 	}
 	if t.ran > 0 {
@@ -419,7 +436,7 @@
 
 // refuse says that the request has not run and when to come back.
 func (t *try) refuse(after time.Duration, reason string) {
-	t.outcome = "refused: " + reason
+	t.outcome, t.reason = outcomeRefused, reason
 	t.log.Info("request refused", "id", t.request.ID, "route", t.route.Name, "model", t.request.Model, "reason", reason,
 		"after", after.Milliseconds(), "sends", t.sends, "ms", time.Since(t.began).Milliseconds(), "version", t.table.Version)
 	t.client.Refuse(Refusal{Status: http.StatusServiceUnavailable, After: after, Reason: reason})
@@ -429,15 +446,15 @@
 func (t *try) end() {
 	switch {
 	case t.begun:
-		t.outcome = "cut"
+		t.outcome = outcomeCut
 		t.client.Cut()
 	case t.ran == 0:
 		t.refuse(comeBack, "no worker took it")
 	case !time.Now().Before(t.deadline):
-		t.outcome = "timed out"
+		t.outcome = outcomeTimedOut
 		t.client.Refuse(Refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"})
 	default:
-		t.outcome = "failed"
+		t.outcome = outcomeFailed
 		t.client.Refuse(Refusal{Status: http.StatusBadGateway, Reason: "the worker's answer broke off"})
 	}
 }
@@ -449,9 +466,9 @@
 		if errors.Is(err, io.EOF) {
 			t.release(c, nil)
 			t.succeed(c)
-			t.outcome = "answered"
+			t.outcome = outcomeAnswered
 			if !t.begun && t.client.Begin(answer.Status, answer.Header) != nil {
-				t.outcome = "client left"
+				t.outcome = outcomeLeft
 			}
 			return true
 		}
@@ -460,9 +477,10 @@
 		}
 		if !t.begun {
 			t.begun = true
+			t.first()
 			if t.client.Begin(answer.Status, answer.Header) != nil {
 				t.release(c, nil)
-				t.outcome = "client left"
+				t.outcome = outcomeLeft
 				return true
 			}
 		}
@@ -472,7 +490,7 @@
 		t.events++
 		if t.client.Event(event) != nil {
 			t.release(c, nil)
-			t.outcome = "client left"
+			t.outcome = outcomeLeft
 			return true
 		}
 		if t.route.Repeatable() && t.ran < t.route.MaxAttempts {
--- a/scaling/adapter.go
+++ b/scaling/adapter.go
@@ -24,6 +24,9 @@
 	VerdictHeld
 )
 
+// String returns the name of a verdict.
+func (v Verdict) String() string { return [...]string{"No", "Order", "Busy", "Coming", "Held"}[v] }
+
 // Adapter returns the order that brings an adapter to a worker which reports what it holds now: first to drop the one that was
 // brought longest ago if there is no room. Adapters in skip are in use and stay.
 func Adapter(engine *route.Engine, r worker.Report, a worker.Adapter, brought map[worker.Adapter]time.Time, skip []worker.Adapter) (Order, Verdict) {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -194,7 +194,7 @@
 
 // evictions returns what must leave a worker for a model, the least needed first, and what is lost by it.
 func (p *Planner) evictions(f *fleet, t *tracked, n need) (evict []string, lost float64, ok bool) {
-	free := f.engine.MemoryMB - t.used(f.engine)
+	free := f.engine.MemoryMB - t.used(f.engine) - f.adapterRoom(t, n.model)
 	type victim struct {
 		model worker.Model
 		loss  float64
@@ -220,6 +220,21 @@
 	return evict, lost, free >= n.model.WeightsMB
 }
 
+// adapterRoom is the memory that must stay free beside the weights, so that requests for adapters can be served.
+func (f *fleet) adapterRoom(t *tracked, incoming route.Model) float64 {
+	largest, held := 0.0, 0.0
+	if incoming.Adapters > 0 {
+		largest = incoming.AdapterMB
+	}
+	for _, m := range t.state.Models {
+		if known, ok := f.engine.Model(m.Name); ok && known.Adapters > 0 {
+			largest = max(largest, known.AdapterMB)
+			held += float64(len(m.Adapters)) * known.AdapterMB
+		}
+	}
+	return max(0, largest*float64(f.engine.AdapterSlots)-held)
+}
+
 // loss weighs what one replica less of a model costs: little while those that stay serve its requests well, more for the last
 // one of a model that is asked for now and then; false where it must stay.
 func (p *Planner) loss(f *fleet, model string, n need) (loss float64, allowed bool) {
--- /dev/null
+++ b/scaling/scaling_test.go
@@ -0,0 +1,207 @@
+package scaling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"burdocksaddle/route"
+	"burdocksaddle/worker"
+)
+
+// coldObjective is within which a first event is on time for two of three kinds of generations on the sheets.
+const coldObjective = 1500 * time.Millisecond
+
+// TestRareModelComesFromItsCopy asks for a model that nobody holds and one worker has a copy of: loading it elsewhere takes
+// six seconds, in which its callers give up.
+func TestRareModelComesFromItsCopy(t *testing.T) {
+	w := newWorld(t, 4, 12)
+	for i := range 4 {
+		w.hold(i, modelName(2*i))
+		w.hold(i, modelName(2*i+1))
+	}
+	w.copyAt(3, modelName(9))
+	w.run(time.Second, func(time.Duration) {})
+	w.waiting[modelName(9)] = 1
+	w.run(coldObjective, func(time.Duration) {})
+	if w.held(modelName(9)) != 1 || w.running[modelName(9)] != 1 {
+		t.Errorf("held by %d workers after %v", w.held(modelName(9)), coldObjective)
+	}
+	if diff := cmp.Diff(map[Source]int{SourceDisk: 1}, w.loads); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestBusyModelKeepsItsReplicas has many rare models asked for at once beside a busy one that needs every replica it has.
+func TestBusyModelKeepsItsReplicas(t *testing.T) {
+	w := newWorld(t, 6, 20)
+	for i := range 6 {
+		w.hold(i, modelName(0))
+		w.hold(i, modelName(1+i))
+		w.copyAt(i, modelName(7+i))
+	}
+	busy := 6 * int(replicaLoad)
+	w.running[modelName(0)] = busy
+	w.run(2*time.Second, func(time.Duration) {})
+	w.run(7*time.Second, func(passed time.Duration) {
+		if at := int(passed / worldStep); at%20 == 0 && at/20 < 6 {
+			w.waiting[modelName(7+at/20)]++
+		}
+		if w.held(modelName(0)) < 4 {
+			t.Fatalf("%d replicas for %d requests after %v", w.held(modelName(0)), busy, passed)
+		}
+	})
+	for i := range 6 {
+		if w.running[modelName(7+i)] == 0 {
+			t.Errorf("%s was never served", modelName(7+i))
+		}
+	}
+}
+
+// TestDemandMoves moves the demand of a busy model to one that a single worker holds: within the time that its copies and
+// four loads from the store take, it has several replicas.
+func TestDemandMoves(t *testing.T) {
+	w := newWorld(t, 8, 8)
+	for i := range 8 {
+		w.hold(i, modelName(0))
+	}
+	w.hold(0, modelName(1))
+	w.running[modelName(0)] = 40
+	w.run(3*time.Second, func(time.Duration) {})
+	w.running[modelName(0)], w.running[modelName(1)] = 2, 40
+	w.run(7*time.Second, func(time.Duration) {})
+	if got := w.held(modelName(1)); got < 4 {
+		t.Errorf("%d replicas for 40 requests, loads %v", got, w.loads)
+	}
+}
+
+// TestStoreIsNotFlooded asks for more models without copies than the store loads at full speed.
+func TestStoreIsNotFlooded(t *testing.T) {
+	w := newWorld(t, 10, 10)
+	for i := range 10 {
+		w.waiting[modelName(i)] = 1
+	}
+	w.run(time.Second, func(time.Duration) {
+		loading := 0
+		for _, m := range w.workers {
+			if m.state.Load.Busy && m.doing.Source == SourceStore {
+				loading++
+			}
+		}
+		if loading > storeSlots {
+			t.Fatalf("%d loads from the store at once", loading)
+		}
+	})
+	if w.loads[SourceStore] != storeSlots {
+		t.Errorf("%d loads began", w.loads[SourceStore])
+	}
+}
+
+// TestRoomForAdapters fills a worker with models whose weights alone would fit: requests for adapters would never be served.
+func TestRoomForAdapters(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.engine.MemoryMB = 2 * worldWeights
+	w.hold(0, modelName(0))
+	w.copyAt(0, modelName(1))
+	w.run(2*time.Second, func(time.Duration) {})
+	w.waiting[modelName(1)] = 1
+	w.run(coldObjective, func(time.Duration) {})
+	if w.held(modelName(1)) != 1 || w.held(modelName(0)) != 0 {
+		t.Errorf("the worker holds %v", w.workers[0].state.Models)
+	}
+}
+
+func TestExpect(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.copyAt(1, modelName(2))
+	w.run(time.Second, func(time.Duration) {})
+	for model, want := range map[string]time.Duration{modelName(1): 6 * time.Second, modelName(2): 500 * time.Millisecond} {
+		if got, ok := w.planner.Expect(worldService, model, w.now); !ok || got != want+planLag {
+			t.Errorf("%s: %v, %v", model, got, ok)
+		}
+	}
+	if _, ok := w.planner.Expect(worldService, "unknown", w.now); ok {
+		t.Error("an unknown model is expected")
+	}
+}
+
+func TestAdapter(t *testing.T) {
+	engine := &route.Engine{MemoryMB: worldMemory, AdapterSlots: 2, Models: []route.Model{{Name: "m", WeightsMB: worldWeights, AdapterMB: 40}}}
+	a := func(name string) worker.Adapter { return worker.Adapter{Model: "m", Name: name} }
+	holds := func(names ...string) []worker.Model { return []worker.Model{{Name: "m", Adapters: names}} }
+	early, late := time.Unix(1, 0), time.Unix(2, 0)
+	tests := map[string]struct {
+		report  worker.Report
+		skip    []worker.Adapter
+		order   Order
+		verdict Verdict
+	}{
+		"no such model": {worker.Report{}, nil, Order{}, VerdictNo},
+		"there":         {worker.Report{Models: holds("a1")}, nil, Order{}, VerdictHeld},
+		"coming":        {worker.Report{Models: holds(), Load: worker.Load{Pending: []worker.Adapter{a("a1")}}}, nil, Order{}, VerdictComing},
+		"weights first": {worker.Report{Models: holds(), Load: worker.Load{Busy: true}}, nil, Order{}, VerdictBusy},
+		"room": {worker.Report{Models: holds("a2"), Load: worker.Load{Sequence: 7}}, nil,
+			Order{Model: "m", Adapter: "a1", Sequence: 7, Reason: "a request waits for it"}, VerdictOrder},
+		"full: the oldest goes": {worker.Report{Models: holds("a2", "a3")}, nil,
+			Order{Model: "m", Adapter: "a3", Unload: true, Reason: "room for adapter a1"}, VerdictOrder},
+		"full: one in use stays": {worker.Report{Models: holds("a2", "a3")}, []worker.Adapter{a("a3")},
+			Order{Model: "m", Adapter: "a2", Unload: true, Reason: "room for adapter a1"}, VerdictOrder},
+		"full: all in use": {worker.Report{Models: holds("a2", "a3")}, []worker.Adapter{a("a2"), a("a3")}, Order{}, VerdictNo},
+		"what comes takes room": {worker.Report{Models: holds("a2"), Load: worker.Load{Pending: []worker.Adapter{a("a4")}}}, nil,
+			Order{Model: "m", Adapter: "a2", Unload: true, Reason: "room for adapter a1"}, VerdictOrder},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := indexed(t, engine)
+			brought := map[worker.Adapter]time.Time{a("a2"): late, a("a3"): early}
+			order, verdict := Adapter(engine, test.report, a("a1"), brought, test.skip)
+			if diff := cmp.Diff(test.order, order); diff != "" || verdict != test.verdict {
+				t.Errorf("verdict %d, want %d\n%s", verdict, test.verdict, diff)
+			}
+		})
+	}
+}
+
+// TestWeights checks that no order overcommits a worker's memory, whatever the leader believed.
+func TestWeights(t *testing.T) {
+	engine := indexed(t, &route.Engine{MemoryMB: 2 * worldWeights, AdapterSlots: 2, Models: []route.Model{
+		{Name: "a", WeightsMB: worldWeights, AdapterMB: 40}, {Name: "b", WeightsMB: worldWeights}, {Name: "c", WeightsMB: worldWeights},
+	}})
+	tests := map[string]struct {
+		report worker.Report
+		model  string
+		unload bool
+		want   Outcome
+	}{
+		"room":                   {worker.Report{Models: []worker.Model{{Name: "a"}}}, "b", false, OutcomeAccepted},
+		"adapters take room":     {worker.Report{Models: []worker.Model{{Name: "a", Adapters: []string{"a1"}}}}, "b", false, OutcomeRefused},
+		"so do those to come":    {worker.Report{Models: []worker.Model{{Name: "a"}}, Load: worker.Load{Pending: []worker.Adapter{{Model: "a", Name: "a1"}}}}, "b", false, OutcomeRefused},
+		"full":                   {worker.Report{Models: []worker.Model{{Name: "a"}, {Name: "b"}}}, "c", false, OutcomeRefused},
+		"unknown":                {worker.Report{}, "x", false, OutcomeRefused},
+		"held":                   {worker.Report{Models: []worker.Model{{Name: "a"}}}, "a", false, OutcomeHolds},
+		"busy":                   {worker.Report{Load: worker.Load{Busy: true}}, "a", false, OutcomeConflict},
+		"unload":                 {worker.Report{Models: []worker.Model{{Name: "a"}}}, "a", true, OutcomeAccepted},
+		"nothing to unload":      {worker.Report{}, "a", true, OutcomeHolds},
+		"unload what is unknown": {worker.Report{Models: []worker.Model{{Name: "x"}}}, "x", true, OutcomeAccepted},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, got := Weights(engine, test.report, test.model, test.unload); got != test.want {
+				t.Errorf("%v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// indexed returns an engine as a table holds it.
+func indexed(t *testing.T, engine *route.Engine) *route.Engine {
+	t.Helper()
+	copied := *engine
+	table, err := route.New(1, nil, []route.Service{{Name: worldService, Engine: &copied}}, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, _ := table.Service(worldService)
+	return s.Engine
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/route"
@@ -29,6 +31,12 @@
 	fence = 1
 )
 
+// Names of metrics; labels have few values.
+const (
+	metricOrders   = "burdocksaddle_sidecar_orders_total"
+	metricAdapters = "burdocksaddle_sidecar_adapters_total"
+)
+
 // Config says who a sidecar is.
 type Config struct {
 	Node string
@@ -39,13 +47,14 @@
 
 // Sidecar is the one holder of a worker's orders.
 type Sidecar struct {
-	config Config
-	log    logr.Logger
-	links  *uplink.Uplink
-	decode func([]byte) (*route.Table, error)
-	report func(context.Context, string) (worker.Report, error)
-	give   func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)
-	table  atomic.Pointer[route.Table]
+	config  Config
+	log     logr.Logger
+	metrics *metrics.Set
+	links   *uplink.Uplink
+	decode  func([]byte) (*route.Table, error)
+	report  func(context.Context, string) (worker.Report, error)
+	give    func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)
+	table   atomic.Pointer[route.Table]
 
 	// turn is held by the one order that is under way.
 	turn chan struct{}
@@ -61,6 +70,9 @@
 // WithLog sets where events are logged.
 func WithLog(log logr.Logger) Option { return func(s *Sidecar) { s.log = log } }
 
+// WithMetrics sets where counters are kept.
+func WithMetrics(set *metrics.Set) Option { return func(s *Sidecar) { s.metrics = set } }
+
 // WithDecode sets what reads an operator's table.
 func WithDecode(decode func([]byte) (*route.Table, error)) Option {
 	return func(s *Sidecar) { s.decode = decode }
@@ -79,7 +91,7 @@
 // New makes a Sidecar.
 func New(config Config, pool *wire.Pool, options ...Option) *Sidecar {
 	s := &Sidecar{
-		config: config, log: logr.Discard(), turn: make(chan struct{}, 1), brought: map[worker.Adapter]time.Time{},
+		config: config, log: logr.Discard(), metrics: metrics.NewSet(), turn: make(chan struct{}, 1), brought: map[worker.Adapter]time.Time{},
 		look: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -200,6 +212,7 @@
 // order carries out the leader's word on a model.
 func (s *Sidecar) order(ctx context.Context, o *wirepb.WorkerOrder) *wirepb.Frame {
 	outcome, err := s.weights(ctx, o)
+	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{unload=\"%t\",outcome=%q}", metricOrders, o.GetUnload(), outcome.String())).Inc()
 	s.log.Info("order", "worker", o.GetWorker(), "model", o.GetModel(), "unload", o.GetUnload(), "term", o.GetTerm(),
 		"reason", o.GetReason(), "outcome", outcome.String(), "error", errorText(err))
 	reply := &wirepb.WorkerOrderReply{Outcome: uint32(outcome), Error: errorText(err)}
@@ -235,6 +248,7 @@
 // adapter brings an adapter for a gateway's request.
 func (s *Sidecar) adapter(ctx context.Context, call *wirepb.AdapterCall) *wirepb.Frame {
 	verdict, err := s.bring(ctx, call)
+	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricAdapters, verdict.String())).Inc()
 	reply := &wirepb.AdapterReply{
 		Accepted: verdict == scaling.VerdictHeld || verdict == scaling.VerdictComing, Held: verdict == scaling.VerdictHeld, Error: errorText(err),
 	}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -249,6 +249,7 @@
 		if err == nil {
 			outcome = scaling.Outcome(reply.GetWorkerOrderReply().GetOutcome())
 		}
+		l.countOrder(o, outcome)
 		l.finish(ctx, func() {
 			if outcome != scaling.OutcomeAccepted {
 				l.log.Info("order not accepted", "worker", o.Worker, "model", o.Model, "unload", o.Unload,
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
@@ -38,10 +39,11 @@
 
 // Steward is one member of the core.
 type Steward struct {
-	config Config
-	log    logr.Logger
-	pool   *wire.Pool
-	shared *quorum.Log
+	config  Config
+	log     logr.Logger
+	pool    *wire.Pool
+	metrics *metrics.Set
+	shared  *quorum.Log
 
 	decode  func([]byte) (*route.Table, error)
 	list    func(context.Context) ([]worker.State, int, error)
@@ -55,10 +57,12 @@
 	// changed closes at any change that gateways see, tabled at a new table.
 	changed, tabled chan struct{}
 	demands         map[string]demandReport
-	workers         []worker.State
-	leads           bool
-	since           time.Time
-	proven          time.Time
+	// subscribers counts the open streams of gateways and sidecars.
+	subscribers int
+	workers     []worker.State
+	leads       bool
+	since       time.Time
+	proven      time.Time
 	// reports are the sidecars' words on their workers, by the worker's address.
 	reports map[string]workerReport
 	// wake tells the leading duty of new demand.
@@ -87,6 +91,9 @@
 // WithLog sets where events are logged.
 func WithLog(log logr.Logger) Option { return func(s *Steward) { s.log = log } }
 
+// WithMetrics sets where counters and histograms are kept.
+func WithMetrics(set *metrics.Set) Option { return func(s *Steward) { s.metrics = set } }
+
 // WithDecode sets what reads an operator's table.
 func WithDecode(decode func([]byte) (*route.Table, error)) Option {
 	return func(s *Steward) { s.decode = decode }
@@ -105,7 +112,7 @@
 // Open opens the data folder and makes a Steward; it fails as quorum.Open does.
 func Open(config Config, pool *wire.Pool, options ...Option) (*Steward, error) {
 	s := &Steward{
-		config: config, log: logr.Discard(), pool: pool, planner: scaling.New(), changed: make(chan struct{}), tabled: make(chan struct{}),
+		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}), tabled: make(chan struct{}),
 		demands: map[string]demandReport{}, reports: map[string]workerReport{},
 		wake: make(chan struct{}, 1),
 	}
@@ -118,6 +125,9 @@
 		Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
 		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(tick))
+	if err == nil {
+		s.registerGauges()
+	}
 	return s, err
 }
 
@@ -213,14 +223,16 @@
 func (s *Steward) Change(ctx context.Context, raw []byte, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	change := &wirepb.TableChange{Table: raw, Version: version}
+	change, began := &wirepb.TableChange{Table: raw, Version: version}, time.Now()
 	for {
 		err := s.try(ctx, change)
 		if err == nil {
+			s.countChange(began, nil)
 			return nil
 		}
 		select {
 		case <-ctx.Done():
+			s.countChange(began, err)
 			return ErrNotCommitted{Cause: err}
 		case <-time.After(changePause):
 		}
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -20,11 +20,13 @@
 	provenFor = time.Second
 )
 
-// subscribe serves one gateway's stream until either side ends it.
+// subscribe serves the stream of one gateway or sidecar until either side ends it.
 func (s *Steward) subscribe(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.log.Info("gateway connected", "gateway", node.GetNode(), "version", node.GetVersion())
+	s.log.Info("subscriber connected", "subscriber", node.GetNode(), "version", node.GetVersion())
+	s.subscribed(1)
+	defer s.subscribed(-1)
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
@@ -35,7 +37,13 @@
 	stream.Close()
 	cancel()
 	<-read
-	s.log.Info("gateway left", "gateway", node.GetNode())
+	s.log.Info("subscriber lost", "subscriber", node.GetNode())
+}
+
+func (s *Steward) subscribed(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers += change
 }
 
 func (s *Steward) readDemand(node string, stream *wire.Stream) {
