--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -22,9 +22,9 @@
 	return platformCommand("steward", "keep the table and the models on the platform", platform.RunSteward)
 }
 
-// sidecarCommand returns the command that runs beside a model worker of a platform deployment.
+// sidecarCommand returns the command that runs beside a model endpoint of a platform deployment.
 func sidecarCommand() *cli.Command {
-	return platformCommand("sidecar", "give the model worker of this machine its orders", platform.RunSidecar)
+	return platformCommand("sidecar", "give the model endpoint of this machine its orders", platform.RunSidecar)
 }
 
 func platformCommand(name, usage string, run func(context.Context, platform.Settings, platform.Observer) error) *cli.Command {
--- a/worker/worker.go
+++ b/endpoint/endpoint.go
@@ -1,20 +1,20 @@
-package worker
+package endpoint
 
 import (
 	"slices"
 	"time"
 )
 
-// Model is a model that a worker holds, with its loaded adapters.
+// Model is a model that an endpoint holds, with its loaded adapters.
 type Model struct {
 	Name     string
 	Version  int
 	Adapters []string
 }
 
-// State is one worker as last seen.
+// State is one endpoint as last seen.
 type State struct {
-	// ID names one start of a worker, mostly; Born tells two starts under one ID apart.
+	// ID names one start of an endpoint, mostly; Born tells two starts under one ID apart.
 	ID         string
 	Born       int64
 	Service    string
@@ -22,17 +22,17 @@
 	DataCentre string
 	Slots      int
 	Draining   bool
-	// Remaining is the time until the worker is taken away; 0 if unknown.
+	// Remaining is the time until the endpoint is taken away; 0 if unknown.
 	Remaining time.Duration
 	Models    []Model
-	// Load is what the worker reported of itself; nil before its first report.
+	// Load is what the endpoint reported of itself; nil before its first report.
 	Load *Load
 	// Loading is the model that is being loaded, with the time that is left.
 	Loading     string
 	LoadingLeft time.Duration
 }
 
-// Load is a worker's report of its work and orders.
+// Load is an endpoint's report of its work and orders.
 type Load struct {
 	Running int
 	Waiting int
@@ -40,11 +40,11 @@
 	KVTotal int
 	// Busy tells that an order is being carried out.
 	Busy bool
-	// Sequence counts the orders that the worker has accepted.
+	// Sequence counts the orders that the endpoint has accepted.
 	Sequence int
 	// Pending are adapters on their way, as model and name.
 	Pending []Adapter
-	// InMemory and OnDisk are models whose weights the worker's machine keeps copies of.
+	// InMemory and OnDisk are models whose weights the endpoint's machine keeps copies of.
 	InMemory []string
 	OnDisk   []string
 }
@@ -55,13 +55,13 @@
 	Name  string
 }
 
-// Holds tells whether a worker holds a model.
+// Holds tells whether an endpoint holds a model.
 func (s State) Holds(model string) bool {
 	_, ok := s.Model(model)
 	return ok
 }
 
-// Model returns what a worker holds of a model.
+// Model returns what an endpoint holds of a model.
 func (s State) Model(name string) (Model, bool) {
 	for _, m := range s.Models {
 		if m.Name == name {
@@ -71,13 +71,13 @@
 	return Model{}, false
 }
 
-// HoldsAdapter tells whether a worker holds an adapter.
+// HoldsAdapter tells whether an endpoint holds an adapter.
 func (s State) HoldsAdapter(a Adapter) bool {
 	m, ok := s.Model(a.Model)
 	return ok && slices.Contains(m.Adapters, a.Name)
 }
 
-// SameOrders tells whether two states of a worker show the same orders carried out and under way.
+// SameOrders tells whether two states of an endpoint show the same orders carried out and under way.
 func (s State) SameOrders(other State) bool {
 	if (s.Load == nil) != (other.Load == nil) || s.Born != other.Born || s.Draining != other.Draining || len(s.Models) != len(other.Models) {
 		return false
@@ -86,7 +86,7 @@
 		len(s.Load.Pending) == len(other.Load.Pending)
 }
 
-// Report is a worker's own report: its load, what it holds, and whether it leaves.
+// Report is an endpoint's own report: its load, what it holds, and whether it leaves.
 type Report struct {
 	Born      int64
 	Draining  bool
--- a/worker/wire.go
+++ b/endpoint/wire.go
@@ -1,4 +1,4 @@
-package worker
+package endpoint
 
 import (
 	"time"
@@ -7,8 +7,8 @@
 )
 
 // ToWire returns the message for a state.
-func (s State) ToWire() *wirepb.WorkerState {
-	out := &wirepb.WorkerState{
+func (s State) ToWire() *wirepb.EndpointState {
+	out := &wirepb.EndpointState{
 		Id: s.ID, BornMs: s.Born, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: uint32(s.Slots),
 		Draining: s.Draining, Loading: s.Loading, LoadingLeftMs: uint32(s.LoadingLeft.Milliseconds()),
 		RemainingMs: uint32(s.Remaining.Milliseconds()),
@@ -40,7 +40,7 @@
 }
 
 // FromWire returns the state of a message.
-func FromWire(w *wirepb.WorkerState) State {
+func FromWire(w *wirepb.EndpointState) State {
 	s := State{
 		ID: w.GetId(), Born: w.GetBornMs(), Service: w.GetService(), Address: w.GetAddress(), DataCentre: w.GetDataCentre(),
 		Slots: int(w.GetSlots()), Draining: w.GetDraining(), Loading: w.GetLoading(),
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/wire"
-	"burdocksaddle/worker"
 )
 
-// bed is a gateway whose workers are a function.
+// bed is a gateway whose endpoints are a function.
 type bed struct {
 	*Gateway
 	mu    sync.Mutex
@@ -49,7 +49,7 @@
 	return table
 }
 
-func newBed(t *testing.T, send func(ctx context.Context, call Call) (*Answer, error), workers ...worker.State) *bed {
+func newBed(t *testing.T, send func(ctx context.Context, call Call) (*Answer, error), endpoints ...endpoint.State) *bed {
 	t.Helper()
 	b := &bed{}
 	b.Gateway = New(Config{Node: "test", DataCentre: "here", RetryRatio: 0.2}, wire.NewPool(), WithSend(
@@ -60,28 +60,28 @@
 			return send(ctx, call)
 		}))
 	b.table.Store(bedTable(t))
-	b.show(workers...)
+	b.show(endpoints...)
 	return b
 }
 
-// show makes the gateway see workers, as a steward's snapshot would.
-func (b *bed) show(workers ...worker.State) {
+// show makes the gateway see endpoints, as a steward's snapshot would.
+func (b *bed) show(endpoints ...endpoint.State) {
 	b.Gateway.mu.Lock()
 	defer b.Gateway.mu.Unlock()
 	b.shown = time.Now()
-	b.takeWorkersLocked(workers, time.Now())
+	b.takeEndpointsLocked(endpoints, time.Now())
 }
 
-func engineWorker(id string, models ...string) worker.State {
-	w := worker.State{ID: id, Service: "engines", Address: id + ":1", DataCentre: "here", Slots: 32, Load: &worker.Load{}}
+func engineEndpoint(id string, models ...string) endpoint.State {
+	w := endpoint.State{ID: id, Service: "engines", Address: id + ":1", DataCentre: "here", Slots: 32, Load: &endpoint.Load{}}
 	for _, m := range models {
-		w.Models = append(w.Models, worker.Model{Name: m})
+		w.Models = append(w.Models, endpoint.Model{Name: m})
 	}
 	return w
 }
 
-func deskWorker(id string) worker.State {
-	return worker.State{ID: id, Service: "desk", Address: id + ":1", DataCentre: "here", Slots: 6}
+func deskEndpoint(id string) endpoint.State {
+	return endpoint.State{ID: id, Service: "desk", Address: id + ":1", DataCentre: "here", Slots: 6}
 }
 
 // got is what a client saw.
@@ -135,4 +135,4 @@
 	return &Answer{Status: http.StatusServiceUnavailable, NotRun: true, Close: func() {}}
 }
 
-var errCrash = ErrBroken{Worker: "w1", Cause: io.ErrUnexpectedEOF}
+var errCrash = ErrBroken{Endpoint: "w1", Cause: io.ErrUnexpectedEOF}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -8,33 +8,33 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 	"burdocksaddle/wirepb"
-	"burdocksaddle/worker"
 )
 
 const (
-	// absentFor is how long a worker's word that it lacks a model outweighs what the stewards show, which lags as long.
+	// absentFor is how long an endpoint's word that it lacks a model outweighs what the stewards show, which lags as long.
 	absentFor = 500 * time.Millisecond
 	// adapterWait is the time that an adapter takes from its order on, by the sheets, with a margin.
 	adapterWait    = 12 * time.Millisecond
 	adapterTimeout = 500 * time.Millisecond
 )
 
-// choice is the worker that was chosen for a request.
+// choice is the endpoint that was chosen for a request.
 type choice struct {
 	endpoint routing.Endpoint
-	state    worker.State
+	state    endpoint.State
 	query    routing.Request
 	// bring tells that the adapter must be brought first.
 	bring bool
 }
 
-// chooseLocked picks a worker that can run a request now; held tells whether any worker holds its model.
+// chooseLocked picks an endpoint that can run a request now; held tells whether any endpoint holds its model.
 func (g *Gateway) chooseLocked(q *Request, service string, avoid []string, now time.Time) (c choice, held, ok bool) {
 	var having, others []routing.Endpoint
-	for _, w := range g.workers {
+	for _, w := range g.endpoints {
 		if w.Service != service || w.Draining {
 			continue
 		}
@@ -43,26 +43,26 @@
 		}
 		held = true
 		e := routing.Endpoint{Name: w.ID, DataCentre: w.DataCentre, Slots: w.Slots, Incarnation: uint64(w.Born)}
-		wanted := worker.Adapter{Model: q.Model, Name: q.Adapter}
+		wanted := endpoint.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || w.HoldsAdapter(wanted) && now.After(g.absent[place{w.ID, q.Model, q.Adapter}]) {
 			having = append(having, e)
 		} else if w.Loading == "" && (w.Load == nil || !w.Load.Busy) {
-			// A worker that loads or drops a model takes no orders about adapters.
+			// An endpoint that loads or drops a model takes no orders about adapters.
 			others = append(others, e)
 		}
 	}
 	query := routing.Request{Adapter: q.Adapter, Prefix: q.Prefix, Avoid: avoid}
 	if e, found := g.router.Choose(query, having, now); found {
-		return choice{endpoint: e, state: g.workers[e.Name], query: query}, held, true
+		return choice{endpoint: e, state: g.endpoints[e.Name], query: query}, held, true
 	}
 	if e, found := g.adapterHomeLocked(query, others, now); found {
-		return choice{endpoint: e, state: g.workers[e.Name], query: query, bring: true}, held, true
+		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, bring: true}, held, true
 	}
 	return choice{}, held, false
 }
 
-// adapterHomeLocked picks the worker that an adapter is brought to: the same one for all gateways as long as it is free, so
-// that workers don't drop adapters for each other's sake.
+// adapterHomeLocked picks the endpoint that an adapter is brought to: the same one for all gateways as long as it is free, so
+// that endpoints don't drop adapters for each other's sake.
 func (g *Gateway) adapterHomeLocked(query routing.Request, others []routing.Endpoint, now time.Time) (routing.Endpoint, bool) {
 	slices.SortFunc(others, func(a, b routing.Endpoint) int {
 		return cmp.Compare(xxhash.Sum64String(query.Adapter+a.Name), xxhash.Sum64String(query.Adapter+b.Name))
@@ -76,15 +76,15 @@
 	return routing.Endpoint{}, false
 }
 
-// bringAdapter asks a worker's sidecar to have an adapter loaded and waits until it should be there.
-func (g *Gateway) bringAdapter(ctx context.Context, w worker.State, q *Request) bool {
+// bringAdapter asks an endpoint's sidecar to have an adapter loaded and waits until it should be there.
+func (g *Gateway) bringAdapter(ctx context.Context, w endpoint.State, q *Request) bool {
 	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
-		Worker: w.ID, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
+		Endpoint: w.ID, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
 	}}}
 	g.count(metricAdapters)
 	reply, err := g.pool.Call(ctx, g.sidecar(w.Address), frame, adapterTimeout)
 	if err != nil || !reply.GetAdapterReply().GetAccepted() {
-		g.log.Info("adapter not brought", "id", q.ID, "worker", w.ID, "model", q.Model, "adapter", q.Adapter,
+		g.log.Info("adapter not brought", "id", q.ID, "endpoint", w.ID, "model", q.Model, "adapter", q.Adapter,
 			"answer", reply.GetAdapterReply().GetError(), "error", errorText(err))
 		return false
 	}
@@ -98,18 +98,18 @@
 	id := w.ID
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if w, ok := g.workers[id]; ok {
-		g.workers[id] = withAdapter(w, worker.Adapter{Model: q.Model, Name: q.Adapter})
+	if w, ok := g.endpoints[id]; ok {
+		g.endpoints[id] = withAdapter(w, endpoint.Adapter{Model: q.Model, Name: q.Adapter})
 		delete(g.absent, place{id, q.Model, q.Adapter})
 	}
 	return true
 }
 
-func withAdapter(w worker.State, a worker.Adapter) worker.State {
+func withAdapter(w endpoint.State, a endpoint.Adapter) endpoint.State {
 	if w.HoldsAdapter(a) {
 		return w
 	}
-	models := make([]worker.Model, len(w.Models))
+	models := make([]endpoint.Model, len(w.Models))
 	copy(models, w.Models)
 	for i, m := range models {
 		if m.Name == a.Model {
@@ -127,7 +127,7 @@
 	return err.Error()
 }
 
-// loadTimeLocked returns how long until a model that no worker holds can serve, by the leader's word or else from the store.
+// loadTimeLocked returns how long until a model that no endpoint holds can serve, by the leader's word or else from the store.
 func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
 	if expected, ok := g.expected[model]; ok {
 		return max(0, expected-time.Since(g.shown))
--- a/gateway/error.go
+++ b/gateway/error.go
@@ -5,15 +5,15 @@
 	"fmt"
 )
 
-// ErrNotSent tells that a request has certainly not reached its worker.
+// ErrNotSent tells that a request has certainly not reached its endpoint.
 type ErrNotSent struct {
-	Worker string
-	Cause  error
+	Endpoint string
+	Cause    error
 }
 
 // Error implements error.
 func (e ErrNotSent) Error() string {
-	return fmt.Sprintf("worker %s was not reached: %v", e.Worker, e.Cause)
+	return fmt.Sprintf("endpoint %s was not reached: %v", e.Endpoint, e.Cause)
 }
 
 // Unwrap returns the cause.
@@ -27,31 +27,31 @@
 
 // ErrBroken tells that an answer broke off or could not be read; the request may have run.
 type ErrBroken struct {
-	Worker string
-	Cause  error
+	Endpoint string
+	Cause    error
 }
 
 // Error implements error.
 func (e ErrBroken) Error() string {
-	return fmt.Sprintf("the answer of worker %s broke off: %v", e.Worker, e.Cause)
+	return fmt.Sprintf("the answer of endpoint %s broke off: %v", e.Endpoint, e.Cause)
 }
 
 // Unwrap returns the cause.
 func (e ErrBroken) Unwrap() error { return e.Cause }
 
-// ErrUnsigned tells that a success came without the worker's signature.
-type ErrUnsigned struct{ Worker string }
+// ErrUnsigned tells that a success came without the endpoint's signature.
+type ErrUnsigned struct{ Endpoint string }
 
 // Error implements error.
 func (e ErrUnsigned) Error() string {
-	return "worker " + e.Worker + " sent a success without a signature"
+	return "endpoint " + e.Endpoint + " sent a success without a signature"
 }
 
-// ErrSilent tells that a worker sent nothing for too long.
-type ErrSilent struct{ Worker string }
+// ErrSilent tells that an endpoint sent nothing for too long.
+type ErrSilent struct{ Endpoint string }
 
 // Error implements error.
-func (e ErrSilent) Error() string { return "worker " + e.Worker + " is silent" }
+func (e ErrSilent) Error() string { return "endpoint " + e.Endpoint + " is silent" }
 
 // errNoEvents is the cause where a stream that goes on is answered by something else.
 var errNoEvents = errors.New("no events in the answer")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,11 +11,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 	"burdocksaddle/uplink"
 	"burdocksaddle/wire"
-	"burdocksaddle/worker"
 )
 
 // Config says who a gateway is and what bounds it.
@@ -34,28 +34,28 @@
 	log    logr.Logger
 	pool   *wire.Pool
 	links  *uplink.Uplink
-	// sidecar returns the address of a worker's sidecar.
-	sidecar func(worker string) string
+	// sidecar returns the address of an endpoint's sidecar.
+	sidecar func(endpoint string) string
 	decode  func([]byte) (*route.Table, error)
 	send    func(context.Context, Call) (*Answer, error)
-	list    func(context.Context) ([]worker.State, int, error)
+	list    func(context.Context) ([]endpoint.State, int, error)
 
 	metrics  *metrics.Set
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
-	// leaving ends when requests that have no worker yet shall go elsewhere, stopping when no answer is waited for any more.
+	// leaving ends when requests that have no endpoint yet shall go elsewhere, stopping when no answer is waited for any more.
 	leaving, stopping         context.Context
 	turnAwayNow, endAnswering context.CancelFunc
 
-	mu      sync.Mutex
-	router  *routing.Router
-	workers map[string]worker.State
-	// absent are models that a worker said it doesn't hold, until the time given.
+	mu        sync.Mutex
+	router    *routing.Router
+	endpoints map[string]endpoint.State
+	// absent are models that an endpoint said it doesn't hold, until the time given.
 	absent map[place]time.Time
 	shown  time.Time
 	// tabled is when the table came into force here.
 	tabled time.Time
-	// expected is how long until a model that no worker holds can serve, as of shown.
+	// expected is how long until a model that no endpoint holds can serve, as of shown.
 	expected map[string]time.Duration
 	// urgent asks for the leader to hear of new demand at once.
 	urgent  chan struct{}
@@ -66,8 +66,8 @@
 	active  int
 }
 
-// place is a model, or an adapter of it, at a worker.
-type place struct{ worker, model, adapter string }
+// place is a model, or an adapter of it, at an endpoint.
+type place struct{ endpoint, model, adapter string }
 
 // demand counts a model's requests at this gateway.
 type demand struct {
@@ -89,25 +89,25 @@
 	return func(g *Gateway) { g.decode = decode }
 }
 
-// WithSend sets what sends a request to a worker; it fails with ErrNotSent or ErrBroken.
+// WithSend sets what sends a request to an endpoint; it fails with ErrNotSent or ErrBroken.
 func WithSend(send func(context.Context, Call) (*Answer, error)) Option {
 	return func(g *Gateway) { g.send = send }
 }
 
-// WithList sets what reads the platform's list while no steward shows the workers.
-func WithList(list func(context.Context) ([]worker.State, int, error)) Option {
+// WithList sets what reads the platform's list while no steward shows the endpoints.
+func WithList(list func(context.Context) ([]endpoint.State, int, error)) Option {
 	return func(g *Gateway) { g.list = list }
 }
 
-// WithSidecar sets what returns the address of a worker's sidecar.
-func WithSidecar(sidecar func(worker string) string) Option {
+// WithSidecar sets what returns the address of an endpoint's sidecar.
+func WithSidecar(sidecar func(endpoint string) string) Option {
 	return func(g *Gateway) { g.sidecar = sidecar }
 }
 
-// New makes a Gateway that has no table and knows no workers yet.
+// New makes a Gateway that has no table and knows no endpoints yet.
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
-		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, workers: map[string]worker.State{}, absent: map[place]time.Time{},
+		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absent: map[place]time.Time{},
 		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
@@ -126,7 +126,7 @@
 func (g *Gateway) Ready() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.draining.Load() || g.table.Load() == nil || len(g.workers) == 0 {
+	if g.draining.Load() || g.table.Load() == nil || len(g.endpoints) == 0 {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
@@ -151,7 +151,7 @@
 	g.log.Info("draining", "active", g.Active())
 }
 
-// TurnAway refuses the requests that wait for a worker, and all that come later: another gateway serves them sooner.
+// TurnAway refuses the requests that wait for an endpoint, and all that come later: another gateway serves them sooner.
 func (g *Gateway) TurnAway() { g.turnAwayNow() }
 
 // EndAnswers gives every request that is still under way its final answer.
@@ -167,7 +167,7 @@
 	return g.active
 }
 
-// wakeLocked wakes the requests that wait for a worker.
+// wakeLocked wakes the requests that wait for an endpoint.
 func (g *Gateway) wakeLocked() {
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/routing"
 	"burdocksaddle/wirepb"
-	"burdocksaddle/worker"
 )
 
 const (
@@ -57,7 +57,7 @@
 	}
 }
 
-// unshown tells whether no leader has shown the workers for a while.
+// unshown tells whether no leader has shown the endpoints for a while.
 func (g *Gateway) unshown(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,7 +67,7 @@
 func (g *Gateway) readList(ctx context.Context) {
 	listed, unread, err := g.list(ctx)
 	if err != nil {
-		g.log.Info("list of workers not read", "error", err.Error())
+		g.log.Info("list of endpoints not read", "error", err.Error())
 		return
 	}
 	g.mu.Lock()
@@ -75,8 +75,8 @@
 	if time.Since(g.shown) <= shownMost {
 		return
 	}
-	g.log.Info("workers taken from the list", "count", len(listed), "unread", unread)
-	g.takeWorkersLocked(listed, time.Now())
+	g.log.Info("endpoints taken from the list", "count", len(listed), "unread", unread)
+	g.takeEndpointsLocked(listed, time.Now())
 }
 
 func (g *Gateway) lost(steward string) {
@@ -124,19 +124,19 @@
 	} else if !s.GetLeads() && g.leading == steward {
 		g.leading = ""
 	}
-	if !s.GetLeads() || !s.GetHasWorkers() || !s.GetProven() || len(s.GetWorkers()) == 0 {
+	if !s.GetLeads() || !s.GetHasEndpoints() || !s.GetProven() || len(s.GetEndpoints()) == 0 {
 		return
 	}
 	now := time.Now()
-	workers := make([]worker.State, 0, len(s.GetWorkers()))
-	for _, w := range s.GetWorkers() {
-		workers = append(workers, worker.FromWire(w))
+	endpoints := make([]endpoint.State, 0, len(s.GetEndpoints()))
+	for _, w := range s.GetEndpoints() {
+		endpoints = append(endpoints, endpoint.FromWire(w))
 	}
 	g.shown, g.expected = now, make(map[string]time.Duration, len(s.GetAbsent()))
 	for _, a := range s.GetAbsent() {
 		g.expected[a.GetName()] = time.Duration(a.GetExpectedMs()) * time.Millisecond
 	}
-	g.takeWorkersLocked(workers, now)
+	g.takeEndpointsLocked(endpoints, now)
 }
 
 func (g *Gateway) takeTable(steward string, s *wirepb.Snapshot) {
@@ -162,16 +162,16 @@
 	g.wakeLocked()
 }
 
-// takeWorkersLocked replaces what is known of the workers.
-func (g *Gateway) takeWorkersLocked(workers []worker.State, now time.Time) {
-	known := make(map[string]worker.State, len(workers))
-	for _, w := range workers {
+// takeEndpointsLocked replaces what is known of the endpoints.
+func (g *Gateway) takeEndpointsLocked(endpoints []endpoint.State, now time.Time) {
+	known := make(map[string]endpoint.State, len(endpoints))
+	for _, w := range endpoints {
 		known[w.ID] = w
 		if w.Load != nil {
 			g.router.Report(w.ID, routing.Report{Running: w.Load.Running, Waiting: w.Load.Waiting, Slots: w.Slots}, now)
 		}
 	}
-	g.workers = known
+	g.endpoints = known
 	g.router.Sweep(func(name string) bool { _, ok := known[name]; return ok })
 	for p, until := range g.absent {
 		if now.After(until) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,7 +17,7 @@
 	metricAdapters  = "burdocksaddle_gateway_adapter_calls_total"
 	metricActive    = "burdocksaddle_gateway_active_requests"
 	metricWaiting   = "burdocksaddle_gateway_waiting_requests"
-	metricWorkers   = "burdocksaddle_gateway_workers"
+	metricEndpoints = "burdocksaddle_gateway_workers"
 	metricShownAge  = "burdocksaddle_gateway_workers_age_seconds"
 	metricTable     = "burdocksaddle_gateway_table_version"
 	metricTableAge  = "burdocksaddle_gateway_table_age_seconds"
@@ -37,7 +37,7 @@
 		}
 		return float64(waiting)
 	}))
-	g.metrics.NewGauge(metricWorkers, g.locked(func() float64 { return float64(len(g.workers)) }))
+	g.metrics.NewGauge(metricEndpoints, g.locked(func() float64 { return float64(len(g.endpoints)) }))
 	g.metrics.NewGauge(metricShownAge, g.locked(func() float64 { return time.Since(g.shown).Seconds() }))
 	g.metrics.NewGauge(metricTableAge, g.locked(func() float64 { return time.Since(g.tabled).Seconds() }))
 	g.metrics.NewGauge(metricHasLeader, g.locked(func() float64 {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -29,36 +29,36 @@
 	Body []byte
 }
 
-// Call is one sending of a request to a worker.
+// Call is one sending of a request to an endpoint.
 type Call struct {
 	Request *Request
-	// Worker and Address name who shall run it.
-	Worker  string
-	Address string
+	// Endpoint and Address name who shall run it.
+	Endpoint string
+	Address  string
 	// Remaining is the time that is left for the whole answer.
 	Remaining time.Duration
 	LastEvent string
 	Stream    bool
-	// Urgency ranks requests at a worker; 0 is the most urgent.
+	// Urgency ranks requests at an endpoint; 0 is the most urgent.
 	Urgency int
 }
 
-// Answer is a worker's answer; a stream's events follow by Next.
+// Answer is an endpoint's answer; a stream's events follow by Next.
 type Answer struct {
 	Status int
 	Header http.Header
-	// NotRun tells that the worker certainly did not run the request; Elsewhere that it doesn't hold what was asked for.
+	// NotRun tells that the endpoint certainly did not run the request; Elsewhere that it doesn't hold what was asked for.
 	NotRun    bool
 	Elsewhere bool
-	// Signed tells that the answer bears the worker's signature.
+	// Signed tells that the answer bears the endpoint's signature.
 	Signed bool
-	// Leaving tells that the worker takes no new connections.
+	// Leaving tells that the endpoint takes no new connections.
 	Leaving bool
 	Body    []byte
-	// Next returns a stream's next whole event and its id; io.EOF tells that the worker ended the stream. Nil for an answer
+	// Next returns a stream's next whole event and its id; io.EOF tells that the endpoint ended the stream. Nil for an answer
 	// that is whole in Body.
 	Next func() (event []byte, id string, err error)
-	// Close gives the connection up, which makes the worker stop.
+	// Close gives the connection up, which makes the endpoint stop.
 	Close func()
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,7 +22,7 @@
 	retryShare = 0.7
 	// answerMargin is kept of a request's time for its last answer.
 	answerMargin = 60 * time.Millisecond
-	// firstEventFactor, in objectives, is when a stream without a first event is moved to another worker.
+	// firstEventFactor, in objectives, is when a stream without a first event is moved to another endpoint.
 	firstEventFactor = 2
 	// silenceFactor, in allowed pauses, is when a stream that went silent is moved.
 	silenceFactor = 5
@@ -38,7 +38,7 @@
 	tableShare = 0.4
 	// elsewhere is when a client had better try another gateway.
 	elsewhere = 50 * time.Millisecond
-	// lowestUrgency is the last of the ranks that workers know.
+	// lowestUrgency is the last of the ranks that endpoints know.
 	lowestUrgency = 9
 )
 
@@ -70,11 +70,11 @@
 	avoid     []string
 	lastEvent string
 	begun     bool
-	// hurried tells that the leader was told of a model that no worker holds.
+	// hurried tells that the leader was told of a model that no endpoint holds.
 	hurried bool
 	events  int
-	// outcome and reason are how it ended, for logs and metrics; worker is the last one that it was sent to.
-	outcome, reason, worker string
+	// outcome and reason are how it ended, for logs and metrics; endpoint is the last one that it was sent to.
+	outcome, reason, endpoint string
 }
 
 // Serve answers one request; it returns when the answer is out or the client has left.
@@ -107,7 +107,7 @@
 	t.run(ctx)
 	t.ended()
 	g.log.Info("request ended", "id", request.ID, "route", matched.Name, "model", request.Model, "adapter", request.Adapter,
-		"outcome", t.outcome, "worker", t.worker, "sends", t.sends, "events", t.events, "ms", time.Since(t.began).Milliseconds(),
+		"outcome", t.outcome, "endpoint", t.endpoint, "sends", t.sends, "events", t.events, "ms", time.Since(t.began).Milliseconds(),
 		"version", table.Version)
 }
 
@@ -211,12 +211,12 @@
 	case <-time.After(retryPause):
 		return true
 	case <-ctx.Done():
-		t.giveUp(ctx, "no worker in time", comeBack)
+		t.giveUp(ctx, "no endpoint in time", comeBack)
 		return false
 	}
 }
 
-// take waits for a worker; false when the request was refused or its client has left.
+// take waits for an endpoint; false when the request was refused or its client has left.
 func (t *try) take(ctx context.Context) (choice, bool) {
 	for {
 		t.mu.Lock()
@@ -252,13 +252,13 @@
 		case <-changed:
 		case <-time.After(retryPause):
 		case <-ctx.Done():
-			t.giveUp(ctx, "no worker in time", comeBack)
+			t.giveUp(ctx, "no endpoint in time", comeBack)
 			return choice{}, false
 		}
 	}
 }
 
-// hurryLocked tells the leader at once of a model that no worker holds.
+// hurryLocked tells the leader at once of a model that no endpoint holds.
 func (t *try) hurryLocked() {
 	if t.hurried {
 		return
@@ -270,7 +270,7 @@
 	}
 }
 
-// release gives a chosen worker back; fault is what it did wrong, nil for nothing.
+// release gives a chosen endpoint back; fault is what it did wrong, nil for nothing.
 func (t *try) release(c choice, fault error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -281,17 +281,17 @@
 	t.movesLocked(false)
 }
 
-// attempt sends the request to a worker and tells whether that answered it.
+// attempt sends the request to an endpoint and tells whether that answered it.
 func (t *try) attempt(ctx context.Context, c choice) (done bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.sends++
-	t.worker = c.state.ID
+	t.endpoint = c.state.ID
 	stream := t.route.Kind == route.KindStream
 	silent := t.watchdog(cancel, t.firstLimit())
 	defer silent.Stop()
 	answer, err := t.send(ctx, Call{
-		Request: t.request, Worker: c.state.ID, Address: c.state.Address, Remaining: time.Until(t.deadline),
+		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Remaining: time.Until(t.deadline),
 		LastEvent: t.lastEvent, Stream: stream, Urgency: min(t.route.Priority, lowestUrgency),
 	})
 	if err != nil {
@@ -308,7 +308,7 @@
 		return t.turnedAway(ctx, c, answer)
 	case answer.Status/100 == 2 && !answer.Signed:
 		t.ran++
-		return t.failed(ctx, c, ErrUnsigned{Worker: c.state.ID})
+		return t.failed(ctx, c, ErrUnsigned{Endpoint: c.state.ID})
 	case answer.Next == nil:
 		t.ran++
 		return t.whole(ctx, c, answer)
@@ -317,7 +317,7 @@
 	return t.relay(ctx, c, answer, silent)
 }
 
-// firstLimit is how long a worker may take for its first word before a repeatable request is sent elsewhere.
+// firstLimit is how long an endpoint may take for its first word before a repeatable request is sent elsewhere.
 func (t *try) firstLimit() time.Duration {
 	if !t.route.Repeatable() || t.ran+1 >= t.route.MaxAttempts {
 		return time.Until(t.deadline)
@@ -333,10 +333,10 @@
 	return time.AfterFunc(max(limit, time.Millisecond), cancel)
 }
 
-// whole passes an answer on that is here whole, or tries again after a worker's own failure.
+// whole passes an answer on that is here whole, or tries again after an endpoint's own failure.
 func (t *try) whole(ctx context.Context, c choice, answer *Answer) bool {
 	if t.begun {
-		return t.failed(ctx, c, ErrBroken{Worker: c.state.ID, Cause: errNoEvents})
+		return t.failed(ctx, c, ErrBroken{Endpoint: c.state.ID, Cause: errNoEvents})
 	}
 	if answer.Status >= http.StatusInternalServerError && t.mayRepeat() {
 		t.mu.Lock()
@@ -366,12 +366,12 @@
 	t.router.Succeed(c.endpoint.Name, time.Now())
 }
 
-// mayRepeat tells whether the request may run at one more worker.
+// mayRepeat tells whether the request may run at one more endpoint.
 func (t *try) mayRepeat() bool {
 	return t.route.Repeatable() && t.ran < t.route.MaxAttempts
 }
 
-// turnedAway handles a worker's word that it did not run the request.
+// turnedAway handles an endpoint's word that it did not run the request.
 func (t *try) turnedAway(ctx context.Context, c choice, answer *Answer) bool {
 	now := time.Now()
 	t.mu.Lock()
@@ -389,7 +389,7 @@
 	t.mu.Unlock()
 	t.release(c, nil)
 	t.count(fmt.Sprintf("%s{elsewhere=%q}", metricNotRun, strconv.FormatBool(answer.Elsewhere)))
-	t.log.Info("worker did not run the request", "id", t.request.ID, "worker", c.state.ID, "status", answer.Status,
+	t.log.Info("endpoint did not run the request", "id", t.request.ID, "endpoint", c.state.ID, "status", answer.Status,
 		"model", t.request.Model, "adapter", t.request.Adapter, "send", t.sends)
 	return !t.pause(ctx)
 }
@@ -402,7 +402,7 @@
 	} else {
 		t.release(c, err)
 	}
-	t.log.Info("attempt failed", "id", t.request.ID, "worker", c.state.ID, "model", t.request.Model, "send", t.sends,
+	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "model", t.request.Model, "send", t.sends,
 		"ran", t.ran, "events", t.events, "error", err.Error(), "ms", time.Since(t.began).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
 	if t.clientLeft(ctx) {
@@ -421,7 +421,7 @@
 	return t.request.Wire.Context().Err() != nil
 }
 
-// giveUp ends a request that found no worker; after is when the client had better come back if it has not run.
+// giveUp ends a request that found no endpoint; after is when the client had better come back if it has not run.
 func (t *try) giveUp(ctx context.Context, reason string, after time.Duration) {
 	if t.clientLeft(ctx) {
 		t.outcome = outcomeLeft
@@ -449,17 +449,17 @@
 		t.outcome = outcomeCut
 		t.client.Cut()
 	case t.ran == 0:
-		t.refuse(comeBack, "no worker took it")
+		t.refuse(comeBack, "no endpoint took it")
 	case !time.Now().Before(t.deadline):
 		t.outcome = outcomeTimedOut
 		t.client.Refuse(Refusal{Status: http.StatusGatewayTimeout, Reason: "no answer in time"})
 	default:
 		t.outcome = outcomeFailed
-		t.client.Refuse(Refusal{Status: http.StatusBadGateway, Reason: "the worker's answer broke off"})
+		t.client.Refuse(Refusal{Status: http.StatusBadGateway, Reason: "the endpoint's answer broke off"})
 	}
 }
 
-// relay passes a stream's events on as they come, and goes on at another worker where the route allows it.
+// relay passes a stream's events on as they come, and goes on at another endpoint where the route allows it.
 func (t *try) relay(ctx context.Context, c choice, answer *Answer, silent *time.Timer) bool {
 	for {
 		event, id, err := answer.Next()
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -11,13 +11,13 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestAnswers plays what workers do to one request and checks what its client gets.
+// TestAnswers plays what endpoints do to one request and checks what its client gets.
 func TestAnswers(t *testing.T) {
 	type step func() (*Answer, error)
 	stream := func(count int, end error) step { return func() (*Answer, error) { return events(count, end), nil } }
 	plain := func(status int) step { return func() (*Answer, error) { return whole(status), nil } }
 	refused := func() (*Answer, error) { return notRun(), nil }
-	unsent := func() (*Answer, error) { return nil, ErrNotSent{Worker: "w1", Cause: io.EOF} }
+	unsent := func() (*Answer, error) { return nil, ErrNotSent{Endpoint: "w1", Cause: io.EOF} }
 	crash := func() (*Answer, error) { return nil, errCrash }
 	tests := map[string]struct {
 		path, model string
@@ -31,7 +31,7 @@
 		"two runs are the most":                      {"/live/a", bedModel, []step{stream(2, errCrash), stream(1, errCrash)}, got{Status: 200, Begun: true, Events: 3, Cut: true}, 2},
 		"a stream that may not go on is cut":         {"/draft/a", bedModel, []step{stream(2, errCrash)}, got{Status: 200, Begun: true, Events: 2, Cut: true}, 1},
 		"a failure on the way on cuts the stream":    {"/live/a", bedModel, []step{stream(2, errCrash), plain(500)}, got{Status: 200, Begun: true, Events: 2, Cut: true}, 2},
-		"a full worker is passed over":               {"/draft/a", bedModel, []step{refused, stream(1, io.EOF)}, got{Status: 200, Begun: true, Events: 1}, 2},
+		"a full endpoint is passed over":             {"/draft/a", bedModel, []step{refused, stream(1, io.EOF)}, got{Status: 200, Begun: true, Events: 1}, 2},
 		"a booking runs once":                        {"/book/a", "", []step{crash}, got{Status: 502, Refused: true}, 1},
 		"a booking that never left goes on":          {"/book/a", "", []step{unsent, plain(200)}, got{Status: 200}, 2},
 		"a booking that was refused goes on":         {"/book/a", "", []step{refused, plain(200)}, got{Status: 200}, 2},
@@ -55,7 +55,7 @@
 					next := steps[0]
 					steps = steps[1:]
 					return next()
-				}, engineWorker("w1", bedModel), engineWorker("w2", bedModel), deskWorker("d1"), deskWorker("d2"))
+				}, engineEndpoint("w1", bedModel), engineEndpoint("w2", bedModel), deskEndpoint("d1"), deskEndpoint("d2"))
 				seen := b.ask(t.Context(), test.path, test.model, 0)
 				seen.Took, seen.After = 0, 0
 				if diff := cmp.Diff(test.want, seen); diff != "" {
@@ -72,7 +72,7 @@
 	}
 }
 
-// TestBegunStreamIsNeverRefused loses the only worker of a model in the middle of a stream: a refusal would be bytes after
+// TestBegunStreamIsNeverRefused loses the only endpoint of a model in the middle of a stream: a refusal would be bytes after
 // the events that look like the stream's whole end.
 func TestBegunStreamIsNeverRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -83,12 +83,12 @@
 			answer.Next = func() ([]byte, string, error) {
 				event, id, err := next()
 				if err != nil {
-					b.show() // the worker is gone, and its model needs 6 s elsewhere
+					b.show() // the endpoint is gone, and its model needs 6 s elsewhere
 				}
 				return event, id, err
 			}
 			return answer, nil
-		}, engineWorker("w1", bedModel))
+		}, engineEndpoint("w1", bedModel))
 		seen := b.ask(t.Context(), "/live/a", bedModel, 4*time.Second)
 		seen.Took = 0
 		if diff := cmp.Diff(got{Status: http.StatusOK, Begun: true, Events: 2, Cut: true}, seen); diff != "" {
@@ -100,7 +100,7 @@
 // TestHopelessIsRefusedAtOnce asks for a model that takes 6 s to load with 4 s to go.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, nil, engineWorker("w1"))
+		b := newBed(t, nil, engineEndpoint("w1"))
 		seen := b.ask(t.Context(), "/live/a", bedModel, 4*time.Second)
 		if !seen.Refused || seen.Status != http.StatusServiceUnavailable || seen.Took > 0 || seen.After <= 0 {
 			t.Errorf("%+v", seen)
@@ -108,13 +108,13 @@
 	})
 }
 
-// TestStoppingAnswersAll stops a gateway while one request waits for a worker and another for its answer.
+// TestStoppingAnswersAll stops a gateway while one request waits for an endpoint and another for its answer.
 func TestStoppingAnswersAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, func(ctx context.Context, _ Call) (*Answer, error) {
 			<-ctx.Done()
 			return nil, errCrash
-		}, engineWorker("w1"), deskWorker("d1"))
+		}, engineEndpoint("w1"), deskEndpoint("d1"))
 		waits, runs := make(chan got), make(chan got)
 		go func() { waits <- b.ask(t.Context(), "/live/a", bedModel, 0) }()
 		go func() { runs <- b.ask(t.Context(), "/book/a", "", 0) }()
--- a/route/table.go
+++ b/route/table.go
@@ -39,7 +39,7 @@
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
 	Splits   []Split
-	// MaxAttempts is the most workers that one request may be sent to.
+	// MaxAttempts is the most endpoints that one request may be sent to.
 	MaxAttempts int
 	Resumable   bool
 }
@@ -67,7 +67,7 @@
 	MemoryMB     float64
 	AdapterSlots int
 	KVTokens     int
-	// LoadsPerSecond bounds the loads from the weight store over all workers.
+	// LoadsPerSecond bounds the loads from the weight store over all endpoints.
 	LoadsPerSecond float64
 	Models         []Model
 	byName         map[string]Model
@@ -79,7 +79,7 @@
 	return m, ok
 }
 
-// Service is a set of workers that do the same work.
+// Service is a set of endpoints that do the same work.
 type Service struct {
 	Name           string
 	HealthPath     string
--- a/scaling/adapter.go
+++ b/scaling/adapter.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
-	"burdocksaddle/worker"
 )
 
 // Verdict says what is to be done for an adapter.
@@ -13,11 +13,11 @@
 
 // Verdicts on an adapter.
 const (
-	// VerdictNo means that the worker can't have the adapter now.
+	// VerdictNo means that the endpoint can't have the adapter now.
 	VerdictNo Verdict = iota
 	// VerdictOrder means that the order shall be given.
 	VerdictOrder
-	// VerdictBusy means that the worker takes no order about adapters while it loads or drops a model.
+	// VerdictBusy means that the endpoint takes no order about adapters while it loads or drops a model.
 	VerdictBusy
 	// VerdictComing means that the adapter is on its way, VerdictHeld that it is there.
 	VerdictComing
@@ -27,10 +27,10 @@
 // String returns the name of a verdict.
 func (v Verdict) String() string { return [...]string{"No", "Order", "Busy", "Coming", "Held"}[v] }
 
-// Adapter returns the order that brings an adapter to a worker which reports what it holds now: first to drop the one that was
+// Adapter returns the order that brings an adapter to an endpoint which reports what it holds now: first to drop the one that was
 // brought longest ago if there is no room. Adapters in skip are in use and stay.
-func Adapter(engine *route.Engine, r worker.Report, a worker.Adapter, brought map[worker.Adapter]time.Time, skip []worker.Adapter) (Order, Verdict) {
-	state := worker.State{Models: r.Models}
+func Adapter(engine *route.Engine, r endpoint.Report, a endpoint.Adapter, brought map[endpoint.Adapter]time.Time, skip []endpoint.Adapter) (Order, Verdict) {
+	state := endpoint.State{Models: r.Models}
 	switch {
 	case !state.Holds(a.Model):
 		return Order{}, VerdictNo
@@ -46,30 +46,30 @@
 	if len(held)+len(r.Load.Pending) < engine.AdapterSlots && Used(engine, r.Models, &r.Load)+adapterMB(engine, a.Model) <= engine.MemoryMB {
 		return order, VerdictOrder
 	}
-	held = slices.DeleteFunc(held, func(one worker.Adapter) bool { return slices.Contains(skip, one) })
+	held = slices.DeleteFunc(held, func(one endpoint.Adapter) bool { return slices.Contains(skip, one) })
 	if len(held) == 0 {
 		return Order{}, VerdictNo
 	}
-	victim := slices.MinFunc(held, func(one, other worker.Adapter) int { return brought[one].Compare(brought[other]) })
+	victim := slices.MinFunc(held, func(one, other endpoint.Adapter) int { return brought[one].Compare(brought[other]) })
 	order.Model, order.Adapter, order.Unload, order.Reason = victim.Model, victim.Name, true, "room for adapter "+a.Name
 	return order, VerdictOrder
 }
 
-func adapters(models []worker.Model) []worker.Adapter {
-	var all []worker.Adapter
+func adapters(models []endpoint.Model) []endpoint.Adapter {
+	var all []endpoint.Adapter
 	for _, m := range models {
 		for _, name := range m.Adapters {
-			all = append(all, worker.Adapter{Model: m.Name, Name: name})
+			all = append(all, endpoint.Adapter{Model: m.Name, Name: name})
 		}
 	}
 	return all
 }
 
-// Weights returns the order that loads or unloads a model at a worker which reports what it holds now; an outcome other than
+// Weights returns the order that loads or unloads a model at an endpoint which reports what it holds now; an outcome other than
 // OutcomeAccepted tells why there is nothing to order.
-func Weights(engine *route.Engine, r worker.Report, model string, unload bool) (Order, Outcome) {
+func Weights(engine *route.Engine, r endpoint.Report, model string, unload bool) (Order, Outcome) {
 	m, known := engine.Model(model)
-	held := worker.State{Models: r.Models}.Holds(model)
+	held := endpoint.State{Models: r.Models}.Holds(model)
 	switch {
 	case unload != held:
 		return Order{}, OutcomeHolds
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -1,19 +1,19 @@
 package scaling
 
-// Order is one order to a worker.
+// Order is one order to an endpoint.
 type Order struct {
-	Worker string
-	Model  string
+	Endpoint string
+	Model    string
 	// Adapter is empty for an order about the model itself.
 	Adapter string
 	Unload  bool
-	// Sequence is the count of accepted orders that the worker must have for the order to hold, so that a late copy does nothing.
+	// Sequence is the count of accepted orders that the endpoint must have for the order to hold, so that a late copy does nothing.
 	Sequence int
 	Reason   string
 	Source   Source
 }
 
-// Outcome is what a worker said of an order.
+// Outcome is what an endpoint said of an order.
 type Outcome int
 
 // Outcomes of orders.
@@ -25,7 +25,7 @@
 	OutcomeHolds
 	// OutcomeConflict means that another order is under way or the sequence differs.
 	OutcomeConflict
-	// OutcomeFenced means that the worker has seen a higher fencing number.
+	// OutcomeFenced means that the endpoint has seen a higher fencing number.
 	OutcomeFenced
 	// OutcomeRefused means that the order will not be carried out.
 	OutcomeRefused
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
-	"burdocksaddle/worker"
 )
 
-// Plan returns the orders to give now, at most one a worker.
+// Plan returns the orders to give now, at most one an endpoint.
 func (p *Planner) Plan(now time.Time) []Order {
 	var orders []Order
 	for _, service := range sortedKeys(p.engines) {
@@ -30,17 +30,17 @@
 
 // fleet is what one planning of a service works with.
 type fleet struct {
-	engine   *route.Engine
-	now      time.Time
-	workers  []*tracked
-	replicas map[string]int
-	store    int
+	engine    *route.Engine
+	now       time.Time
+	endpoints []*tracked
+	replicas  map[string]int
+	store     int
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
 	f := fleet{engine: engine, now: now, replicas: map[string]int{}}
-	for _, id := range sortedKeys(p.workers) {
-		t := p.workers[id]
+	for _, id := range sortedKeys(p.endpoints) {
+		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
 			continue
 		}
@@ -50,7 +50,7 @@
 				f.store++
 			}
 		}
-		// A silent worker's replicas serve nobody.
+		// A silent endpoint's replicas serve nobody.
 		if now.Sub(t.reported) > reportMost {
 			continue
 		}
@@ -59,10 +59,10 @@
 				f.replicas[m.Name]++
 			}
 		}
-		f.workers = append(f.workers, t)
+		f.endpoints = append(f.endpoints, t)
 	}
 	var orders []Order
-	for range len(f.workers) {
+	for range len(f.endpoints) {
 		o, ok := p.next(&f)
 		if !ok {
 			break
@@ -92,7 +92,7 @@
 		switch value := l.now(f.now); {
 		case n == 0 && l.waiting > 0:
 			needs = append(needs, need{model: m, pressure: value})
-		case n > 0 && n < len(f.workers) && value > replicaLoad*float64(n):
+		case n > 0 && n < len(f.endpoints) && value > replicaLoad*float64(n):
 			needs = append(needs, need{m, n, value / float64(n)})
 		}
 	}
@@ -107,13 +107,13 @@
 	return Order{}, false
 }
 
-// place finds the worker that can have a model soonest at the least loss.
+// place finds the endpoint that can have a model soonest at the least loss.
 func (p *Planner) place(f *fleet, n need) (Order, bool) {
 	var best *tracked
 	var bestEvict []string
 	bestCost := 0.0
 	copied := f.copied(n.model.Name)
-	for _, t := range f.workers {
+	for _, t := range f.endpoints {
 		if t.busy(f.now) || t.state.Holds(n.model.Name) {
 			continue
 		}
@@ -137,7 +137,7 @@
 	return p.orderFor(f, best, n, bestEvict), true
 }
 
-// lastForAdapters tells whether a worker is the last one that takes orders about the adapters of a model that is asked for:
+// lastForAdapters tells whether an endpoint is the last one that takes orders about the adapters of a model that is asked for:
 // while it loads from the store, for seconds, it takes none.
 func (p *Planner) lastForAdapters(f *fleet, t *tracked) bool {
 	for _, m := range t.state.Models {
@@ -145,7 +145,7 @@
 		if !ok || known.Adapters == 0 || p.levels[m.Name].now(f.now) == 0 {
 			continue
 		}
-		others := slices.ContainsFunc(f.workers, func(o *tracked) bool {
+		others := slices.ContainsFunc(f.endpoints, func(o *tracked) bool {
 			return o != t && !o.busy(f.now) && o.state.Holds(m.Name)
 		})
 		if !others {
@@ -155,15 +155,15 @@
 	return false
 }
 
-// copied tells whether a worker without the model has a copy of its weights at hand.
+// copied tells whether an endpoint without the model has a copy of its weights at hand.
 func (f *fleet) copied(model string) bool {
-	return slices.ContainsFunc(f.workers, func(t *tracked) bool {
+	return slices.ContainsFunc(f.endpoints, func(t *tracked) bool {
 		return !t.state.Holds(model) && t.sourceOf(model) != SourceStore
 	})
 }
 
-// storeFor tells whether a load from the store may begin for a need. A first replica waits for a worker with a copy, which is
-// there in a fraction of the time; further ones leave the store's last place to models that no worker has a copy of.
+// storeFor tells whether a load from the store may begin for a need. A first replica waits for an endpoint with a copy, which is
+// there in a fraction of the time; further ones leave the store's last place to models that no endpoint has a copy of.
 func (f *fleet) storeFor(n need, copied bool) bool {
 	if n.replicas == 0 {
 		return !copied && f.store < storeSlots
@@ -174,7 +174,7 @@
 func (p *Planner) orderFor(f *fleet, t *tracked, n need, evict []string) Order {
 	t.ordered, t.asked = f.now, true
 	f.replicas[n.model.Name]++
-	order := Order{Worker: t.state.ID}
+	order := Order{Endpoint: t.state.ID}
 	if len(evict) > 0 {
 		t.leaving = evict[0]
 		f.replicas[t.leaving]--
@@ -192,11 +192,11 @@
 	return order
 }
 
-// evictions returns what must leave a worker for a model, the least needed first, and what is lost by it.
+// evictions returns what must leave an endpoint for a model, the least needed first, and what is lost by it.
 func (p *Planner) evictions(f *fleet, t *tracked, n need) (evict []string, lost float64, ok bool) {
 	free := f.engine.MemoryMB - t.used(f.engine) - f.adapterRoom(t, n.model)
 	type victim struct {
-		model worker.Model
+		model endpoint.Model
 		loss  float64
 	}
 	var victims []victim
@@ -250,7 +250,7 @@
 	return each / 10, each*gain <= n.pressure
 }
 
-// Expect returns how long until a model that no worker holds can serve, by the copies of its weights.
+// Expect returns how long until a model that no endpoint holds can serve, by the copies of its weights.
 func (p *Planner) Expect(service, model string, now time.Time) (time.Duration, bool) {
 	engine := p.engines[service]
 	if engine == nil {
@@ -261,7 +261,7 @@
 		return 0, false
 	}
 	expected := m.FromStore
-	for _, t := range p.workers {
+	for _, t := range p.endpoints {
 		if t.state.Service != service || t.state.Draining || now.Sub(t.reported) > reportMost {
 			continue
 		}
@@ -274,10 +274,10 @@
 	return expected + planLag, true
 }
 
-// Wanted returns the models that are asked for or were lately, and that no worker holds.
+// Wanted returns the models that are asked for or were lately, and that no endpoint holds.
 func (p *Planner) Wanted(now time.Time) map[string]time.Duration {
 	held := map[string]bool{}
-	for _, t := range p.workers {
+	for _, t := range p.endpoints {
 		for _, m := range t.state.Models {
 			held[m.Name] = held[m.Name] || m.Name != t.leaving
 		}
@@ -293,7 +293,7 @@
 	return wanted
 }
 
-// used is the memory that is taken at a worker, what is being loaded included.
+// used is the memory that is taken at an endpoint, what is being loaded included.
 func (t *tracked) used(engine *route.Engine) float64 {
 	used := Used(engine, t.state.Models, t.state.Load)
 	if m, ok := engine.Model(t.loading); ok && !t.state.Holds(t.loading) {
@@ -303,7 +303,7 @@
 }
 
 // Used returns the memory in MB that models and adapters take, with those on their way.
-func Used(engine *route.Engine, models []worker.Model, load *worker.Load) float64 {
+func Used(engine *route.Engine, models []endpoint.Model, load *endpoint.Load) float64 {
 	used := 0.0
 	for _, m := range models {
 		if model, ok := engine.Model(m.Name); ok {
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
-	"burdocksaddle/worker"
 )
 
 const (
@@ -15,20 +15,20 @@
 	// rateHalfLife is the memory of how often an idle model is asked for.
 	rateHalfLife = 10 * time.Second
 	// replicaLoad is the number of concurrent requests that one replica serves well: a batch of 32 slows each token by about
-	// a tenth, and a worker serves two or three models.
+	// a tenth, and an endpoint serves two or three models.
 	replicaLoad = 6.0
 	// gain is how much busier a model must be than the one it displaces, so that two models don't displace each other in turns.
 	gain = 1.5
 	// restFor is how long a model that nobody asks for any more stays where another one wants its only place.
 	restFor = time.Second
 	// storeSlots is the number of loads from the store at a time that run at full speed, by the sheets; one of them is kept
-	// for models that no worker has a copy of.
+	// for models that no endpoint has a copy of.
 	storeSlots = 4
 	// orderTimeout is when an order without a report of its effect is given again; reports lag by some 100 ms.
 	orderTimeout = 600 * time.Millisecond
-	// reportLag is when a worker that did not take an order has reported anew.
+	// reportLag is when an endpoint that did not take an order has reported anew.
 	reportLag = 150 * time.Millisecond
-	// reportMost is the age at which a worker's report says nothing any more.
+	// reportMost is the age at which an endpoint's report says nothing any more.
 	reportMost = 2 * time.Second
 	// planLag is the time from a first request to the order that its model needs, and from the load to what gateways see.
 	planLag = 300 * time.Millisecond
@@ -36,14 +36,14 @@
 
 // Planner is the aggregate; one owner changes it.
 type Planner struct {
-	workers map[string]*tracked
-	levels  map[string]*level
-	engines map[string]*route.Engine
+	endpoints map[string]*tracked
+	levels    map[string]*level
+	engines   map[string]*route.Engine
 }
 
-// tracked is one worker with the orders that are under way.
+// tracked is one endpoint with the orders that are under way.
 type tracked struct {
-	state    worker.State
+	state    endpoint.State
 	reported time.Time
 	// loading is the model that was ordered and is not yet reported as held.
 	loading string
@@ -69,7 +69,7 @@
 
 // New makes a Planner that knows nothing yet.
 func New() *Planner {
-	return &Planner{workers: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}}
+	return &Planner{endpoints: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}}
 }
 
 // Configure takes the engines of the configuration in force.
@@ -82,18 +82,18 @@
 	}
 }
 
-// Engine tells whether a service's workers load models.
+// Engine tells whether a service's endpoints load models.
 func (p *Planner) Engine(service string) bool { return p.engines[service] != nil }
 
-// List takes the platform's list; workers that are not on it are forgotten.
-func (p *Planner) List(listed []worker.State) {
+// List takes the platform's list; endpoints that are not on it are forgotten.
+func (p *Planner) List(listed []endpoint.State) {
 	known := make(map[string]bool, len(listed))
 	for _, w := range listed {
 		known[w.ID] = true
-		t, ok := p.workers[w.ID]
+		t, ok := p.endpoints[w.ID]
 		if !ok || t.state.Address != w.Address || w.Born != 0 && t.state.Born != 0 && w.Born > t.state.Born {
 			t = &tracked{state: w}
-			p.workers[w.ID] = t
+			p.endpoints[w.ID] = t
 			continue
 		}
 		t.state.Draining = t.state.Draining || w.Draining
@@ -102,18 +102,18 @@
 			t.state.Models = w.Models
 		}
 	}
-	for id := range p.workers {
+	for id := range p.endpoints {
 		if !known[id] {
-			delete(p.workers, id)
+			delete(p.endpoints, id)
 		}
 	}
 }
 
 // Prior takes the replicas that were there before any demand was seen for a sign of demand: the platform places busy models
-// on many workers.
+// on many endpoints.
 func (p *Planner) Prior(now time.Time) {
 	replicas, services := map[string]int{}, map[string]string{}
-	for _, t := range p.workers {
+	for _, t := range p.endpoints {
 		for _, m := range t.state.Models {
 			replicas[m.Name]++
 			services[m.Name] = t.state.Service
@@ -126,9 +126,9 @@
 	}
 }
 
-// Report takes a worker's own report.
-func (p *Planner) Report(id string, r worker.Report, now time.Time) {
-	t, ok := p.workers[id]
+// Report takes an endpoint's own report.
+func (p *Planner) Report(id string, r endpoint.Report, now time.Time) {
+	t, ok := p.endpoints[id]
 	if !ok {
 		return
 	}
@@ -203,9 +203,9 @@
 	return l == nil || l.waiting+l.running == 0 && now.Sub(l.used) > restFor
 }
 
-// Answered notes what a worker said of an order.
+// Answered notes what an endpoint said of an order.
 func (p *Planner) Answered(o Order, outcome Outcome, now time.Time) {
-	t, ok := p.workers[o.Worker]
+	t, ok := p.endpoints[o.Endpoint]
 	if !ok {
 		return
 	}
@@ -214,23 +214,23 @@
 		t.ordered = now
 		return
 	}
-	// What the worker holds is known by its next report only.
+	// What the endpoint holds is known by its next report only.
 	t.loading, t.leaving, t.quiet = "", "", now.Add(reportLag)
 }
 
-// Unsettled tells that what an order to a worker did is still to be seen.
+// Unsettled tells that what an order to an endpoint did is still to be seen.
 func (p *Planner) Unsettled(id string) bool {
-	t, ok := p.workers[id]
+	t, ok := p.endpoints[id]
 	return ok && (t.loading != "" || t.leaving != "" || t.asked)
 }
 
-// Workers returns what is known of each worker, without models that are about to leave it.
-func (p *Planner) Workers(now time.Time) []worker.State {
-	all := make([]worker.State, 0, len(p.workers))
-	for _, t := range p.workers {
+// Endpoints returns what is known of each endpoint, without models that are about to leave it.
+func (p *Planner) Endpoints(now time.Time) []endpoint.State {
+	all := make([]endpoint.State, 0, len(p.endpoints))
+	for _, t := range p.endpoints {
 		w := t.state
 		if t.leaving != "" {
-			w.Models = slices.DeleteFunc(slices.Clone(w.Models), func(m worker.Model) bool { return m.Name == t.leaving })
+			w.Models = slices.DeleteFunc(slices.Clone(w.Models), func(m endpoint.Model) bool { return m.Name == t.leaving })
 		}
 		if now.Sub(t.reported) > reportMost {
 			w.Load = nil
@@ -238,7 +238,7 @@
 		w.Loading, w.LoadingLeft = t.loading, max(0, t.until.Sub(now))
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b worker.State) int {
+	slices.SortFunc(all, func(a, b endpoint.State) int {
 		if a.ID < b.ID {
 			return -1
 		}
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -6,14 +6,14 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
-	"burdocksaddle/worker"
 )
 
 // coldObjective is within which a first event is on time for two of three kinds of generations on the sheets.
 const coldObjective = 1500 * time.Millisecond
 
-// TestRareModelComesFromItsCopy asks for a model that nobody holds and one worker has a copy of: loading it elsewhere takes
+// TestRareModelComesFromItsCopy asks for a model that nobody holds and one endpoint has a copy of: loading it elsewhere takes
 // six seconds, in which its callers give up.
 func TestRareModelComesFromItsCopy(t *testing.T) {
 	w := newWorld(t, 4, 12)
@@ -26,7 +26,7 @@
 	w.waiting[modelName(9)] = 1
 	w.run(coldObjective, func(time.Duration) {})
 	if w.held(modelName(9)) != 1 || w.running[modelName(9)] != 1 {
-		t.Errorf("held by %d workers after %v", w.held(modelName(9)), coldObjective)
+		t.Errorf("held by %d endpoints after %v", w.held(modelName(9)), coldObjective)
 	}
 	if diff := cmp.Diff(map[Source]int{SourceDisk: 1}, w.loads); diff != "" {
 		t.Error(diff)
@@ -59,7 +59,7 @@
 	}
 }
 
-// TestDemandMoves moves the demand of a busy model to one that a single worker holds: within the time that its copies and
+// TestDemandMoves moves the demand of a busy model to one that a single endpoint holds: within the time that its copies and
 // four loads from the store take, it has several replicas.
 func TestDemandMoves(t *testing.T) {
 	w := newWorld(t, 8, 8)
@@ -84,7 +84,7 @@
 	}
 	w.run(time.Second, func(time.Duration) {
 		loading := 0
-		for _, m := range w.workers {
+		for _, m := range w.endpoints {
 			if m.state.Load.Busy && m.doing.Source == SourceStore {
 				loading++
 			}
@@ -98,7 +98,7 @@
 	}
 }
 
-// TestRoomForAdapters fills a worker with models whose weights alone would fit: requests for adapters would never be served.
+// TestRoomForAdapters fills an endpoint with models whose weights alone would fit: requests for adapters would never be served.
 func TestRoomForAdapters(t *testing.T) {
 	w := newWorld(t, 1, 3)
 	w.engine.MemoryMB = 2 * worldWeights
@@ -108,7 +108,7 @@
 	w.waiting[modelName(1)] = 1
 	w.run(coldObjective, func(time.Duration) {})
 	if w.held(modelName(1)) != 1 || w.held(modelName(0)) != 0 {
-		t.Errorf("the worker holds %v", w.workers[0].state.Models)
+		t.Errorf("the endpoint holds %v", w.endpoints[0].state.Models)
 	}
 }
 
@@ -128,33 +128,33 @@
 
 func TestAdapter(t *testing.T) {
 	engine := &route.Engine{MemoryMB: worldMemory, AdapterSlots: 2, Models: []route.Model{{Name: "m", WeightsMB: worldWeights, AdapterMB: 40}}}
-	a := func(name string) worker.Adapter { return worker.Adapter{Model: "m", Name: name} }
-	holds := func(names ...string) []worker.Model { return []worker.Model{{Name: "m", Adapters: names}} }
+	a := func(name string) endpoint.Adapter { return endpoint.Adapter{Model: "m", Name: name} }
+	holds := func(names ...string) []endpoint.Model { return []endpoint.Model{{Name: "m", Adapters: names}} }
 	early, late := time.Unix(1, 0), time.Unix(2, 0)
 	tests := map[string]struct {
-		report  worker.Report
-		skip    []worker.Adapter
+		report  endpoint.Report
+		skip    []endpoint.Adapter
 		order   Order
 		verdict Verdict
 	}{
-		"no such model": {worker.Report{}, nil, Order{}, VerdictNo},
-		"there":         {worker.Report{Models: holds("a1")}, nil, Order{}, VerdictHeld},
-		"coming":        {worker.Report{Models: holds(), Load: worker.Load{Pending: []worker.Adapter{a("a1")}}}, nil, Order{}, VerdictComing},
-		"weights first": {worker.Report{Models: holds(), Load: worker.Load{Busy: true}}, nil, Order{}, VerdictBusy},
-		"room": {worker.Report{Models: holds("a2"), Load: worker.Load{Sequence: 7}}, nil,
+		"no such model": {endpoint.Report{}, nil, Order{}, VerdictNo},
+		"there":         {endpoint.Report{Models: holds("a1")}, nil, Order{}, VerdictHeld},
+		"coming":        {endpoint.Report{Models: holds(), Load: endpoint.Load{Pending: []endpoint.Adapter{a("a1")}}}, nil, Order{}, VerdictComing},
+		"weights first": {endpoint.Report{Models: holds(), Load: endpoint.Load{Busy: true}}, nil, Order{}, VerdictBusy},
+		"room": {endpoint.Report{Models: holds("a2"), Load: endpoint.Load{Sequence: 7}}, nil,
 			Order{Model: "m", Adapter: "a1", Sequence: 7, Reason: "a request waits for it"}, VerdictOrder},
-		"full: the oldest goes": {worker.Report{Models: holds("a2", "a3")}, nil,
+		"full: the oldest goes": {endpoint.Report{Models: holds("a2", "a3")}, nil,
 			Order{Model: "m", Adapter: "a3", Unload: true, Reason: "room for adapter a1"}, VerdictOrder},
-		"full: one in use stays": {worker.Report{Models: holds("a2", "a3")}, []worker.Adapter{a("a3")},
+		"full: one in use stays": {endpoint.Report{Models: holds("a2", "a3")}, []endpoint.Adapter{a("a3")},
 			Order{Model: "m", Adapter: "a2", Unload: true, Reason: "room for adapter a1"}, VerdictOrder},
-		"full: all in use": {worker.Report{Models: holds("a2", "a3")}, []worker.Adapter{a("a2"), a("a3")}, Order{}, VerdictNo},
-		"what comes takes room": {worker.Report{Models: holds("a2"), Load: worker.Load{Pending: []worker.Adapter{a("a4")}}}, nil,
+		"full: all in use": {endpoint.Report{Models: holds("a2", "a3")}, []endpoint.Adapter{a("a2"), a("a3")}, Order{}, VerdictNo},
+		"what comes takes room": {endpoint.Report{Models: holds("a2"), Load: endpoint.Load{Pending: []endpoint.Adapter{a("a4")}}}, nil,
 			Order{Model: "m", Adapter: "a2", Unload: true, Reason: "room for adapter a1"}, VerdictOrder},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			engine := indexed(t, engine)
-			brought := map[worker.Adapter]time.Time{a("a2"): late, a("a3"): early}
+			brought := map[endpoint.Adapter]time.Time{a("a2"): late, a("a3"): early}
 			order, verdict := Adapter(engine, test.report, a("a1"), brought, test.skip)
 			if diff := cmp.Diff(test.order, order); diff != "" || verdict != test.verdict {
 				t.Errorf("verdict %d, want %d\n%s", verdict, test.verdict, diff)
@@ -163,27 +163,27 @@
 	}
 }
 
-// TestWeights checks that no order overcommits a worker's memory, whatever the leader believed.
+// TestWeights checks that no order overcommits an endpoint's memory, whatever the leader believed.
 func TestWeights(t *testing.T) {
 	engine := indexed(t, &route.Engine{MemoryMB: 2 * worldWeights, AdapterSlots: 2, Models: []route.Model{
 		{Name: "a", WeightsMB: worldWeights, AdapterMB: 40}, {Name: "b", WeightsMB: worldWeights}, {Name: "c", WeightsMB: worldWeights},
 	}})
 	tests := map[string]struct {
-		report worker.Report
+		report endpoint.Report
 		model  string
 		unload bool
 		want   Outcome
 	}{
-		"room":                   {worker.Report{Models: []worker.Model{{Name: "a"}}}, "b", false, OutcomeAccepted},
-		"adapters take room":     {worker.Report{Models: []worker.Model{{Name: "a", Adapters: []string{"a1"}}}}, "b", false, OutcomeRefused},
-		"so do those to come":    {worker.Report{Models: []worker.Model{{Name: "a"}}, Load: worker.Load{Pending: []worker.Adapter{{Model: "a", Name: "a1"}}}}, "b", false, OutcomeRefused},
-		"full":                   {worker.Report{Models: []worker.Model{{Name: "a"}, {Name: "b"}}}, "c", false, OutcomeRefused},
-		"unknown":                {worker.Report{}, "x", false, OutcomeRefused},
-		"held":                   {worker.Report{Models: []worker.Model{{Name: "a"}}}, "a", false, OutcomeHolds},
-		"busy":                   {worker.Report{Load: worker.Load{Busy: true}}, "a", false, OutcomeConflict},
-		"unload":                 {worker.Report{Models: []worker.Model{{Name: "a"}}}, "a", true, OutcomeAccepted},
-		"nothing to unload":      {worker.Report{}, "a", true, OutcomeHolds},
-		"unload what is unknown": {worker.Report{Models: []worker.Model{{Name: "x"}}}, "x", true, OutcomeAccepted},
+		"room":                   {endpoint.Report{Models: []endpoint.Model{{Name: "a"}}}, "b", false, OutcomeAccepted},
+		"adapters take room":     {endpoint.Report{Models: []endpoint.Model{{Name: "a", Adapters: []string{"a1"}}}}, "b", false, OutcomeRefused},
+		"so do those to come":    {endpoint.Report{Models: []endpoint.Model{{Name: "a"}}, Load: endpoint.Load{Pending: []endpoint.Adapter{{Model: "a", Name: "a1"}}}}, "b", false, OutcomeRefused},
+		"full":                   {endpoint.Report{Models: []endpoint.Model{{Name: "a"}, {Name: "b"}}}, "c", false, OutcomeRefused},
+		"unknown":                {endpoint.Report{}, "x", false, OutcomeRefused},
+		"held":                   {endpoint.Report{Models: []endpoint.Model{{Name: "a"}}}, "a", false, OutcomeHolds},
+		"busy":                   {endpoint.Report{Load: endpoint.Load{Busy: true}}, "a", false, OutcomeConflict},
+		"unload":                 {endpoint.Report{Models: []endpoint.Model{{Name: "a"}}}, "a", true, OutcomeAccepted},
+		"nothing to unload":      {endpoint.Report{}, "a", true, OutcomeHolds},
+		"unload what is unknown": {endpoint.Report{Models: []endpoint.Model{{Name: "x"}}}, "x", true, OutcomeAccepted},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/scaling/world_test.go
+++ b/scaling/world_test.go
@@ -6,25 +6,25 @@
 	"testing"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
-	"burdocksaddle/worker"
 )
 
-// world is a set of workers that carry the planner's orders out, stepped by a clock of its own.
+// world is a set of endpoints that carry the planner's orders out, stepped by a clock of its own.
 type world struct {
-	t       *testing.T
-	now     time.Time
-	planner *Planner
-	engine  *route.Engine
-	workers []*machine
+	t         *testing.T
+	now       time.Time
+	planner   *Planner
+	engine    *route.Engine
+	endpoints []*machine
 	// waiting counts the requests that wait for a model, running those that run.
 	waiting, running map[string]int
 	loads            map[Source]int
 }
 
-// machine is one worker.
+// machine is one endpoint.
 type machine struct {
-	state worker.State
+	state endpoint.State
 	// doing is the order under way, done when it ends.
 	doing Order
 	done  time.Time
@@ -37,7 +37,7 @@
 	worldWeights = 30_000.0
 )
 
-func newWorld(t *testing.T, workers, models int) *world {
+func newWorld(t *testing.T, endpoints, models int) *world {
 	t.Helper()
 	engine := route.Engine{Slots: 32, MemoryMB: worldMemory, AdapterSlots: 2, LoadsPerSecond: 5}
 	for i := range models {
@@ -54,9 +54,9 @@
 		t: t, now: time.Unix(1000, 0), planner: New(), engine: &engine,
 		waiting: map[string]int{}, running: map[string]int{}, loads: map[Source]int{},
 	}
-	for i := range workers {
-		w.workers = append(w.workers, &machine{state: worker.State{
-			ID: fmt.Sprintf("w%02d", i), Service: worldService, Slots: 32, Load: &worker.Load{},
+	for i := range endpoints {
+		w.endpoints = append(w.endpoints, &machine{state: endpoint.State{
+			ID: fmt.Sprintf("w%02d", i), Service: worldService, Slots: 32, Load: &endpoint.Load{},
 		}})
 	}
 	w.planner.Configure(table)
@@ -65,15 +65,15 @@
 
 func modelName(i int) string { return fmt.Sprintf("m%02d", i) }
 
-// hold puts a model on a worker, with a copy on its disk.
+// hold puts a model on an endpoint, with a copy on its disk.
 func (w *world) hold(at int, model string) {
-	m := w.workers[at]
-	m.state.Models = append(m.state.Models, worker.Model{Name: model})
+	m := w.endpoints[at]
+	m.state.Models = append(m.state.Models, endpoint.Model{Name: model})
 	w.copyAt(at, model)
 }
 
 func (w *world) copyAt(at int, model string) {
-	m := w.workers[at]
+	m := w.endpoints[at]
 	m.state.Load.OnDisk = append(m.state.Load.OnDisk, model)
 }
 
@@ -87,14 +87,14 @@
 
 func (w *world) step() {
 	w.now = w.now.Add(worldStep)
-	var listed []worker.State
-	for _, m := range w.workers {
+	var listed []endpoint.State
+	for _, m := range w.endpoints {
 		m.finish(w)
 		listed = append(listed, m.state)
 	}
 	w.planner.List(listed)
-	for _, m := range w.workers {
-		w.planner.Report(m.state.ID, worker.Report{Models: slices.Clone(m.state.Models), Load: *m.state.Load}, w.now)
+	for _, m := range w.endpoints {
+		w.planner.Report(m.state.ID, endpoint.Report{Models: slices.Clone(m.state.Models), Load: *m.state.Load}, w.now)
 	}
 	var demand []Demand
 	for _, m := range w.engine.Models {
@@ -112,12 +112,12 @@
 	}
 }
 
-// give is what a sidecar and its worker make of an order.
+// give is what a sidecar and its endpoint make of an order.
 func (w *world) give(o Order) Outcome {
-	at := slices.IndexFunc(w.workers, func(m *machine) bool { return m.state.ID == o.Worker })
-	m := w.workers[at]
+	at := slices.IndexFunc(w.endpoints, func(m *machine) bool { return m.state.ID == o.Endpoint })
+	m := w.endpoints[at]
 	engine := w.planner.engines[worldService]
-	_, outcome := Weights(engine, worker.Report{Models: m.state.Models, Load: *m.state.Load}, o.Model, o.Unload)
+	_, outcome := Weights(engine, endpoint.Report{Models: m.state.Models, Load: *m.state.Load}, o.Model, o.Unload)
 	if outcome != OutcomeAccepted {
 		w.t.Errorf("order %+v: %v", o, outcome)
 		return outcome
@@ -127,7 +127,7 @@
 	if !o.Unload {
 		source := (&tracked{state: m.state}).sourceOf(o.Model)
 		if source != o.Source {
-			w.t.Errorf("%s loads %s from %v, planned from %v", o.Worker, o.Model, source, o.Source)
+			w.t.Errorf("%s loads %s from %v, planned from %v", o.Endpoint, o.Model, source, o.Source)
 		}
 		w.loads[source]++
 		model, _ := engine.Model(o.Model)
@@ -143,10 +143,10 @@
 	m.state.Load.Busy = false
 	m.state.Load.Sequence++
 	if m.doing.Unload {
-		m.state.Models = slices.DeleteFunc(m.state.Models, func(one worker.Model) bool { return one.Name == m.doing.Model })
+		m.state.Models = slices.DeleteFunc(m.state.Models, func(one endpoint.Model) bool { return one.Name == m.doing.Model })
 		return
 	}
-	m.state.Models = append(m.state.Models, worker.Model{Name: m.doing.Model})
+	m.state.Models = append(m.state.Models, endpoint.Model{Name: m.doing.Model})
 	if !slices.Contains(m.state.Load.OnDisk, m.doing.Model) {
 		m.state.Load.OnDisk = append(m.state.Load.OnDisk, m.doing.Model)
 	}
@@ -155,10 +155,10 @@
 	}
 }
 
-// held counts the workers that hold a model.
+// held counts the endpoints that hold a model.
 func (w *world) held(model string) int {
 	n := 0
-	for _, m := range w.workers {
+	for _, m := range w.endpoints {
 		if m.state.Holds(model) {
 			n++
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -9,25 +9,25 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/scaling"
 	"burdocksaddle/uplink"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
-	"burdocksaddle/worker"
 )
 
 const (
-	// lookEvery is how often the worker's report is read; from the same machine it is fresh and free.
+	// lookEvery is how often the endpoint's report is read; from the same machine it is fresh and free.
 	lookEvery = 100 * time.Millisecond
-	// tellEvery is how often the stewards hear of the worker's load where nothing else changes.
+	// tellEvery is how often the stewards hear of the endpoint's load where nothing else changes.
 	tellEvery     = 300 * time.Millisecond
 	reportTimeout = 300 * time.Millisecond
 	// orderTimeout bounds the wait for the order before.
 	orderTimeout = 400 * time.Millisecond
 	// adapterSteps bounds the orders that bring one adapter.
 	adapterSteps = 6
-	// fence is the fencing number of all orders: a worker has one holder for good, its sidecar.
+	// fence is the fencing number of all orders: an endpoint has one holder for good, its sidecar.
 	fence = 1
 )
 
@@ -40,27 +40,27 @@
 // Config says who a sidecar is.
 type Config struct {
 	Node string
-	// Worker is the address of the worker on this machine.
-	Worker   string
+	// Endpoint is the address of the endpoint on this machine.
+	Endpoint string
 	Stewards []string
 }
 
-// Sidecar is the one holder of a worker's orders.
+// Sidecar is the one holder of an endpoint's orders.
 type Sidecar struct {
 	config  Config
 	log     logr.Logger
 	metrics *metrics.Set
 	links   *uplink.Uplink
 	decode  func([]byte) (*route.Table, error)
-	report  func(context.Context, string) (worker.Report, error)
-	give    func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)
+	report  func(context.Context, string) (endpoint.Report, error)
+	give    func(context.Context, endpoint.State, scaling.Order, uint64) (scaling.Outcome, error)
 	table   atomic.Pointer[route.Table]
 
 	// turn is held by the one order that is under way.
 	turn chan struct{}
 	// term and brought are the turn's.
 	term    uint64
-	brought map[worker.Adapter]time.Time
+	brought map[endpoint.Adapter]time.Time
 	look    chan struct{}
 }
 
@@ -78,20 +78,20 @@
 	return func(s *Sidecar) { s.decode = decode }
 }
 
-// WithReport sets what reads the worker's report.
-func WithReport(report func(context.Context, string) (worker.Report, error)) Option {
+// WithReport sets what reads the endpoint's report.
+func WithReport(report func(context.Context, string) (endpoint.Report, error)) Option {
 	return func(s *Sidecar) { s.report = report }
 }
 
-// WithGive sets what gives the worker an order under a fencing number.
-func WithGive(give func(context.Context, worker.State, scaling.Order, uint64) (scaling.Outcome, error)) Option {
+// WithGive sets what gives the endpoint an order under a fencing number.
+func WithGive(give func(context.Context, endpoint.State, scaling.Order, uint64) (scaling.Outcome, error)) Option {
 	return func(s *Sidecar) { s.give = give }
 }
 
 // New makes a Sidecar.
 func New(config Config, pool *wire.Pool, options ...Option) *Sidecar {
 	s := &Sidecar{
-		config: config, log: logr.Discard(), metrics: metrics.NewSet(), turn: make(chan struct{}, 1), brought: map[worker.Adapter]time.Time{},
+		config: config, log: logr.Discard(), metrics: metrics.NewSet(), turn: make(chan struct{}, 1), brought: map[endpoint.Adapter]time.Time{},
 		look: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -142,7 +142,7 @@
 func (s *Sidecar) watch(ctx context.Context) {
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
-	var told worker.State
+	var told endpoint.State
 	var at time.Time
 	silent := false
 	for {
@@ -155,27 +155,27 @@
 		state, err := s.read(ctx)
 		if failed := err != nil; failed != silent {
 			silent = failed
-			s.log.Info("worker's report", "worker", s.config.Worker, "silent", silent, "error", errorText(err))
+			s.log.Info("endpoint's report", "endpoint", s.config.Endpoint, "silent", silent, "error", errorText(err))
 		}
 		if err != nil {
 			continue
 		}
 		if now := time.Now(); now.Sub(at) >= tellEvery || !told.SameOrders(state) {
 			told, at = state, now
-			s.links.TellAll(&wirepb.Frame{Body: &wirepb.Frame_WorkerState{WorkerState: state.ToWire()}})
+			s.links.TellAll(&wirepb.Frame{Body: &wirepb.Frame_EndpointState{EndpointState: state.ToWire()}})
 		}
 	}
 }
 
-func (s *Sidecar) read(ctx context.Context) (worker.State, error) {
+func (s *Sidecar) read(ctx context.Context) (endpoint.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	r, err := s.report(ctx, s.config.Worker)
+	r, err := s.report(ctx, s.config.Endpoint)
 	if err != nil {
-		return worker.State{}, err
+		return endpoint.State{}, err
 	}
-	return worker.State{
-		Address: s.config.Worker, Born: r.Born, Draining: r.Draining, Remaining: r.Remaining, Models: r.Models, Load: &r.Load,
+	return endpoint.State{
+		Address: s.config.Endpoint, Born: r.Born, Draining: r.Draining, Remaining: r.Remaining, Models: r.Models, Load: &r.Load,
 	}, nil
 }
 
@@ -210,16 +210,16 @@
 }
 
 // order carries out the leader's word on a model.
-func (s *Sidecar) order(ctx context.Context, o *wirepb.WorkerOrder) *wirepb.Frame {
+func (s *Sidecar) order(ctx context.Context, o *wirepb.EndpointOrder) *wirepb.Frame {
 	outcome, err := s.weights(ctx, o)
 	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{unload=\"%t\",outcome=%q}", metricOrders, o.GetUnload(), outcome.String())).Inc()
-	s.log.Info("order", "worker", o.GetWorker(), "model", o.GetModel(), "unload", o.GetUnload(), "term", o.GetTerm(),
+	s.log.Info("order", "endpoint", o.GetEndpoint(), "model", o.GetModel(), "unload", o.GetUnload(), "term", o.GetTerm(),
 		"reason", o.GetReason(), "outcome", outcome.String(), "error", errorText(err))
-	reply := &wirepb.WorkerOrderReply{Outcome: uint32(outcome), Error: errorText(err)}
-	return &wirepb.Frame{Body: &wirepb.Frame_WorkerOrderReply{WorkerOrderReply: reply}}
+	reply := &wirepb.EndpointOrderReply{Outcome: uint32(outcome), Error: errorText(err)}
+	return &wirepb.Frame{Body: &wirepb.Frame_EndpointOrderReply{EndpointOrderReply: reply}}
 }
 
-func (s *Sidecar) weights(ctx context.Context, o *wirepb.WorkerOrder) (scaling.Outcome, error) {
+func (s *Sidecar) weights(ctx context.Context, o *wirepb.EndpointOrder) (scaling.Outcome, error) {
 	if !s.begin(ctx) {
 		return scaling.OutcomeConflict, nil
 	}
@@ -237,12 +237,12 @@
 	if outcome != scaling.OutcomeAccepted {
 		return outcome, nil
 	}
-	return s.give(ctx, worker.State{ID: o.GetWorker(), Address: s.config.Worker}, order, fence)
+	return s.give(ctx, endpoint.State{ID: o.GetEndpoint(), Address: s.config.Endpoint}, order, fence)
 }
 
-// report is what a state says of the worker's orders.
-func report(state worker.State) worker.Report {
-	return worker.Report{Models: state.Models, Load: *state.Load}
+// report is what a state says of the endpoint's orders.
+func report(state endpoint.State) endpoint.Report {
+	return endpoint.Report{Models: state.Models, Load: *state.Load}
 }
 
 // adapter brings an adapter for a gateway's request.
@@ -253,7 +253,7 @@
 		Accepted: verdict == scaling.VerdictHeld || verdict == scaling.VerdictComing, Held: verdict == scaling.VerdictHeld, Error: errorText(err),
 	}
 	if !reply.Accepted {
-		s.log.Info("adapter not brought", "worker", call.GetWorker(), "model", call.GetModel(), "adapter", call.GetAdapter(),
+		s.log.Info("adapter not brought", "endpoint", call.GetEndpoint(), "model", call.GetModel(), "adapter", call.GetAdapter(),
 			"busy", verdict == scaling.VerdictBusy, "error", errorText(err))
 	}
 	return &wirepb.Frame{Body: &wirepb.Frame_AdapterReply{AdapterReply: reply}}
@@ -268,8 +268,8 @@
 	if engine == nil {
 		return scaling.VerdictNo, nil
 	}
-	wanted := worker.Adapter{Model: call.GetModel(), Name: call.GetAdapter()}
-	var used []worker.Adapter
+	wanted := endpoint.Adapter{Model: call.GetModel(), Name: call.GetAdapter()}
+	var used []endpoint.Adapter
 	for range adapterSteps {
 		state, err := s.read(ctx)
 		if err != nil {
@@ -279,7 +279,7 @@
 		if verdict != scaling.VerdictOrder {
 			return verdict, nil
 		}
-		outcome, err := s.give(ctx, worker.State{ID: call.GetWorker(), Address: s.config.Worker}, order, fence)
+		outcome, err := s.give(ctx, endpoint.State{ID: call.GetEndpoint(), Address: s.config.Endpoint}, order, fence)
 		switch {
 		case err != nil:
 			return scaling.VerdictNo, err
@@ -287,7 +287,7 @@
 			s.brought[wanted] = time.Now()
 			return scaling.VerdictComing, nil
 		case order.Unload && outcome != scaling.OutcomeHolds:
-			used = append(used, worker.Adapter{Model: order.Model, Name: order.Adapter})
+			used = append(used, endpoint.Adapter{Model: order.Model, Name: order.Adapter})
 		}
 	}
 	return scaling.VerdictNo, nil
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -7,15 +7,15 @@
 	"sync"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/scaling"
 	"burdocksaddle/wirepb"
-	"burdocksaddle/worker"
 )
 
 const (
 	// leadTick is how often the leader looks for orders to give.
 	leadTick = 100 * time.Millisecond
-	// listEvery is how often the leader reads the list; a worker that leaves must be known everywhere within 3 s.
+	// listEvery is how often the leader reads the list; an endpoint that leaves must be known everywhere within 3 s.
 	listEvery = 500 * time.Millisecond
 	// reportMost and demandMost are the ages at which a sidecar's or a gateway's word is dropped.
 	reportMost = 2 * time.Second
@@ -36,7 +36,7 @@
 	nextList time.Time
 	listing  bool
 	primed   bool
-	// taken is when the planner took each worker's last report.
+	// taken is when the planner took each endpoint's last report.
 	taken     map[string]time.Time
 	published time.Time
 	version   uint64
@@ -110,7 +110,7 @@
 		l.leads, l.since = self, now
 		l.planner = scaling.New()
 		l.version, l.primed = 0, false
-		l.workers = nil
+		l.endpoints = nil
 		l.wakeLocked()
 		l.log.Info("leadership changed", "leads", self)
 	}
@@ -175,7 +175,7 @@
 		l.finish(ctx, func() {
 			l.listing = false
 			if err != nil {
-				l.log.Info("list of workers not read", "error", err.Error())
+				l.log.Info("list of endpoints not read", "error", err.Error())
 				return
 			}
 			if unread > 0 {
@@ -200,7 +200,7 @@
 
 // takeReports hands the sidecars' new words to the planner; what shows that an order is done is shown to the gateways at once.
 func (l *leader) takeReports(now time.Time) {
-	fresh := map[string]workerReport{}
+	fresh := map[string]endpointReport{}
 	l.mu.Lock()
 	for address, r := range l.reports {
 		switch {
@@ -213,13 +213,13 @@
 	}
 	l.mu.Unlock()
 	changed := false
-	for _, w := range l.planner.Workers(now) {
+	for _, w := range l.planner.Endpoints(now) {
 		r, ok := fresh[w.Address]
 		if !ok {
 			continue
 		}
 		l.taken[w.Address] = r.at
-		l.planner.Report(w.ID, worker.Report{
+		l.planner.Report(w.ID, endpoint.Report{
 			Born: r.state.Born, Draining: r.state.Draining, Remaining: r.state.Remaining, Models: r.state.Models, Load: *r.state.Load,
 		}, r.at)
 		changed = changed || !r.state.SameOrders(w)
@@ -229,31 +229,31 @@
 	}
 }
 
-// order gives one order through the worker's sidecar.
+// order gives one order through the endpoint's sidecar.
 func (l *leader) order(ctx context.Context, o scaling.Order) {
-	var target worker.State
-	for _, w := range l.planner.Workers(time.Now()) {
-		if w.ID == o.Worker {
+	var target endpoint.State
+	for _, w := range l.planner.Endpoints(time.Now()) {
+		if w.ID == o.Endpoint {
 			target = w
 		}
 	}
 	term := l.shared.Term()
-	l.log.Info("order decided", "worker", o.Worker, "model", o.Model, "unload", o.Unload, "term", term,
+	l.log.Info("order decided", "endpoint", o.Endpoint, "model", o.Model, "unload", o.Unload, "term", term,
 		"source", o.Source.String(), "reason", o.Reason)
-	frame := &wirepb.Frame{Body: &wirepb.Frame_WorkerOrder{WorkerOrder: &wirepb.WorkerOrder{
-		Worker: o.Worker, Service: target.Service, Model: o.Model, Unload: o.Unload, Term: term, Reason: o.Reason,
+	frame := &wirepb.Frame{Body: &wirepb.Frame_EndpointOrder{EndpointOrder: &wirepb.EndpointOrder{
+		Endpoint: o.Endpoint, Service: target.Service, Model: o.Model, Unload: o.Unload, Term: term, Reason: o.Reason,
 	}}}
 	l.running.Go(func() {
 		reply, err := l.pool.Call(ctx, l.sidecar(target.Address), frame, orderTimeout)
 		outcome := scaling.OutcomeUnknown
 		if err == nil {
-			outcome = scaling.Outcome(reply.GetWorkerOrderReply().GetOutcome())
+			outcome = scaling.Outcome(reply.GetEndpointOrderReply().GetOutcome())
 		}
 		l.countOrder(o, outcome)
 		l.finish(ctx, func() {
 			if outcome != scaling.OutcomeAccepted {
-				l.log.Info("order not accepted", "worker", o.Worker, "model", o.Model, "unload", o.Unload,
-					"outcome", outcome.String(), "answer", reply.GetWorkerOrderReply().GetError(), "error", errorText(err))
+				l.log.Info("order not accepted", "endpoint", o.Endpoint, "model", o.Model, "unload", o.Unload,
+					"outcome", outcome.String(), "answer", reply.GetEndpointOrderReply().GetError(), "error", errorText(err))
 			}
 			l.planner.Answered(o, outcome, time.Now())
 		})
@@ -267,17 +267,17 @@
 	return err.Error()
 }
 
-// publish shows the workers to the gateways, at once or when it is time.
+// publish shows the endpoints to the gateways, at once or when it is time.
 func (l *leader) publish(now time.Time, atOnce bool) {
-	workers, absent := l.planner.Workers(now), l.planner.Wanted(now)
+	endpoints, absent := l.planner.Endpoints(now), l.planner.Wanted(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.workers, l.absent = workers, absent
+	l.endpoints, l.absent = endpoints, absent
 	if atOnce || now.Sub(l.published) >= publishEvery {
 		l.published = now
 		l.wakeLocked()
 	}
 }
 
-// publishEvery is how often gateways see the workers' loads anew.
+// publishEvery is how often gateways see the endpoints' loads anew.
 const publishEvery = 200 * time.Millisecond
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -10,12 +10,12 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/quorum"
 	"burdocksaddle/route"
 	"burdocksaddle/scaling"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
-	"burdocksaddle/worker"
 )
 
 const (
@@ -46,8 +46,8 @@
 	shared  *quorum.Log
 
 	decode  func([]byte) (*route.Table, error)
-	list    func(context.Context) ([]worker.State, int, error)
-	sidecar func(worker string) string
+	list    func(context.Context) ([]endpoint.State, int, error)
+	sidecar func(endpoint string) string
 	planner *scaling.Planner
 
 	mu      sync.Mutex
@@ -59,15 +59,15 @@
 	demands         map[string]demandReport
 	// subscribers counts the open streams of gateways and sidecars.
 	subscribers int
-	workers     []worker.State
+	endpoints   []endpoint.State
 	leads       bool
 	since       time.Time
 	proven      time.Time
-	// reports are the sidecars' words on their workers, by the worker's address.
-	reports map[string]workerReport
+	// reports are the sidecars' words on their endpoints, by the endpoint's address.
+	reports map[string]endpointReport
 	// wake tells the leading duty of new demand.
 	wake chan struct{}
-	// absent are the models that no worker holds, with the time until one could.
+	// absent are the models that no endpoint holds, with the time until one could.
 	absent map[string]time.Duration
 }
 
@@ -79,10 +79,10 @@
 	came map[string]int
 }
 
-// workerReport is a sidecar's last word on its worker.
-type workerReport struct {
+// endpointReport is a sidecar's last word on its endpoint.
+type endpointReport struct {
 	at    time.Time
-	state worker.State
+	state endpoint.State
 }
 
 // Option sets one property of a Steward.
@@ -99,13 +99,13 @@
 	return func(s *Steward) { s.decode = decode }
 }
 
-// WithList sets what reads the platform's list of workers and counts the entries that it could not read.
-func WithList(list func(context.Context) ([]worker.State, int, error)) Option {
+// WithList sets what reads the platform's list of endpoints and counts the entries that it could not read.
+func WithList(list func(context.Context) ([]endpoint.State, int, error)) Option {
 	return func(s *Steward) { s.list = list }
 }
 
-// WithSidecar sets what returns the address of a worker's sidecar.
-func WithSidecar(sidecar func(worker string) string) Option {
+// WithSidecar sets what returns the address of an endpoint's sidecar.
+func WithSidecar(sidecar func(endpoint string) string) Option {
 	return func(s *Steward) { s.sidecar = sidecar }
 }
 
@@ -113,7 +113,7 @@
 func Open(config Config, pool *wire.Pool, options ...Option) (*Steward, error) {
 	s := &Steward{
 		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}), tabled: make(chan struct{}),
-		demands: map[string]demandReport{}, reports: map[string]workerReport{},
+		demands: map[string]demandReport{}, reports: map[string]endpointReport{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, option := range options {
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
-	"burdocksaddle/worker"
 )
 
 const (
@@ -55,8 +55,8 @@
 		if d := frame.GetDemandReport(); d != nil {
 			s.takeDemand(node, d)
 		}
-		if w := frame.GetWorkerState(); w != nil {
-			s.takeWorker(worker.FromWire(w))
+		if w := frame.GetEndpointState(); w != nil {
+			s.takeEndpoint(endpoint.FromWire(w))
 		}
 	}
 }
@@ -78,11 +78,11 @@
 	}
 }
 
-// takeWorker takes a sidecar's word on its worker.
-func (s *Steward) takeWorker(w worker.State) {
+// takeEndpoint takes a sidecar's word on its endpoint.
+func (s *Steward) takeEndpoint(w endpoint.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reports[w.Address] = workerReport{at: time.Now(), state: w}
+	s.reports[w.Address] = endpointReport{at: time.Now(), state: w}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -126,9 +126,9 @@
 		return snapshot, s.tabled
 	}
 	if s.leads {
-		snapshot.HasWorkers = true
-		for _, w := range s.workers {
-			snapshot.Workers = append(snapshot.Workers, w.Shown().ToWire())
+		snapshot.HasEndpoints = true
+		for _, w := range s.endpoints {
+			snapshot.Endpoints = append(snapshot.Endpoints, w.Shown().ToWire())
 		}
 		for name, expected := range s.absent {
 			snapshot.Absent = append(snapshot.Absent, &wirepb.AbsentModel{Name: name, ExpectedMs: uint32(expected.Milliseconds())})
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -31,7 +31,7 @@
 	version func() uint64
 	take    func(steward string, s *wirepb.Snapshot)
 	lost    func(steward string)
-	// tableOnly tells that the process does not need to see the workers.
+	// tableOnly tells that the process does not need to see the endpoints.
 	tableOnly bool
 
 	mu sync.Mutex
@@ -64,7 +64,7 @@
 // WithLost sets what is told when a steward's stream has ended.
 func WithLost(lost func(steward string)) Option { return func(u *Uplink) { u.lost = lost } }
 
-// WithTableOnly leaves the workers out of the snapshots.
+// WithTableOnly leaves the endpoints out of the snapshots.
 func WithTableOnly() Option { return func(u *Uplink) { u.tableOnly = true } }
 
 // New makes an Uplink to the stewards that the settings name.
--- a/wire/server.go
+++ b/wire/server.go
@@ -33,7 +33,7 @@
 	Subscribe   func(context.Context, *wirepb.Subscribe, *Stream)
 	TableChange func(context.Context, *wirepb.TableChange) *wirepb.Frame
 	Adapter     func(context.Context, *wirepb.AdapterCall) *wirepb.Frame
-	Order       func(context.Context, *wirepb.WorkerOrder) *wirepb.Frame
+	Order       func(context.Context, *wirepb.EndpointOrder) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends; the channel gives the reason, once.
@@ -148,8 +148,8 @@
 		return call(ctx, handlers.Force, body.ForceQuery)
 	case *wirepb.Frame_TableChange:
 		return call(ctx, handlers.TableChange, body.TableChange)
-	case *wirepb.Frame_WorkerOrder:
-		return call(ctx, handlers.Order, body.WorkerOrder)
+	case *wirepb.Frame_EndpointOrder:
+		return call(ctx, handlers.Order, body.EndpointOrder)
 	case *wirepb.Frame_AdapterCall:
 		return call(ctx, handlers.Adapter, body.AdapterCall)
 	case *wirepb.Frame_Ping:
