--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -74,5 +74,6 @@
 
 // first counts the time to a stream's first event.
 func (t *try) first() {
+	t.firstAfter = time.Since(t.began)
 	t.metrics.GetOrCreateHistogram(metricFirst).UpdateDuration(t.began)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -75,6 +75,8 @@
 	events  int
 	// outcome and reason are how it ended, for logs and metrics; endpoint is the last one that it was sent to.
 	outcome, reason, endpoint string
+	// sentAfter is when it was first sent to an endpoint, firstAfter when its first event was here.
+	sentAfter, firstAfter time.Duration
 }
 
 // Serve answers one request; it returns when the answer is out or the client has left.
@@ -107,8 +109,8 @@
 	t.run(ctx)
 	t.ended()
 	g.log.Info("request ended", "id", request.ID, "route", matched.Name, "model", request.Model, "adapter", request.Adapter,
-		"outcome", t.outcome, "endpoint", t.endpoint, "sends", t.sends, "events", t.events, "ms", time.Since(t.began).Milliseconds(),
-		"version", table.Version)
+		"outcome", t.outcome, "endpoint", t.endpoint, "sends", t.sends, "events", t.events, "sentMs", t.sentAfter.Milliseconds(),
+		"firstMs", t.firstAfter.Milliseconds(), "ms", time.Since(t.began).Milliseconds(), "version", table.Version)
 }
 
 // awaitTable returns the table in force; a gateway that has just started waits for its first one for a share of the client's
@@ -286,6 +288,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.sends++
+	if t.sends == 1 {
+		t.sentAfter = time.Since(t.began)
+	}
 	t.endpoint = c.state.ID
 	stream := t.route.Kind == route.KindStream
 	silent := t.watchdog(cancel, t.firstLimit())
