--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,8 +62,10 @@
 	changed chan struct{}
 	budgets map[string]*routing.Budget
 	demands map[string]*demand
-	leading string
-	active  int
+	// durations are the mean times of streams from their first event to their end, by service.
+	durations map[string]time.Duration
+	leading   string
+	active    int
 }
 
 // place is a model, or an adapter of it, at an endpoint.
@@ -71,8 +73,10 @@
 
 // demand counts a model's requests at this gateway.
 type demand struct {
-	service                string
-	came, running, waiting int
+	service string
+	// came and missed count since the last report: requests, and those that were told to come back for want of the model.
+	came, missed     int
+	running, waiting int
 }
 
 // WithMetrics sets where counters and histograms are kept.
@@ -108,7 +112,7 @@
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
 		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absent: map[place]time.Time{},
-		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{},
+		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, durations: map[string]time.Duration{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
 	g.leaving, g.turnAwayNow = context.WithCancel(context.Background())
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -98,14 +98,14 @@
 	for _, model := range slices.Sorted(maps.Keys(g.demands)) {
 		d := g.demands[model]
 		report.Models = append(report.Models, &wirepb.GatewayDemand{
-			Service: d.service, Model: model, Came: uint32(d.came), Running: uint32(d.running), Waiting: uint32(d.waiting),
+			Service: d.service, Model: model, Came: uint32(d.came), Running: uint32(d.running), Waiting: uint32(d.waiting), Missed: uint32(d.missed),
 		})
 	}
 	if !g.links.Tell(g.leading, &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}) {
 		return // the last report is still to be sent; the counts stay for the next
 	}
 	for model, d := range g.demands {
-		if d.came = 0; d.running == 0 && d.waiting == 0 {
+		if d.came, d.missed = 0, 0; d.running == 0 && d.waiting == 0 {
 			delete(g.demands, model)
 		}
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 )
@@ -32,6 +33,11 @@
 	plainLeast  = 250 * time.Millisecond
 	// comeBack is when a client had better come back to a gateway that knows no table yet.
 	comeBack = 500 * time.Millisecond
+	// Clients leave a stream after a silence of streamPatience, patienceObjectives objectives or patienceGaps allowed pauses,
+	// whichever is longest, by the platform's page.
+	streamPatience     = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
 	// tableWait and tableShare, of the client's time, bound the wait for a gateway's first table; a core that lost power as a
 	// whole has a leader within 2 s.
 	tableWait  = 3 * time.Second
@@ -66,7 +72,10 @@
 	// sends counts the sendings, ran those that may have run.
 	sends, ran int
 	// owes tells that the next sending draws on the retry budget.
-	owes      bool
+	owes bool
+	// paid tells that the budget has been drawn on already; moved are endpoints that were silent. The gateway's lock guards both.
+	paid      bool
+	moved     []string
 	avoid     []string
 	lastEvent string
 	begun     bool
@@ -224,13 +233,18 @@
 		t.mu.Lock()
 		now := time.Now()
 		chosen, held, ok := t.chooseLocked(t.request, t.service, t.avoid, now)
-		if ok && t.owes && !t.budgets[t.service].Retry() {
+		if ok && t.owes && !t.paid && !t.budgets[t.service].Retry() {
 			t.mu.Unlock()
 			t.giveUp(ctx, "the retry budget is used up", comeBack)
 			return choice{}, false
 		}
+		if wait := t.queueWaitLocked(chosen.state); ok && t.sends == 0 && wait > time.Until(t.firstDue()) {
+			t.mu.Unlock()
+			t.giveUp(ctx, "every endpoint that holds its model has too long a queue", spread(wait))
+			return choice{}, false
+		}
 		if ok {
-			t.owes = false
+			t.owes, t.paid = false, false
 			t.router.Begin(chosen.endpoint, chosen.query, now)
 			t.movesLocked(true)
 			t.mu.Unlock()
@@ -243,7 +257,8 @@
 			t.hurryLocked()
 		}
 		t.mu.Unlock()
-		if wait > time.Until(t.deadline) {
+		if wait > time.Until(t.firstDue()) {
+			t.missed()
 			t.giveUp(ctx, "its model cannot be loaded in time", wait)
 			return choice{}, false
 		}
@@ -260,6 +275,27 @@
 	}
 }
 
+// firstDue is when the client leaves unless the answer, or a stream's first event, is there.
+func (t *try) firstDue() time.Time {
+	if t.route.Kind != route.KindStream || t.begun {
+		return t.deadline
+	}
+	leaves := t.began.Add(max(streamPatience, patienceObjectives*t.route.Objective, patienceGaps*t.route.Gap))
+	if leaves.Before(t.deadline) {
+		return leaves
+	}
+	return t.deadline
+}
+
+// missed counts a request that is told to come back for want of its model.
+func (t *try) missed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d := t.demands[t.request.Model]; d != nil {
+		d.missed++
+	}
+}
+
 // hurryLocked tells the leader at once of a model that no endpoint holds.
 func (t *try) hurryLocked() {
 	if t.hurried {
@@ -293,7 +329,7 @@
 	}
 	t.endpoint = c.state.ID
 	stream := t.route.Kind == route.KindStream
-	silent := t.watchdog(cancel, t.firstLimit())
+	silent := t.watchdog(cancel, t.firstLimit(), c.endpoint.Name)
 	defer silent.Stop()
 	answer, err := t.send(ctx, Call{
 		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Remaining: time.Until(t.deadline),
@@ -333,9 +369,42 @@
 	return max(plainLeast, plainFactor*t.route.Objective)
 }
 
-// watchdog ends an attempt after a silence.
-func (t *try) watchdog(cancel context.CancelFunc, limit time.Duration) *time.Timer {
-	return time.AfterFunc(max(limit, time.Millisecond), cancel)
+// watchdog ends an attempt after a silence, as soon as another endpoint and the retry budget allow a further one: an attempt
+// that might still be answered is not given up for nothing.
+func (t *try) watchdog(cancel context.CancelFunc, limit time.Duration, current string) *time.Timer {
+	var timer *time.Timer
+	armed := make(chan struct{})
+	timer = time.AfterFunc(max(limit, time.Millisecond), func() {
+		<-armed
+		if t.mayMove(current) {
+			cancel()
+			return
+		}
+		timer.Reset(retryPause)
+	})
+	close(armed)
+	return timer
+}
+
+// mayMove pays for one more sending if another endpoint could take it.
+func (t *try) mayMove(current string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !time.Now().Before(t.deadline) {
+		return true
+	}
+	other, _, ok := t.chooseLocked(t.request, t.service, append([]string{current}, t.moved...), time.Now())
+	if !ok || other.endpoint.Name == current || queues(t.endpoints[current]) && queues(other.state) || !t.budgets[t.service].Retry() {
+		return false
+	}
+	t.paid = true
+	t.moved = append(t.moved, current)
+	return true
+}
+
+// queues tells whether requests wait at an endpoint by its last report: then a late first event is no sign of a fault.
+func queues(e endpoint.State) bool {
+	return e.Load != nil && (e.Load.Waiting > 0 || e.Load.Running >= e.Slots)
 }
 
 // whole passes an answer on that is here whole, or tries again after an endpoint's own failure.
@@ -368,7 +437,11 @@
 func (t *try) succeed(c choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.router.Succeed(c.endpoint.Name, time.Now())
+	now := time.Now()
+	t.router.Succeed(c.endpoint.Name, now)
+	if t.firstAfter > 0 {
+		t.ranLocked(t.service, now.Sub(t.began)-t.firstAfter)
+	}
 }
 
 // mayRepeat tells whether the request may run at one more endpoint.
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -57,4 +57,6 @@
 	Came    int
 	Running int
 	Waiting int
+	// Missed counts the requests since the last report that were told to come back, since no endpoint held the model in time.
+	Missed int
 }
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -34,11 +34,12 @@
 	now       time.Time
 	endpoints []*tracked
 	replicas  map[string]int
-	store     int
+	// store counts the loads from the store under way, slots those that run at full speed.
+	store, slots int
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := fleet{engine: engine, now: now, replicas: map[string]int{}}
+	f := fleet{engine: engine, now: now, replicas: map[string]int{}, slots: p.slots}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -69,17 +70,52 @@
 		}
 		orders = append(orders, o)
 	}
+	if o, ok := p.spare(&f); ok {
+		orders = append(orders, o)
+	}
 	return orders
 }
 
+// spare returns the order that puts a model which nobody holds into room that nobody needs: what is asked for now and then is
+// then there at once. A model gives way only if it has replicas to spare.
+func (p *Planner) spare(f *fleet) (Order, bool) {
+	if f.now.Sub(p.spared) < spareEvery {
+		return Order{}, false
+	}
+	var wanted []route.Model
+	for _, m := range f.engine.Models {
+		if f.replicas[m.Name] == 0 {
+			wanted = append(wanted, m)
+		}
+	}
+	slices.SortStableFunc(wanted, func(a, b route.Model) int {
+		return cmp.Compare(p.levels[b.Name].rateNow(f.now), p.levels[a.Name].rateNow(f.now))
+	})
+	for _, m := range wanted {
+		if !f.copied(m.Name) {
+			continue
+		}
+		if o, ok := p.place(f, need{model: m, spare: true}); ok {
+			p.spared = f.now
+			return o, true
+		}
+	}
+	return Order{}, false
+}
+
 // need is a model that wants one more replica.
 type need struct {
 	model route.Model
 	// replicas is how many it has, those that are being loaded included; pressure is its requests for each.
 	replicas int
 	pressure float64
+	// spare tells that nobody waits for it.
+	spare bool
 }
 
+// rareRate is how many requests a second a model gets at most whose only place may go to another replica of a busy one.
+const rareRate = 0.05
+
 // next returns the order that relieves the model with the most requests for each replica; models without any go first.
 func (p *Planner) next(f *fleet) (Order, bool) {
 	var needs []need
@@ -90,10 +126,10 @@
 		}
 		l, n := p.levels[name], f.replicas[name]
 		switch value := l.now(f.now); {
-		case n == 0 && l.waiting > 0:
-			needs = append(needs, need{model: m, pressure: value})
+		case n == 0 && (l.waiting > 0 || l.missedNow(f.now) > missedLeast):
+			needs = append(needs, need{model: m, pressure: value + l.missedNow(f.now)})
 		case n > 0 && n < len(f.endpoints) && value > replicaLoad*float64(n):
-			needs = append(needs, need{m, n, value / float64(n)})
+			needs = append(needs, need{model: m, replicas: n, pressure: value / float64(n)})
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
@@ -118,7 +154,7 @@
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
-		if source == SourceStore && (!f.storeFor(n, copied) || p.lastForAdapters(f, t)) {
+		if source == SourceStore && (n.spare || !f.storeFor(n, copied) || p.lastForAdapters(f, t)) {
 			continue
 		}
 		evict, lost, ok := p.evictions(f, t, n)
@@ -166,9 +202,9 @@
 // there in a fraction of the time; further ones leave the store's last place to models that no endpoint has a copy of.
 func (f *fleet) storeFor(n need, copied bool) bool {
 	if n.replicas == 0 {
-		return !copied && f.store < storeSlots
+		return !copied && f.store < f.slots
 	}
-	return f.store < storeSlots-1
+	return f.store < max(1, f.slots-1)
 }
 
 func (p *Planner) orderFor(f *fleet, t *tracked, n need, evict []string) Order {
@@ -186,6 +222,7 @@
 	t.loading, t.source, t.until = n.model.Name, source, f.now.Add(loadTime(n.model, source))
 	if source == SourceStore {
 		f.store++
+		t.beside = f.store
 	}
 	order.Model, order.Source = n.model.Name, source
 	order.Reason = fmt.Sprintf("%d replicas, %.1f requests each", n.replicas, n.pressure)
@@ -240,10 +277,13 @@
 func (p *Planner) loss(f *fleet, model string, n need) (loss float64, allowed bool) {
 	l, after := p.levels[model], f.replicas[model]-1
 	value := l.now(f.now)
-	if after <= 0 {
-		return 1 + 10*l.rateNow(f.now), l.idle(f.now)
+	each := value / float64(max(after, 1))
+	switch {
+	case n.spare:
+		return each, after >= 1 && each < replicaLoad/2
+	case after <= 0:
+		return 1 + 10*l.rateNow(f.now), l.idle(f.now) && (n.replicas == 0 || l.rateNow(f.now) < rareRate)
 	}
-	each := value / float64(after)
 	if n.replicas == 0 {
 		return max(0, each-replicaLoad) + each/100, each <= 2*replicaLoad
 	}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -16,14 +16,24 @@
 	rateHalfLife = 10 * time.Second
 	// replicaLoad is the number of concurrent requests that one replica serves well: a batch of 32 slows each token by about
 	// a tenth, and an endpoint serves two or three models.
-	replicaLoad = 6.0
+	replicaLoad = 8.0
 	// gain is how much busier a model must be than the one it displaces, so that two models don't displace each other in turns.
 	gain = 1.5
 	// restFor is how long a model that nobody asks for any more stays where another one wants its only place.
 	restFor = time.Second
-	// storeSlots is the number of loads from the store at a time that run at full speed, by the sheets; one of them is kept
-	// for models that no endpoint has a copy of.
-	storeSlots = 4
+	// storeSlots is the first guess at how many loads from the store run at full speed at a time, which the platform does not
+	// tell; the loads themselves do. storeSlotsMost bounds it.
+	storeSlots     = 4
+	storeSlotsMost = 8
+	// A load from the store is slowed by others if it takes slowed times as long as it should, and not if it takes full times.
+	slowed, full = 1.4, 1.15
+	// triedAgain is how long after that one more load at a time is tried.
+	triedAgain = time.Minute
+	// missedHalfLife is how long a request that was told to come back speaks for its model.
+	missedHalfLife = 5 * time.Second
+	missedLeast    = 0.4
+	// Spare room takes models that nobody holds at most this often, where a copy is at hand.
+	spareEvery = 200 * time.Millisecond
 	// orderTimeout is when an order without a report of its effect is given again; reports lag by some 100 ms.
 	orderTimeout = 600 * time.Millisecond
 	// reportLag is when an endpoint that did not take an order has reported anew.
@@ -39,6 +49,10 @@
 	endpoints map[string]*tracked
 	levels    map[string]*level
 	engines   map[string]*route.Engine
+	// slots is how many loads from the store run at full speed at a time, as far as they have shown.
+	slots int
+	// slowedAt is when loads were last seen to slow each other; spared is when spare room was last used.
+	slowedAt, spared time.Time
 }
 
 // tracked is one endpoint with the orders that are under way.
@@ -54,6 +68,8 @@
 	// asked tells that an order waits for its answer.
 	asked bool
 	quiet time.Time
+	// beside is how many loads from the store were under way with this one.
+	beside int
 }
 
 // level is a model's demand, in concurrent requests.
@@ -63,13 +79,15 @@
 	rate    float64
 	waiting int
 	running int
-	at      time.Time
-	used    time.Time
+	// missed counts the requests that were told to come back, falling.
+	missed float64
+	at     time.Time
+	used   time.Time
 }
 
 // New makes a Planner that knows nothing yet.
 func New() *Planner {
-	return &Planner{endpoints: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}}
+	return &Planner{endpoints: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}, slots: storeSlots}
 }
 
 // Configure takes the engines of the configuration in force.
@@ -143,6 +161,7 @@
 	t.state.Draining = t.state.Draining || r.Draining
 	settled := !load.Busy && now.Sub(t.ordered) > orderTimeout
 	if t.loading != "" && (t.state.Holds(t.loading) || settled) {
+		p.learn(t, now)
 		t.loading = ""
 	}
 	if t.leaving != "" && (!t.state.Holds(t.leaving) || settled) {
@@ -150,6 +169,24 @@
 	}
 }
 
+// learn takes from a load's time how many loads from the store run at full speed at a time.
+func (p *Planner) learn(t *tracked, now time.Time) {
+	engine := p.engines[t.state.Service]
+	if t.source != SourceStore || !t.state.Holds(t.loading) || engine == nil {
+		return
+	}
+	m, ok := engine.Model(t.loading)
+	if !ok || m.FromStore <= 0 {
+		return
+	}
+	switch ratio := float64(now.Sub(t.ordered)) / float64(m.FromStore); {
+	case ratio > slowed:
+		p.slots, p.slowedAt = min(p.slots, max(1, int(math.Round(float64(t.beside)/ratio)))), now
+	case ratio < full && t.beside >= p.slots && now.Sub(p.slowedAt) > triedAgain:
+		p.slots = min(p.slots+1, storeSlotsMost)
+	}
+}
+
 // Demand takes what all gateways are asked for now; models that are not named have no requests.
 func (p *Planner) Demand(all []Demand, now time.Time) {
 	seen := make(map[string]bool, len(all))
@@ -172,6 +209,7 @@
 func (l *level) take(d Demand, now time.Time) {
 	l.value = max(l.now(now), float64(d.Running+d.Waiting))
 	l.rate = l.rateNow(now) + float64(d.Came)*math.Ln2/rateHalfLife.Seconds()
+	l.missed = l.missedNow(now) + float64(d.Missed)
 	l.at, l.waiting, l.running = now, d.Waiting, d.Running
 	if d.Came > 0 || d.Running+d.Waiting > 0 {
 		l.used = now
@@ -190,6 +228,14 @@
 	return value
 }
 
+// missedNow returns how many requests were told to come back of late.
+func (l *level) missedNow(now time.Time) float64 {
+	if l == nil || l.at.IsZero() {
+		return 0
+	}
+	return l.missed * math.Exp2(-float64(now.Sub(l.at))/float64(missedHalfLife))
+}
+
 // rateNow returns how many requests a second a model gets, over some ten seconds.
 func (l *level) rateNow(now time.Time) float64 {
 	if l == nil || l.at.IsZero() {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -84,7 +84,7 @@
 	}
 	w.run(time.Second, func(time.Duration) {
 		loading := 0
-		for _, m := range w.endpoints {
+		for _, m := range w.machines {
 			if m.state.Load.Busy && m.doing.Source == SourceStore {
 				loading++
 			}
@@ -98,6 +98,62 @@
 	}
 }
 
+// TestStoreTellsItsSpeed has a store that loads one model at a time at full speed, where the first guess is four: of what is
+// asked for, each load after the first few has the store for itself.
+func TestStoreTellsItsSpeed(t *testing.T) {
+	w := newWorld(t, 8, 16)
+	w.storeAtOnce = 1
+	for i := range 8 {
+		w.waiting[modelName(i)] = 1
+	}
+	w.run(40*time.Second, func(time.Duration) {})
+	for i := range 8 {
+		w.waiting[modelName(8+i)] = 1
+	}
+	w.run(time.Minute, func(time.Duration) {
+		loading := 0
+		for _, m := range w.machines {
+			if m.state.Load.Busy && !m.doing.Unload && m.doing.Source == SourceStore {
+				loading++
+			}
+		}
+		if loading > 1 {
+			t.Fatalf("%d loads at once, slots %d", loading, w.planner.slots)
+		}
+	})
+}
+
+// TestMissedRequestsBringTheirModel refuses every request for a model that nobody can load in time: it must be there when
+// the clients come back.
+func TestMissedRequestsBringTheirModel(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.hold(0, modelName(0))
+	w.missed[modelName(2)] = 1
+	w.run(6500*time.Millisecond, func(time.Duration) {})
+	if w.held(modelName(2)) != 1 {
+		t.Error("the model was not loaded")
+	}
+}
+
+// TestSpareRoom lets models that nobody holds take what room there is, from their copies only.
+func TestSpareRoom(t *testing.T) {
+	w := newWorld(t, 3, 5)
+	for i := range 3 {
+		w.hold(i, modelName(0))
+		w.copyAt(i, modelName(1+i))
+	}
+	w.running[modelName(0)] = 3
+	w.run(5*time.Second, func(time.Duration) {})
+	for i := range 3 {
+		if w.held(modelName(1+i)) == 0 {
+			t.Errorf("%s is held by nobody", modelName(1+i))
+		}
+	}
+	if w.held(modelName(0)) == 0 || w.loads[SourceStore] > 0 {
+		t.Errorf("%d replicas of the busy model, loads %v", w.held(modelName(0)), w.loads)
+	}
+}
+
 // TestRoomForAdapters fills an endpoint with models whose weights alone would fit: requests for adapters would never be served.
 func TestRoomForAdapters(t *testing.T) {
 	w := newWorld(t, 1, 3)
@@ -108,7 +164,7 @@
 	w.waiting[modelName(1)] = 1
 	w.run(coldObjective, func(time.Duration) {})
 	if w.held(modelName(1)) != 1 || w.held(modelName(0)) != 0 {
-		t.Errorf("the endpoint holds %v", w.endpoints[0].state.Models)
+		t.Errorf("the endpoint holds %v", w.machines[0].state.Models)
 	}
 }
 
--- a/scaling/world_test.go
+++ b/scaling/world_test.go
@@ -12,14 +12,17 @@
 
 // world is a set of endpoints that carry the planner's orders out, stepped by a clock of its own.
 type world struct {
-	t         *testing.T
-	now       time.Time
-	planner   *Planner
-	engine    *route.Engine
-	endpoints []*machine
+	t        *testing.T
+	now      time.Time
+	planner  *Planner
+	engine   *route.Engine
+	machines []*machine
 	// waiting counts the requests that wait for a model, running those that run.
 	waiting, running map[string]int
 	loads            map[Source]int
+	// missed counts the requests to be told of as refused; storeAtOnce is how many loads the store takes at full speed.
+	missed      map[string]int
+	storeAtOnce int
 }
 
 // machine is one endpoint.
@@ -52,10 +55,10 @@
 	}
 	w := &world{
 		t: t, now: time.Unix(1000, 0), planner: New(), engine: &engine,
-		waiting: map[string]int{}, running: map[string]int{}, loads: map[Source]int{},
+		waiting: map[string]int{}, running: map[string]int{}, loads: map[Source]int{}, missed: map[string]int{}, storeAtOnce: storeSlots,
 	}
 	for i := range endpoints {
-		w.endpoints = append(w.endpoints, &machine{state: endpoint.State{
+		w.machines = append(w.machines, &machine{state: endpoint.State{
 			ID: fmt.Sprintf("w%02d", i), Service: worldService, Slots: 32, Load: &endpoint.Load{},
 		}})
 	}
@@ -67,13 +70,13 @@
 
 // hold puts a model on an endpoint, with a copy on its disk.
 func (w *world) hold(at int, model string) {
-	m := w.endpoints[at]
+	m := w.machines[at]
 	m.state.Models = append(m.state.Models, endpoint.Model{Name: model})
 	w.copyAt(at, model)
 }
 
 func (w *world) copyAt(at int, model string) {
-	m := w.endpoints[at]
+	m := w.machines[at]
 	m.state.Load.OnDisk = append(m.state.Load.OnDisk, model)
 }
 
@@ -88,12 +91,12 @@
 func (w *world) step() {
 	w.now = w.now.Add(worldStep)
 	var listed []endpoint.State
-	for _, m := range w.endpoints {
+	for _, m := range w.machines {
 		m.finish(w)
 		listed = append(listed, m.state)
 	}
 	w.planner.List(listed)
-	for _, m := range w.endpoints {
+	for _, m := range w.machines {
 		w.planner.Report(m.state.ID, endpoint.Report{Models: slices.Clone(m.state.Models), Load: *m.state.Load}, w.now)
 	}
 	var demand []Demand
@@ -102,8 +105,11 @@
 			w.running[m.Name] += w.waiting[m.Name]
 			w.waiting[m.Name] = 0
 		}
-		if w.waiting[m.Name]+w.running[m.Name] > 0 {
-			demand = append(demand, Demand{Service: worldService, Model: m.Name, Waiting: w.waiting[m.Name], Running: w.running[m.Name]})
+		if w.waiting[m.Name]+w.running[m.Name]+w.missed[m.Name] > 0 {
+			demand = append(demand, Demand{
+				Service: worldService, Model: m.Name, Waiting: w.waiting[m.Name], Running: w.running[m.Name], Missed: w.missed[m.Name],
+			})
+			w.missed[m.Name] = 0
 		}
 	}
 	w.planner.Demand(demand, w.now)
@@ -114,8 +120,8 @@
 
 // give is what a sidecar and its endpoint make of an order.
 func (w *world) give(o Order) Outcome {
-	at := slices.IndexFunc(w.endpoints, func(m *machine) bool { return m.state.ID == o.Endpoint })
-	m := w.endpoints[at]
+	at := slices.IndexFunc(w.machines, func(m *machine) bool { return m.state.ID == o.Endpoint })
+	m := w.machines[at]
 	engine := w.planner.engines[worldService]
 	_, outcome := Weights(engine, endpoint.Report{Models: m.state.Models, Load: *m.state.Load}, o.Model, o.Unload)
 	if outcome != OutcomeAccepted {
@@ -131,11 +137,26 @@
 		}
 		w.loads[source]++
 		model, _ := engine.Model(o.Model)
-		m.done = w.now.Add(loadTime(model, source))
+		slower := 1
+		if source == SourceStore {
+			slower = max(1, w.fromStore()/w.storeAtOnce)
+		}
+		m.done = w.now.Add(time.Duration(slower) * loadTime(model, source))
 	}
 	return OutcomeAccepted
 }
 
+// fromStore counts the loads from the store under way.
+func (w *world) fromStore() int {
+	n := 0
+	for _, m := range w.machines {
+		if m.state.Load.Busy && !m.doing.Unload && m.doing.Source == SourceStore {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *machine) finish(w *world) {
 	if !m.state.Load.Busy || w.now.Before(m.done) {
 		return
@@ -158,7 +179,7 @@
 // held counts the endpoints that hold a model.
 func (w *world) held(model string) int {
 	n := 0
-	for _, m := range w.endpoints {
+	for _, m := range w.machines {
 		if m.state.Holds(model) {
 			n++
 		}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -155,8 +155,9 @@
 		for _, m := range d.models {
 			sum := sums[m.GetModel()]
 			sum.Service, sum.Model = m.GetService(), m.GetModel()
-			sum.Came += d.came[m.GetModel()]
-			delete(d.came, m.GetModel())
+			sum.Came += d.news[m.GetModel()].came
+			sum.Missed += d.news[m.GetModel()].missed
+			delete(d.news, m.GetModel())
 			sum.Running += int(m.GetRunning())
 			sum.Waiting += int(m.GetWaiting())
 			sums[m.GetModel()] = sum
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -75,10 +75,13 @@
 type demandReport struct {
 	at     time.Time
 	models []*wirepb.GatewayDemand
-	// came counts the requests that the leader has not yet taken into account.
-	came map[string]int
+	// news counts what the leader has not yet taken into account, by model.
+	news map[string]counts
 }
 
+// counts are a model's requests, and those that were told to come back.
+type counts struct{ came, missed int }
+
 // endpointReport is a sidecar's last word on its endpoint.
 type endpointReport struct {
 	at    time.Time
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -27,13 +27,13 @@
 	s.log.Info("subscriber connected", "subscriber", node.GetNode(), "version", node.GetVersion())
 	s.subscribed(1)
 	defer s.subscribed(-1)
-	read := make(chan struct{})
+	read, wanted := make(chan struct{}), make(chan struct{}, 1)
 	go func() {
 		defer close(read)
 		defer cancel()
-		s.readDemand(node.GetNode(), stream)
+		s.readFrames(node.GetNode(), stream, wanted)
 	}()
-	s.show(ctx, node, stream)
+	s.show(ctx, node, stream, wanted)
 	stream.Close()
 	cancel()
 	<-read
@@ -46,7 +46,7 @@
 	s.subscribers += change
 }
 
-func (s *Steward) readDemand(node string, stream *wire.Stream) {
+func (s *Steward) readFrames(node string, stream *wire.Stream, wanted chan<- struct{}) {
 	for {
 		frame, err := stream.Receive(0)
 		if err != nil {
@@ -58,20 +58,27 @@
 		if w := frame.GetEndpointState(); w != nil {
 			s.takeEndpoint(endpoint.FromWire(w))
 		}
+		if frame.GetTableWanted() != nil {
+			select {
+			case wanted <- struct{}{}:
+			default: // it is about to be sent
+			}
+		}
 	}
 }
 
 func (s *Steward) takeDemand(node string, d *wirepb.DemandReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	came := s.demands[node].came
-	if came == nil {
-		came = map[string]int{}
+	news := s.demands[node].news
+	if news == nil {
+		news = map[string]counts{}
 	}
 	for _, m := range d.GetModels() {
-		came[m.GetModel()] += int(m.GetCame())
+		n := news[m.GetModel()]
+		news[m.GetModel()] = counts{came: n.came + int(m.GetCame()), missed: n.missed + int(m.GetMissed())}
 	}
-	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), came: came}
+	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), news: news}
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -89,20 +96,21 @@
 	}
 }
 
-func (s *Steward) show(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream) {
-	version := node.GetVersion()
+func (s *Steward) show(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream, wanted <-chan struct{}) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
-	for {
-		snapshot, changed := s.snapshotSince(version, node.GetTableOnly())
+	for table := false; ; {
+		snapshot, changed := s.snapshotFor(node, table)
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
 		if err := stream.Send(frame, sendTimeout); err != nil {
 			return // the other side comes back by itself
 		}
-		version = max(version, snapshot.GetVersion())
+		table = false
 		select {
 		case <-ctx.Done():
 			return
+		case <-wanted:
+			table = true
 		case <-beat.C:
 		case <-changed:
 			time.Sleep(gather)
@@ -110,7 +118,8 @@
 	}
 }
 
-func (s *Steward) snapshotSince(version uint64, tableOnly bool) (*wirepb.Snapshot, <-chan struct{}) {
+// snapshotFor returns what a subscriber is to see, and what closes when that changes.
+func (s *Steward) snapshotFor(node *wirepb.Subscribe, table bool) (*wirepb.Snapshot, <-chan struct{}) {
 	proven := s.shared.Vouch() < provenFor
 	var stewards []string
 	for _, m := range s.shared.Members() {
@@ -119,10 +128,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	snapshot := &wirepb.Snapshot{Version: s.version, Stewards: stewards, Leads: s.leads, Proven: proven}
-	if s.version > version {
+	if table {
 		snapshot.Table = s.raw
 	}
-	if tableOnly {
+	if node.GetTableOnly() {
 		return snapshot, s.tabled
 	}
 	if s.leads {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -20,6 +20,8 @@
 	lookEvery    = 100 * time.Millisecond
 	queuedFrames = 4
 	sendTimeout  = time.Second
+	// fetchAgain is when another steward is asked for a table that did not come.
+	fetchAgain = 250 * time.Millisecond
 )
 
 // Uplink is the set of a process's streams to stewards.
@@ -35,6 +37,9 @@
 	tableOnly bool
 
 	mu sync.Mutex
+	// fetching is the version of the table that was asked for last, at fetched.
+	fetching uint64
+	fetched  time.Time
 	// settings are the addresses by the settings, told those by the last proven word of a steward.
 	settings, told []string
 	links          map[string]*link
@@ -210,6 +215,7 @@
 		if s := frame.GetSnapshot(); s != nil {
 			u.hear(s)
 			u.take(l.address, s)
+			u.fetch(l, s.GetVersion())
 		}
 	}
 }
@@ -239,6 +245,22 @@
 	}
 }
 
+// fetch asks a steward for a newer table, unless another steward was asked for it a moment ago.
+func (u *Uplink) fetch(l *link, version uint64) {
+	if version <= u.version() {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now := time.Now(); version > u.fetching || now.Sub(u.fetched) > fetchAgain {
+		select {
+		case l.frames <- &wirepb.Frame{Body: &wirepb.Frame_TableWanted{TableWanted: &wirepb.TableWanted{}}}:
+			u.fetching, u.fetched = version, now
+		default: // the next heartbeat brings it up again
+		}
+	}
+}
+
 // hear takes the stewards' addresses from one that has proven its quorum.
 func (u *Uplink) hear(s *wirepb.Snapshot) {
 	if !s.GetProven() || len(s.GetStewards()) == 0 {
