--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,8 @@
 	// came and missed count since the last report: requests, and those that were told to come back for want of the model.
 	came, missed     int
 	running, waiting int
+	// at counts the requests that run, by endpoint.
+	at map[string]int
 }
 
 // WithMetrics sets where counters and histograms are kept.
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -99,6 +99,7 @@
 		d := g.demands[model]
 		report.Models = append(report.Models, &wirepb.GatewayDemand{
 			Service: d.service, Model: model, Came: uint32(d.came), Running: uint32(d.running), Waiting: uint32(d.waiting), Missed: uint32(d.missed),
+			RunningAt: slices.Sorted(maps.Keys(d.at)),
 		})
 	}
 	if !g.links.Tell(g.leading, &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -161,7 +161,7 @@
 	if t.request.Model != "" {
 		d := t.demands[t.request.Model]
 		if d == nil {
-			d = &demand{service: t.service}
+			d = &demand{service: t.service, at: map[string]int{}}
 			t.demands[t.request.Model] = d
 		}
 		d.came++
@@ -178,18 +178,20 @@
 	}
 }
 
-// moves counts a request as waiting or running.
-func (t *try) movesLocked(running bool) {
+// movesLocked counts a request as running at an endpoint, or as waiting again.
+func (t *try) movesLocked(at string, running bool) {
 	d := t.demands[t.request.Model]
 	if d == nil {
 		return
 	}
-	if running {
-		d.waiting--
-		d.running++
-	} else {
-		d.waiting++
-		d.running--
+	step := 1
+	if !running {
+		step = -1
+	}
+	d.waiting -= step
+	d.running += step
+	if d.at[at] += step; d.at[at] == 0 {
+		delete(d.at, at)
 	}
 }
 
@@ -246,7 +248,7 @@
 		if ok {
 			t.owes, t.paid = false, false
 			t.router.Begin(chosen.endpoint, chosen.query, now)
-			t.movesLocked(true)
+			t.movesLocked(chosen.endpoint.Name, true)
 			t.mu.Unlock()
 			return chosen, true
 		}
@@ -316,7 +318,7 @@
 	if fault != nil {
 		t.router.Fail(c.endpoint.Name, time.Now())
 	}
-	t.movesLocked(false)
+	t.movesLocked(c.endpoint.Name, false)
 }
 
 // attempt sends the request to an endpoint and tells whether that answered it.
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -59,4 +59,6 @@
 	Waiting int
 	// Missed counts the requests since the last report that were told to come back, since no endpoint held the model in time.
 	Missed int
+	// At names the endpoints that run requests for it, in any order and maybe more than once.
+	At []string
 }
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -45,6 +45,12 @@
 		if t.state.Service != service || t.state.Draining {
 			continue
 		}
+		if f.now.After(t.expires) {
+			t.incoming = ""
+		}
+		if t.incoming != "" {
+			f.replicas[t.incoming]++
+		}
 		if t.loading != "" {
 			f.replicas[t.loading]++
 			if t.source == SourceStore {
@@ -62,7 +68,7 @@
 		}
 		f.endpoints = append(f.endpoints, t)
 	}
-	var orders []Order
+	orders := p.follow(&f)
 	for range len(f.endpoints) {
 		o, ok := p.next(&f)
 		if !ok {
@@ -76,6 +82,28 @@
 	return orders
 }
 
+// follow returns the loads of the models that others have made room for.
+func (p *Planner) follow(f *fleet) []Order {
+	var orders []Order
+	for _, t := range f.endpoints {
+		if t.incoming == "" || t.busy(f.now) {
+			continue
+		}
+		name := t.incoming
+		m, ok := f.engine.Model(name)
+		l := p.levels[name]
+		n := need{model: m, pressure: l.now(f.now)}
+		evict, _, fits := p.evictions(f, t, n)
+		t.incoming = ""
+		f.replicas[name]--
+		if !ok || !fits || t.state.Holds(name) {
+			continue
+		}
+		orders = append(orders, p.orderFor(f, t, n, evict))
+	}
+	return orders
+}
+
 // spare returns the order that puts a model which nobody holds into room that nobody needs: what is asked for now and then is
 // then there at once. A model gives way only if it has replicas to spare.
 func (p *Planner) spare(f *fleet) (Order, bool) {
@@ -150,7 +178,7 @@
 	bestCost := 0.0
 	copied := f.copied(n.model.Name)
 	for _, t := range f.endpoints {
-		if t.busy(f.now) || t.state.Holds(n.model.Name) {
+		if t.busy(f.now) || t.incoming != "" || t.state.Holds(n.model.Name) {
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
@@ -191,10 +219,11 @@
 	return false
 }
 
-// copied tells whether an endpoint without the model has a copy of its weights at hand.
+// copied tells whether an endpoint without the model has a copy of its weights at hand and can use it soon.
 func (f *fleet) copied(model string) bool {
 	return slices.ContainsFunc(f.endpoints, func(t *tracked) bool {
-		return !t.state.Holds(model) && t.sourceOf(model) != SourceStore
+		late := t.loading != "" && t.until.Sub(f.now) > soon
+		return !late && !t.state.Holds(model) && t.sourceOf(model) != SourceStore
 	})
 }
 
@@ -212,7 +241,7 @@
 	f.replicas[n.model.Name]++
 	order := Order{Endpoint: t.state.ID}
 	if len(evict) > 0 {
-		t.leaving = evict[0]
+		t.leaving, t.incoming, t.expires = evict[0], n.model.Name, f.now.Add(incomingMost)
 		f.replicas[t.leaving]--
 		order.Model, order.Unload = t.leaving, true
 		order.Reason = fmt.Sprintf("room for %s: %d replicas, %.1f requests each", n.model.Name, n.replicas, n.pressure)
@@ -239,6 +268,9 @@
 	var victims []victim
 	for _, m := range t.state.Models {
 		if loss, allowed := p.loss(f, m.Name, n); allowed {
+			if l := p.levels[m.Name]; l != nil && l.places[t.state.ID] {
+				loss += drainCost
+			}
 			victims = append(victims, victim{m, loss})
 		}
 	}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -40,6 +40,12 @@
 	reportLag = 150 * time.Millisecond
 	// reportMost is the age at which an endpoint's report says nothing any more.
 	reportMost = 2 * time.Second
+	// soon is how long a load from a copy may have to wait for its endpoint and still beat the store.
+	soon = 1500 * time.Millisecond
+	// incomingMost is how long room is kept for a model whose predecessor's runs still go on.
+	incomingMost = 4 * time.Second
+	// drainCost is what an unload takes that has to wait for runs to end, in seconds.
+	drainCost = 1.5
 	// planLag is the time from a first request to the order that its model needs, and from the load to what gateways see.
 	planLag = 300 * time.Millisecond
 )
@@ -53,6 +59,8 @@
 	slots int
 	// slowedAt is when loads were last seen to slow each other; spared is when spare room was last used.
 	slowedAt, spared time.Time
+	// started tells that requests have come.
+	started bool
 }
 
 // tracked is one endpoint with the orders that are under way.
@@ -65,6 +73,9 @@
 	until   time.Time
 	ordered time.Time
 	leaving string
+	// incoming is the model that the leaving one makes room for, until expires.
+	incoming string
+	expires  time.Time
 	// asked tells that an order waits for its answer.
 	asked bool
 	quiet time.Time
@@ -81,6 +92,8 @@
 	running int
 	// missed counts the requests that were told to come back, falling.
 	missed float64
+	// places are the endpoints that run requests for it.
+	places map[string]bool
 	at     time.Time
 	used   time.Time
 }
@@ -127,9 +140,12 @@
 	}
 }
 
-// Prior takes the replicas that were there before any demand was seen for a sign of demand: the platform places busy models
-// on many endpoints.
+// Prior takes the replicas that are there before any demand is seen for a sign of demand: the platform places busy models on
+// many endpoints. It does nothing once there was demand.
 func (p *Planner) Prior(now time.Time) {
+	if p.started {
+		return
+	}
 	replicas, services := map[string]int{}, map[string]string{}
 	for _, t := range p.endpoints {
 		for _, m := range t.state.Models {
@@ -138,7 +154,7 @@
 		}
 	}
 	for model, n := range replicas {
-		if p.levels[model] == nil && n > 1 {
+		if n > 1 {
 			p.levels[model] = &level{service: services[model], value: float64(n) * replicaLoad / gain, at: now, used: now}
 		}
 	}
@@ -191,6 +207,7 @@
 func (p *Planner) Demand(all []Demand, now time.Time) {
 	seen := make(map[string]bool, len(all))
 	for _, d := range all {
+		p.started = true
 		seen[d.Model] = true
 		l, ok := p.levels[d.Model]
 		if !ok {
@@ -211,6 +228,10 @@
 	l.rate = l.rateNow(now) + float64(d.Came)*math.Ln2/rateHalfLife.Seconds()
 	l.missed = l.missedNow(now) + float64(d.Missed)
 	l.at, l.waiting, l.running = now, d.Waiting, d.Running
+	l.places = make(map[string]bool, len(d.At))
+	for _, id := range d.At {
+		l.places[id] = true
+	}
 	if d.Came > 0 || d.Running+d.Waiting > 0 {
 		l.used = now
 	}
@@ -261,7 +282,7 @@
 		return
 	}
 	// What the endpoint holds is known by its next report only.
-	t.loading, t.leaving, t.quiet = "", "", now.Add(reportLag)
+	t.loading, t.leaving, t.incoming, t.quiet = "", "", "", now.Add(reportLag)
 }
 
 // Unsettled tells that what an order to an endpoint did is still to be seen.
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -123,6 +123,60 @@
 	})
 }
 
+// TestOneRequestMakesRoomOnce asks for one model while every endpoint is full: one other model gives way, not one at each
+// planning until the room is there.
+func TestOneRequestMakesRoomOnce(t *testing.T) {
+	w := newWorld(t, 4, 9)
+	w.unloadTime = time.Second
+	for i := range 4 {
+		w.hold(i, modelName(2*i))
+		w.hold(i, modelName(2*i+1))
+		w.copyAt(i, modelName(8))
+	}
+	w.run(2*time.Second, func(time.Duration) {})
+	w.waiting[modelName(8)] = 1
+	w.run(3*time.Second, func(time.Duration) {})
+	held := 0
+	for i := range 8 {
+		held += w.held(modelName(i))
+	}
+	if held != 7 || w.held(modelName(8)) != 1 {
+		t.Errorf("%d of 8 models stay, %d replicas of the one that was asked for", held, w.held(modelName(8)))
+	}
+}
+
+// TestVictimsDontRun asks for a model where one endpoint's idle model and another's running one could give way.
+func TestVictimsDontRun(t *testing.T) {
+	w := newWorld(t, 2, 6)
+	for i := range 2 {
+		w.hold(i, modelName(0))
+		w.hold(i, modelName(1+i))
+		w.copyAt(i, modelName(3))
+	}
+	w.running[modelName(0)] = 2
+	w.at[modelName(0)] = []string{"w00"}
+	w.run(2*time.Second, func(time.Duration) {})
+	w.waiting[modelName(3)] = 1
+	w.run(time.Second, func(time.Duration) {})
+	if !w.machines[0].state.Holds(modelName(0)) || w.machines[1].state.Holds(modelName(0)) {
+		t.Errorf("left: %v and %v", w.machines[0].state.Models, w.machines[1].state.Models)
+	}
+}
+
+// TestPriorLasts leaves the platform's placement as it is for as long as nobody asks for anything.
+func TestPriorLasts(t *testing.T) {
+	w := newWorld(t, 4, 8)
+	for i := range 4 {
+		w.hold(i, modelName(0))
+		w.hold(i, modelName(1+i))
+		w.copyAt(i, modelName(6))
+	}
+	w.run(20*time.Second, func(time.Duration) {})
+	if w.held(modelName(0)) != 4 {
+		t.Errorf("%d replicas of the busy model are left", w.held(modelName(0)))
+	}
+}
+
 // TestMissedRequestsBringTheirModel refuses every request for a model that nobody can load in time: it must be there when
 // the clients come back.
 func TestMissedRequestsBringTheirModel(t *testing.T) {
--- a/scaling/world_test.go
+++ b/scaling/world_test.go
@@ -23,6 +23,9 @@
 	// missed counts the requests to be told of as refused; storeAtOnce is how many loads the store takes at full speed.
 	missed      map[string]int
 	storeAtOnce int
+	// at are the endpoints that run requests for a model; unloadTime is how long an unload takes.
+	at         map[string][]string
+	unloadTime time.Duration
 }
 
 // machine is one endpoint.
@@ -56,6 +59,7 @@
 	w := &world{
 		t: t, now: time.Unix(1000, 0), planner: New(), engine: &engine,
 		waiting: map[string]int{}, running: map[string]int{}, loads: map[Source]int{}, missed: map[string]int{}, storeAtOnce: storeSlots,
+		at: map[string][]string{}, unloadTime: worldStep,
 	}
 	for i := range endpoints {
 		w.machines = append(w.machines, &machine{state: endpoint.State{
@@ -96,6 +100,7 @@
 		listed = append(listed, m.state)
 	}
 	w.planner.List(listed)
+	w.planner.Prior(w.now)
 	for _, m := range w.machines {
 		w.planner.Report(m.state.ID, endpoint.Report{Models: slices.Clone(m.state.Models), Load: *m.state.Load}, w.now)
 	}
@@ -108,6 +113,7 @@
 		if w.waiting[m.Name]+w.running[m.Name]+w.missed[m.Name] > 0 {
 			demand = append(demand, Demand{
 				Service: worldService, Model: m.Name, Waiting: w.waiting[m.Name], Running: w.running[m.Name], Missed: w.missed[m.Name],
+				At: w.at[m.Name],
 			})
 			w.missed[m.Name] = 0
 		}
@@ -129,7 +135,7 @@
 		return outcome
 	}
 	m.doing, m.state.Load.Busy = o, true
-	m.done = w.now.Add(worldStep)
+	m.done = w.now.Add(w.unloadTime)
 	if !o.Unload {
 		source := (&tracked{state: m.state}).sourceOf(o.Model)
 		if source != o.Source {
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -35,7 +35,6 @@
 	running  sync.WaitGroup
 	nextList time.Time
 	listing  bool
-	primed   bool
 	// taken is when the planner took each endpoint's last report.
 	taken     map[string]time.Time
 	published time.Time
@@ -109,7 +108,7 @@
 	if self != l.leads {
 		l.leads, l.since = self, now
 		l.planner = scaling.New()
-		l.version, l.primed = 0, false
+		l.version = 0
 		l.endpoints = nil
 		l.wakeLocked()
 		l.log.Info("leadership changed", "leads", self)
@@ -160,6 +159,7 @@
 			delete(d.news, m.GetModel())
 			sum.Running += int(m.GetRunning())
 			sum.Waiting += int(m.GetWaiting())
+			sum.At = append(sum.At, m.GetRunningAt()...)
 			sums[m.GetModel()] = sum
 		}
 	}
@@ -183,10 +183,7 @@
 				l.log.V(1).Info("entries of the list not read", "count", unread)
 			}
 			l.planner.List(listed)
-			if !l.primed && len(listed) > 0 {
-				l.primed = true
-				l.planner.Prior(time.Now())
-			}
+			l.planner.Prior(time.Now())
 		})
 	})
 }
