--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -13,6 +13,9 @@
 	firstDuration = time.Second
 	// durationWeight is the weight of the last run in the mean.
 	durationWeight = 0.05
+	// sureFactor is how far an estimated wait must be over the time that is left for the request to count as hopeless: the
+	// reports behind it are up to half a second old.
+	sureFactor = 2
 	// spreadShare is by how much of itself a time to come back varies, so that clients don't come back together.
 	spreadShare = 0.5
 )
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -240,7 +240,7 @@
 			t.giveUp(ctx, "the retry budget is used up", comeBack)
 			return choice{}, false
 		}
-		if wait := t.queueWaitLocked(chosen.state); ok && t.sends == 0 && wait > time.Until(t.firstDue()) {
+		if wait := t.queueWaitLocked(chosen.state); ok && t.sends == 0 && wait > sureFactor*time.Until(t.firstDue()) {
 			t.mu.Unlock()
 			t.giveUp(ctx, "every endpoint that holds its model has too long a queue", spread(wait))
 			return choice{}, false
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -16,7 +16,7 @@
 	rateHalfLife = 10 * time.Second
 	// replicaLoad is the number of concurrent requests that one replica serves well: a batch of 32 slows each token by about
 	// a tenth, and an endpoint serves two or three models.
-	replicaLoad = 8.0
+	replicaLoad = 12.0
 	// gain is how much busier a model must be than the one it displaces, so that two models don't displace each other in turns.
 	gain = 1.5
 	// restFor is how long a model that nobody asks for any more stays where another one wants its only place.
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -15,7 +15,7 @@
 const (
 	// silentAfter gives a steward's stream up after three missed heartbeats.
 	silentAfter = 1500 * time.Millisecond
-	redialAfter = 200 * time.Millisecond
+	redialAfter = 100 * time.Millisecond
 	// lookEvery is how often the set of stewards is compared with the streams.
 	lookEvery    = 100 * time.Millisecond
 	queuedFrames = 4
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -23,6 +23,7 @@
 // Pool keeps one session to each address and opens streams on it.
 type Pool struct {
 	dial     func(ctx context.Context, address string) (net.Conn, error)
+	timeout  time.Duration
 	mu       sync.Mutex
 	sessions map[string]*slot
 	closed   bool
@@ -43,10 +44,15 @@
 	return func(p *Pool) { p.dial = dial }
 }
 
+// WithDialTimeout sets how long a connection may take: the opening packet to a VM that is about to start is lost, and sent
+// again only after a second, where a further dial gets through at once.
+func WithDialTimeout(timeout time.Duration) PoolOption { return func(p *Pool) { p.timeout = timeout } }
+
 // NewPool makes a Pool that dials plain TCP.
 func NewPool(options ...PoolOption) *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{}
 	p := &Pool{
+		timeout: dialTimeout,
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -200,7 +206,7 @@
 }
 
 func (p *Pool) connect(ctx context.Context, s *slot, address string) (*yamux.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
