--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -33,13 +33,14 @@
 	engine    *route.Engine
 	now       time.Time
 	endpoints []*tracked
-	replicas  map[string]int
+	// replicas counts those that are being loaded too, serving only those that are there.
+	replicas, serving map[string]int
 	// store counts the loads from the store under way, slots those that run at full speed.
 	store, slots int
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := fleet{engine: engine, now: now, replicas: map[string]int{}, slots: p.slots}
+	f := fleet{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, slots: p.slots}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -64,6 +65,7 @@
 		for _, m := range t.state.Models {
 			if m.Name != t.leaving {
 				f.replicas[m.Name]++
+				f.serving[m.Name]++
 			}
 		}
 		f.endpoints = append(f.endpoints, t)
@@ -141,6 +143,10 @@
 	spare bool
 }
 
+// crowd is how many requests that wait for a model are worth a load from the store beside one from a copy, whose endpoint may
+// have to wait for runs of what gives way.
+const crowd = 6.0
+
 // rareRate is how many requests a second a model gets at most whose only place may go to another replica of a busy one.
 const rareRate = 0.05
 
@@ -231,7 +237,7 @@
 // there in a fraction of the time; further ones leave the store's last place to models that no endpoint has a copy of.
 func (f *fleet) storeFor(n need, copied bool) bool {
 	if n.replicas == 0 {
-		return !copied && f.store < f.slots
+		return (!copied || n.pressure > crowd) && f.store < f.slots
 	}
 	return f.store < max(1, f.slots-1)
 }
@@ -243,6 +249,7 @@
 	if len(evict) > 0 {
 		t.leaving, t.incoming, t.expires = evict[0], n.model.Name, f.now.Add(incomingMost)
 		f.replicas[t.leaving]--
+		f.serving[t.leaving]--
 		order.Model, order.Unload = t.leaving, true
 		order.Reason = fmt.Sprintf("room for %s: %d replicas, %.1f requests each", n.model.Name, n.replicas, n.pressure)
 		return order
@@ -307,7 +314,7 @@
 // loss weighs what one replica less of a model costs: little while those that stay serve its requests well, more for the last
 // one of a model that is asked for now and then; false where it must stay.
 func (p *Planner) loss(f *fleet, model string, n need) (loss float64, allowed bool) {
-	l, after := p.levels[model], f.replicas[model]-1
+	l, after := p.levels[model], f.serving[model]-1
 	value := l.now(f.now)
 	each := value / float64(max(after, 1))
 	switch {
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -45,7 +45,7 @@
 	// incomingMost is how long room is kept for a model whose predecessor's runs still go on.
 	incomingMost = 4 * time.Second
 	// drainCost is what an unload takes that has to wait for runs to end, in seconds.
-	drainCost = 1.5
+	drainCost = 3.0
 	// planLag is the time from a first request to the order that its model needs, and from the load to what gateways see.
 	planLag = 300 * time.Millisecond
 )
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -145,6 +145,24 @@
 	}
 }
 
+// TestOnlyServingReplicasCount loads further replicas of a busy model from the store while a rare one is asked for: the only
+// replica that serves stays.
+func TestOnlyServingReplicasCount(t *testing.T) {
+	w := newWorld(t, 3, 6)
+	w.hold(0, modelName(0))
+	w.hold(0, modelName(1))
+	w.copyAt(0, modelName(5))
+	w.running[modelName(0)], w.running[modelName(1)] = 30, 1
+	w.run(4*time.Second, func(passed time.Duration) {
+		if passed == time.Second {
+			w.waiting[modelName(5)] = 1
+		}
+		if w.held(modelName(0)) == 0 {
+			t.Fatalf("no replica serves 30 requests after %v", passed)
+		}
+	})
+}
+
 // TestVictimsDontRun asks for a model where one endpoint's idle model and another's running one could give way.
 func TestVictimsDontRun(t *testing.T) {
 	w := newWorld(t, 2, 6)
