--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -147,6 +147,31 @@
 // have to wait for runs of what gives way.
 const crowd = 6.0
 
+// crowdCost is what a full endpoint costs a new replica, in seconds of a load.
+const crowdCost = 2.0
+
+// An endpoint is crowded when requests wait there or crowdedShare of its slots are taken; models with crowdedLeast requests
+// that have no other place get one.
+const (
+	crowdedShare = 0.85
+	crowdedLeast = 2.0
+)
+
+// crowded tells whether every endpoint that holds a model is crowded, be it by requests for other models.
+func (f *fleet) crowded(model string) bool {
+	for _, t := range f.endpoints {
+		if t.state.Holds(model) && t.leaving != model && !t.crowded() {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *tracked) crowded() bool {
+	l := t.state.Load
+	return l != nil && (l.Waiting > 0 || float64(l.Running) >= crowdedShare*float64(t.state.Slots))
+}
+
 // rareRate is how many requests a second a model gets at most whose only place may go to another replica of a busy one.
 const rareRate = 0.05
 
@@ -164,6 +189,8 @@
 			needs = append(needs, need{model: m, pressure: value + l.missedNow(f.now)})
 		case n > 0 && n < len(f.endpoints) && value > replicaLoad*float64(n):
 			needs = append(needs, need{model: m, replicas: n, pressure: value / float64(n)})
+		case n > 0 && n == f.serving[name] && value >= crowdedLeast && f.crowded(name):
+			needs = append(needs, need{model: m, replicas: n, pressure: max(value/float64(n), replicaLoad)})
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
@@ -195,7 +222,7 @@
 		if !ok {
 			continue
 		}
-		load := float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
+		load := crowdCost * float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
 		cost := loadTime(n.model, source).Seconds() + lost + load
 		if best == nil || cost < bestCost {
 			best, bestEvict, bestCost = t, evict, cost
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -163,6 +163,20 @@
 	})
 }
 
+// TestCrowdedPlaceIsNotEnough has a model of a few requests share its only endpoint with busy ones that fill the batch.
+func TestCrowdedPlaceIsNotEnough(t *testing.T) {
+	w := newWorld(t, 3, 6)
+	w.hold(0, modelName(0))
+	w.hold(0, modelName(1))
+	w.copyAt(1, modelName(1))
+	w.running[modelName(1)] = 4
+	w.machines[0].state.Load.Running, w.machines[0].state.Load.Waiting = 32, 5
+	w.run(2*time.Second, func(time.Duration) {})
+	if w.held(modelName(1)) < 2 {
+		t.Error("no second place")
+	}
+}
+
 // TestVictimsDontRun asks for a model where one endpoint's idle model and another's running one could give way.
 func TestVictimsDontRun(t *testing.T) {
 	w := newWorld(t, 2, 6)
