--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -103,7 +104,8 @@
 	if err != nil {
 		panic(err)
 	}
-	request := &Request{ID: "r1", Host: bedHost, Path: path, Model: model, Patience: patience, Arrived: began, Wire: wire}
+	model, adapter, _ := strings.Cut(model, "/")
+	request := &Request{ID: "r1", Host: bedHost, Path: path, Model: model, Adapter: adapter, Patience: patience, Arrived: began, Wire: wire}
 	b.Serve(ctx, request, Client{
 		Answer: func(status int, _ http.Header, _ []byte) error { seen.Status = status; return nil },
 		Begin:  func(status int, _ http.Header) error { seen.Status, seen.Begun = status, true; return nil },
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -38,10 +38,13 @@
 		if w.Service != service || w.Draining {
 			continue
 		}
-		if q.Model != "" && (!w.Holds(q.Model) || now.Before(g.absent[place{w.ID, q.Model, ""}])) {
+		if q.Model != "" && !w.Holds(q.Model) {
 			continue
 		}
 		held = true
+		if now.Before(g.absent[place{w.ID, q.Model, ""}]) {
+			continue // it is worth a short wait
+		}
 		e := routing.Endpoint{Name: w.ID, DataCentre: w.DataCentre, Slots: w.Slots, Incarnation: uint64(w.Born)}
 		wanted := endpoint.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || w.HoldsAdapter(wanted) && now.After(g.absent[place{w.ID, q.Model, q.Adapter}]) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -458,7 +458,7 @@
 	switch {
 	case answer.Elsewhere:
 		if t.request.Model != "" {
-			t.absent[place{c.state.ID, t.request.Model, ""}] = now.Add(absentFor)
+			// Without the adapter the model may still be there.
 			t.absent[place{c.state.ID, t.request.Model, t.request.Adapter}] = now.Add(absentFor)
 		} else {
 			t.router.Leave(c.endpoint.Name, now)
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -97,6 +97,30 @@
 	})
 }
 
+// TestMissingAdapterHidesNoModel has an endpoint say that it lacks an adapter: requests for the model itself go on.
+func TestMissingAdapterHidesNoModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := true
+		w := engineEndpoint("w1", bedModel)
+		w.Models[0].Adapters = []string{"a1"}
+		b := newBed(t, func(context.Context, Call) (*Answer, error) {
+			if first {
+				first = false
+				return &Answer{Status: http.StatusMisdirectedRequest, Elsewhere: true, NotRun: true, Close: func() {}}, nil
+			}
+			return events(1, io.EOF), nil
+		}, w)
+		ctx, leave := context.WithCancel(t.Context())
+		go func() { b.ask(ctx, "/live/a", bedModel+"/a1", 0) }()
+		synctest.Wait()
+		if seen := b.ask(t.Context(), "/live/a", bedModel, 0); seen.Status != http.StatusOK || seen.Took > 0 {
+			t.Errorf("%+v", seen)
+		}
+		leave()
+		synctest.Wait()
+	})
+}
+
 // TestHopelessIsRefusedAtOnce asks for a model that takes 6 s to load with 4 s to go.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
