--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -155,7 +155,7 @@
 		state, err := s.read(ctx)
 		if failed := err != nil; failed != silent {
 			silent = failed
-			s.log.Info("endpoint's report", "endpoint", s.config.Endpoint, "silent", silent, "error", errorText(err))
+			s.log.Info("endpoint report", "endpoint", s.config.Endpoint, "silent", silent, "error", errorText(err))
 		}
 		if err != nil {
 			continue
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -16,7 +16,7 @@
 	metricProofAge  = "burdocksaddle_steward_quorum_proof_age_seconds"
 	metricMembers   = "burdocksaddle_steward_members"
 	metricLag       = "burdocksaddle_steward_member_lag_entries"
-	metricReports   = "burdocksaddle_steward_reporting_workers"
+	metricReports   = "burdocksaddle_steward_reporting_endpoints"
 	metricStreams   = "burdocksaddle_steward_subscribers"
 	metricOrders    = "burdocksaddle_steward_orders_total"
 	metricChanges   = "burdocksaddle_steward_changes_total"
