--- a/gateway/error.go
+++ b/gateway/error.go
@@ -53,5 +53,10 @@
 // Error implements error.
 func (e ErrSilent) Error() string { return "endpoint " + e.Endpoint + " is silent" }
 
-// errNoEvents is the cause where a stream that goes on is answered by something else.
-var errNoEvents = errors.New("no events in the answer")
+// ErrNoEvents tells that what should go on as a stream was answered by something else.
+type ErrNoEvents struct{ Status int }
+
+// Error implements error.
+func (e ErrNoEvents) Error() string {
+	return fmt.Sprintf("no events in the answer, status %d", e.Status)
+}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// LinesPerSecond and BytesPerSecond bound what a process writes, on average over a few seconds.
+	// LinesPerSecond bounds what a process writes, on average over a few seconds.
 	LinesPerSecond = 300
+	// BytesPerSecond bounds it in bytes.
 	BytesPerSecond = 96 << 10
 	// messageLines bounds one message's lines a second, so that a flood of one leaves room for the others.
 	messageLines = 60
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -82,7 +82,9 @@
 		}
 		log.Error(io.ErrUnexpectedEOF, "table not taken")
 		cancel()
-		<-ended
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
 		if !strings.Contains(strings.Join(out.lines(), "\n"), "table not taken") {
 			t.Error("the failure was dropped")
 		}
@@ -109,7 +111,9 @@
 		}
 		out.mu.Unlock()
 		cancel()
-		<-ended
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
 	})
 }
 
