--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -130,11 +130,16 @@
 	return err.Error()
 }
 
-// loadTimeLocked returns how long until a model that no endpoint holds can serve, by the leader's word or else from the store.
+// loadTimeLocked returns how long until a model that no endpoint holds can serve, by the leader's word or else from the store;
+// 0 while no leader is known.
 func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
 	if expected, ok := g.expected[model]; ok {
 		return max(0, expected-time.Since(g.shown))
 	}
+	// Without a leader's word nobody knows where copies are; most models have one, and a leader is about to tell.
+	if g.leading == "" {
+		return 0
+	}
 	if s, ok := table.Service(service); ok && s.Engine != nil {
 		if m, known := s.Engine.Model(model); known {
 			return m.FromStore
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -125,6 +125,7 @@
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, nil, engineEndpoint("w1"))
+		b.leading = "steward"
 		seen := b.ask(t.Context(), "/live/a", bedModel, 4*time.Second)
 		if !seen.Refused || seen.Status != http.StatusServiceUnavailable || seen.Took > 0 || seen.After <= 0 {
 			t.Errorf("%+v", seen)
@@ -132,6 +133,21 @@
 	})
 }
 
+// TestNobodyIsHopelessBeforeTheLeaderTells restarts a gateway together with all endpoints, which then hold nothing but have
+// copies on their disks: the first requests wait for the leader's word instead of being told to come back.
+func TestNobodyIsHopelessBeforeTheLeaderTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, func(context.Context, Call) (*Answer, error) { return events(1, io.EOF), nil }, engineEndpoint("w1"))
+		b.leading = ""
+		const loaded = 1200 * time.Millisecond
+		time.AfterFunc(loaded, func() { b.show(engineEndpoint("w1", bedModel)) })
+		seen := b.ask(t.Context(), "/live/a", bedModel, 12*time.Second)
+		if seen.Status != http.StatusOK || seen.Took != loaded {
+			t.Errorf("%+v", seen)
+		}
+	})
+}
+
 // TestStoppingAnswersAll stops a gateway while one request waits for an endpoint and another for its answer.
 func TestStoppingAnswersAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
