--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 # in which it also breaks each thing alone at each stage; the seeds are printed.
 soak:
 	$(GO) test ./storage -run TestSoak -count=1 -timeout 60m -v -args -seeds=$(SEEDS) -first=$(FIRST)
-	SEEDS=$(SEEDS) $(GO) test ./e2e -run 'TestSoak|TestEachBreak' -count=1 -timeout 60m -v
+	SEED=$(FIRST) SEEDS=$(SEEDS) $(GO) test ./e2e -run 'TestSoak|TestEachBreak' -count=1 -timeout 60m -v
 
 # replay prints the placement policy beside its baselines over SEEDS seeds for both deployments.
 replay:
--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -18,6 +18,9 @@
 
 // Decode reads data over what into, a pointer to a struct, already holds and returns all faults found.
 func Decode(data []byte, into any) []Problem {
+	if problem, ok := bounded(data); !ok {
+		return []Problem{problem}
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		detail := strings.TrimPrefix(err.Error(), "hujson: ")
