--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -53,7 +53,7 @@
 func newBed(t *testing.T, send func(ctx context.Context, call Call) (*Answer, error), endpoints ...endpoint.State) *bed {
 	t.Helper()
 	b := &bed{}
-	b.Gateway = New(Config{Node: "test", DataCentre: "here", RetryRatio: 0.2}, wire.NewPool(), WithSend(
+	b.Gateway = New(Config{Node: "test", DataCentre: "here", RetryRatio: 0.2, RetryExtra: 56}, wire.NewPool(), WithSend(
 		func(ctx context.Context, call Call) (*Answer, error) {
 			b.mu.Lock()
 			b.calls = append(b.calls, call)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Stewards []string
 	// RetryRatio is the share of a service's requests that may be sent again.
 	RetryRatio float64
+	// RetryExtra is how many more all gateways together may send again in the platform's window.
+	RetryExtra float64
 }
 
 // Gateway is the aggregate of one entry machine's requests.
@@ -61,6 +63,8 @@
 	urgent  chan struct{}
 	changed chan struct{}
 	budgets map[string]*routing.Budget
+	// saved is how many repeats one service may save up here.
+	saved   float64
 	demands map[string]*demand
 	// durations are the mean times of streams from their first event to their end, by service.
 	durations map[string]time.Duration
@@ -117,6 +121,7 @@
 		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, durations: map[string]time.Duration{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
+	g.share(assumedGateways)
 	g.leaving, g.turnAwayNow = context.WithCancel(context.Background())
 	g.stopping, g.endAnswering = context.WithCancel(context.Background())
 	for _, option := range options {
@@ -128,6 +133,11 @@
 	return g
 }
 
+// share sets what this gateway may save up of the repeats that all share.
+func (g *Gateway) share(gateways int) {
+	g.saved = max(1, extraShare*g.config.RetryExtra/float64(max(gateways, 1)))
+}
+
 // Ready returns the status for the platform's question whether this gateway takes new connections.
 func (g *Gateway) Ready() int {
 	g.mu.Lock()
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -119,6 +119,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if s.GetProven() && s.GetGateways() > 0 {
+		g.share(int(s.GetGateways()))
+	}
 	if s.GetLeads() && g.leading != steward {
 		g.log.Info("leader changed", "leader", steward)
 		g.leading = steward
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// savedRetries is what one gateway may spend at once of the budget that all share.
-	savedRetries = 6
+	// extraShare is the part of the repeats that all gateways share at once which is handed out; assumedGateways is how many
+	// share it by a gateway's guess until a steward tells.
+	extraShare      = 0.6
+	assumedGateways = 10
 	// retryShare is the part of the allowed ratio that is used; the rest is left for what is counted elsewhere.
 	retryShare = 0.7
 	// answerMargin is kept of a request's time for its last answer.
@@ -149,9 +151,10 @@
 	t.active++
 	budget := t.budgets[t.service]
 	if budget == nil {
-		budget = routing.NewBudget(t.config.RetryRatio*retryShare, routing.WithSaved(savedRetries))
+		budget = routing.NewBudget(t.config.RetryRatio*retryShare, routing.WithSaved(t.saved))
 		t.budgets[t.service] = budget
 	}
+	budget.Save(t.saved)
 	budget.Request()
 	if t.request.Model != "" {
 		d := t.demands[t.request.Model]
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"burdocksaddle/wirepb"
 )
 
 // TestAnswers plays what endpoints do to one request and checks what its client gets.
@@ -169,3 +171,29 @@
 		}
 	})
 }
+
+// TestAllGatewaysKeepTheBudget has many gateways meet a service that fails every request: all together they stay within what
+// the platform allows in a window.
+func TestAllGatewaysKeepTheBudget(t *testing.T) {
+	const ratio, extra, requests = 0.2, 98.0, 20
+	for _, gateways := range []int{5, 29, 120} {
+		synctest.Test(t, func(t *testing.T) {
+			sends := 0
+			for range gateways {
+				b := newBed(t, func(context.Context, Call) (*Answer, error) {
+					sends++
+					return whole(http.StatusInternalServerError), nil
+				}, deskEndpoint("d1"), deskEndpoint("d2"))
+				b.config.RetryRatio, b.config.RetryExtra = ratio, extra
+				b.take("steward", &wirepb.Snapshot{Proven: true, Gateways: uint32(gateways)})
+				for range requests {
+					b.ask(t.Context(), "/read/a", "", 0)
+				}
+			}
+			repeats, allowed := float64(sends-gateways*requests), ratio*float64(gateways*requests)+extra
+			if repeats > allowed || repeats == 0 {
+				t.Errorf("%d gateways repeated %.0f times, %.0f are allowed", gateways, repeats, allowed)
+			}
+		})
+	}
+}
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -31,6 +31,9 @@
 	return b
 }
 
+// Save changes how many retries may be saved up.
+func (b *Budget) Save(most float64) { b.most, b.tokens = most, min(b.tokens, most) }
+
 // Request earns a share of a retry.
 func (b *Budget) Request() { b.tokens = min(b.tokens+b.ratio, b.most) }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -57,12 +57,12 @@
 	// changed closes at any change that gateways see, tabled at a new table.
 	changed, tabled chan struct{}
 	demands         map[string]demandReport
-	// subscribers counts the open streams of gateways and sidecars.
-	subscribers int
-	endpoints   []endpoint.State
-	leads       bool
-	since       time.Time
-	proven      time.Time
+	// subscribers counts the open streams of gateways and sidecars, gateways those of gateways.
+	subscribers, gateways int
+	endpoints             []endpoint.State
+	leads                 bool
+	since                 time.Time
+	proven                time.Time
 	// reports are the sidecars' words on their endpoints, by the endpoint's address.
 	reports map[string]endpointReport
 	// wake tells the leading duty of new demand.
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -25,8 +25,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.log.Info("subscriber connected", "subscriber", node.GetNode(), "version", node.GetVersion())
-	s.subscribed(1)
-	defer s.subscribed(-1)
+	s.subscribed(node, 1)
+	defer s.subscribed(node, -1)
 	read, wanted := make(chan struct{}), make(chan struct{}, 1)
 	go func() {
 		defer close(read)
@@ -40,10 +40,13 @@
 	s.log.Info("subscriber lost", "subscriber", node.GetNode())
 }
 
-func (s *Steward) subscribed(change int) {
+func (s *Steward) subscribed(node *wirepb.Subscribe, change int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.subscribers += change
+	if !node.GetTableOnly() {
+		s.gateways += change
+	}
 }
 
 func (s *Steward) readFrames(node string, stream *wire.Stream, wanted chan<- struct{}) {
@@ -127,7 +130,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snapshot := &wirepb.Snapshot{Version: s.version, Stewards: stewards, Leads: s.leads, Proven: proven}
+	snapshot := &wirepb.Snapshot{Version: s.version, Stewards: stewards, Leads: s.leads, Proven: proven, Gateways: uint32(s.gateways)}
 	if table {
 		snapshot.Table = s.raw
 	}
