--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/logging"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 	"burdocksaddle/wirepb"
@@ -88,7 +89,7 @@
 	reply, err := g.pool.Call(ctx, g.sidecar(w.Address), frame, adapterTimeout)
 	if err != nil || !reply.GetAdapterReply().GetAccepted() {
 		g.log.Info("adapter not brought", "id", q.ID, "endpoint", w.ID, "model", q.Model, "adapter", q.Adapter,
-			"answer", reply.GetAdapterReply().GetError(), "error", errorText(err))
+			"answer", reply.GetAdapterReply().GetError(), "error", logging.ErrorText(err))
 		return false
 	}
 	if !reply.GetAdapterReply().GetHeld() {
@@ -123,13 +124,6 @@
 	return w
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // loadTimeLocked returns how long until a model that no endpoint holds can serve, by the leader's word or else from the store;
 // 0 while no leader is known.
 func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -52,9 +52,7 @@
 	Elsewhere bool
 	// Signed tells that the answer bears the endpoint's signature.
 	Signed bool
-	// Leaving tells that the endpoint takes no new connections.
-	Leaving bool
-	Body    []byte
+	Body   []byte
 	// Next returns a stream's next whole event and its id; io.EOF tells that the endpoint ended the stream. Nil for an answer
 	// that is whole in Body.
 	Next func() (event []byte, id string, err error)
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -182,3 +182,11 @@
 	_ = text.Handle(context.Background(), record) // a buffer takes all
 	return line.Bytes()
 }
+
+// ErrorText returns an error's text for a line's error key, empty for none.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 )
@@ -37,10 +39,11 @@
 	replicas, serving map[string]int
 	// store counts the loads from the store under way, slots those that run at full speed.
 	store, slots int
+	rate         *rate.Limiter
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := fleet{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, slots: p.slots}
+	f := fleet{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, slots: p.slots, rate: p.rates[service]}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -263,6 +266,9 @@
 // storeFor tells whether a load from the store may begin for a need. A first replica waits for an endpoint with a copy, which is
 // there in a fraction of the time; further ones leave the store's last place to models that no endpoint has a copy of.
 func (f *fleet) storeFor(n need, copied bool) bool {
+	if f.rate.TokensAt(f.now) < 1 {
+		return false
+	}
 	if n.replicas == 0 {
 		return (!copied || n.pressure > crowd) && f.store < f.slots
 	}
@@ -285,6 +291,7 @@
 	t.loading, t.source, t.until = n.model.Name, source, f.now.Add(loadTime(n.model, source))
 	if source == SourceStore {
 		f.store++
+		f.rate.AllowN(f.now, 1)
 		t.beside = f.store
 	}
 	order.Model, order.Source = n.model.Name, source
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 )
@@ -25,6 +27,8 @@
 	// tell; the loads themselves do. storeSlotsMost bounds it.
 	storeSlots     = 4
 	storeSlotsMost = 8
+	// storeBurst is how many loads from the store may begin at once; the platform allows three above its rate.
+	storeBurst = 3
 	// A load from the store is slowed by others if it takes slowed times as long as it should, and not if it takes full times.
 	slowed, full = 1.4, 1.15
 	// triedAgain is how long after that one more load at a time is tried.
@@ -61,6 +65,8 @@
 	slowedAt, spared time.Time
 	// started tells that requests have come.
 	started bool
+	// rates bound how many loads from the store begin, by service.
+	rates map[string]*rate.Limiter
 }
 
 // tracked is one endpoint with the orders that are under way.
@@ -100,7 +106,7 @@
 
 // New makes a Planner that knows nothing yet.
 func New() *Planner {
-	return &Planner{endpoints: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}, slots: storeSlots}
+	return &Planner{endpoints: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}, slots: storeSlots, rates: map[string]*rate.Limiter{}}
 }
 
 // Configure takes the engines of the configuration in force.
@@ -109,10 +115,26 @@
 	for _, s := range t.Services {
 		if service, ok := t.Service(s.Name); ok && service.Engine != nil {
 			p.engines[s.Name] = service.Engine
+			p.limit(s.Name, service.Engine.LoadsPerSecond)
 		}
 	}
 }
 
+// limit sets how many loads from the store a service may begin in a second; 0 is no limit.
+func (p *Planner) limit(service string, perSecond float64) {
+	allowed := rate.Limit(perSecond)
+	if perSecond <= 0 {
+		allowed = rate.Inf
+	}
+	if known := p.rates[service]; known != nil {
+		if known.Limit() != allowed {
+			known.SetLimit(allowed)
+		}
+		return
+	}
+	p.rates[service] = rate.NewLimiter(allowed, storeBurst)
+}
+
 // Engine tells whether a service's endpoints load models.
 func (p *Planner) Engine(service string) bool { return p.engines[service] != nil }
 
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// TestStoreRate has a store that allows one load in two seconds, and many models that load fast.
+func TestStoreRate(t *testing.T) {
+	w := newWorld(t, 12, 24)
+	for i := range w.engine.Models {
+		w.engine.Models[i].FromStore = 2 * worldStep
+	}
+	const perSecond, seconds = 0.5, 10
+	w.engine.LoadsPerSecond = perSecond
+	table, err := route.New(2, nil, []route.Service{{Name: worldService, Engine: w.engine}}, route.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.planner.Configure(table)
+	for i := range 24 {
+		w.waiting[modelName(i)] = 1
+	}
+	w.run(seconds*time.Second, func(time.Duration) {})
+	if n := w.loads[SourceStore]; n > perSecond*seconds+storeBurst || n == 0 {
+		t.Errorf("%d loads from the store in %d s", n, seconds)
+	}
+}
+
 // TestStoreTellsItsSpeed has a store that loads one model at a time at full speed, where the first guess is four: of what is
 // asked for, each load after the first few has the store for itself.
 func TestStoreTellsItsSpeed(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/logging"
 	"burdocksaddle/route"
 	"burdocksaddle/scaling"
 	"burdocksaddle/uplink"
@@ -155,7 +156,7 @@
 		state, err := s.read(ctx)
 		if failed := err != nil; failed != silent {
 			silent = failed
-			s.log.Info("endpoint report", "endpoint", s.config.Endpoint, "silent", silent, "error", errorText(err))
+			s.log.Info("endpoint report", "endpoint", s.config.Endpoint, "silent", silent, "error", logging.ErrorText(err))
 		}
 		if err != nil {
 			continue
@@ -214,8 +215,8 @@
 	outcome, err := s.weights(ctx, o)
 	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{unload=\"%t\",outcome=%q}", metricOrders, o.GetUnload(), outcome.String())).Inc()
 	s.log.Info("order", "endpoint", o.GetEndpoint(), "model", o.GetModel(), "unload", o.GetUnload(), "term", o.GetTerm(),
-		"reason", o.GetReason(), "outcome", outcome.String(), "error", errorText(err))
-	reply := &wirepb.EndpointOrderReply{Outcome: uint32(outcome), Error: errorText(err)}
+		"reason", o.GetReason(), "outcome", outcome.String(), "error", logging.ErrorText(err))
+	reply := &wirepb.EndpointOrderReply{Outcome: uint32(outcome), Error: logging.ErrorText(err)}
 	return &wirepb.Frame{Body: &wirepb.Frame_EndpointOrderReply{EndpointOrderReply: reply}}
 }
 
@@ -250,11 +251,11 @@
 	verdict, err := s.bring(ctx, call)
 	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricAdapters, verdict.String())).Inc()
 	reply := &wirepb.AdapterReply{
-		Accepted: verdict == scaling.VerdictHeld || verdict == scaling.VerdictComing, Held: verdict == scaling.VerdictHeld, Error: errorText(err),
+		Accepted: verdict == scaling.VerdictHeld || verdict == scaling.VerdictComing, Held: verdict == scaling.VerdictHeld, Error: logging.ErrorText(err),
 	}
 	if !reply.Accepted {
 		s.log.Info("adapter not brought", "endpoint", call.GetEndpoint(), "model", call.GetModel(), "adapter", call.GetAdapter(),
-			"busy", verdict == scaling.VerdictBusy, "error", errorText(err))
+			"busy", verdict == scaling.VerdictBusy, "error", logging.ErrorText(err))
 	}
 	return &wirepb.Frame{Body: &wirepb.Frame_AdapterReply{AdapterReply: reply}}
 }
@@ -292,10 +293,3 @@
 	}
 	return scaling.VerdictNo, nil
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/logging"
 	"burdocksaddle/scaling"
 	"burdocksaddle/wirepb"
 )
@@ -251,20 +252,13 @@
 		l.finish(ctx, func() {
 			if outcome != scaling.OutcomeAccepted {
 				l.log.Info("order not accepted", "endpoint", o.Endpoint, "model", o.Model, "unload", o.Unload,
-					"outcome", outcome.String(), "answer", reply.GetEndpointOrderReply().GetError(), "error", errorText(err))
+					"outcome", outcome.String(), "answer", reply.GetEndpointOrderReply().GetError(), "error", logging.ErrorText(err))
 			}
 			l.planner.Answered(o, outcome, time.Now())
 		})
 	})
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // publish shows the endpoints to the gateways, at once or when it is time.
 func (l *leader) publish(now time.Time, atOnce bool) {
 	endpoints, absent := l.planner.Endpoints(now), l.planner.Wanted(now)
