--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,7 +15,8 @@
 
 // attempt sends the request to an endpoint and tells whether that answered it.
 func (t *try) attempt(ctx context.Context, c choice) (done bool) {
-	ctx, cancel := context.WithCancel(ctx)
+	// The watchdog ends the sending alone: the request may go on elsewhere.
+	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.sends++
 	if t.sends == 1 {
@@ -25,7 +26,7 @@
 	stream := t.route.Kind == route.KindStream
 	silent := t.watchdog(cancel, t.firstLimit(), c.endpoint.Name)
 	defer silent.Stop()
-	answer, err := t.send(ctx, Call{
+	answer, err := t.send(sending, Call{
 		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Remaining: time.Until(t.deadline),
 		LastEvent: t.lastEvent, Stream: stream, Urgency: min(t.route.Priority, lowestUrgency),
 	})
@@ -168,8 +169,7 @@
 
 // failed handles an attempt without a usable answer.
 func (t *try) failed(ctx context.Context, c choice, err error) bool {
-	left := errors.Is(context.Cause(ctx), context.Canceled) && t.clientLeft(ctx)
-	if left || !time.Now().Before(t.deadline) {
+	if t.clientLeft() || !time.Now().Before(t.deadline) {
 		t.release(c, nil)
 	} else {
 		t.release(c, err)
@@ -177,7 +177,7 @@
 	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "model", t.request.Model, "send", t.sends,
 		"ran", t.ran, "events", t.events, "error", err.Error(), "ms", time.Since(t.began).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
-	if t.clientLeft(ctx) {
+	if t.clientLeft() {
 		t.outcome = outcomeLeft
 		return true
 	}
@@ -189,13 +189,13 @@
 }
 
 // clientLeft tells whether the client has closed its connection.
-func (t *try) clientLeft(context.Context) bool {
+func (t *try) clientLeft() bool {
 	return t.request.Wire.Context().Err() != nil
 }
 
 // giveUp ends a request that found no endpoint; after is when the client had better come back if it has not run.
 func (t *try) giveUp(ctx context.Context, reason string, after time.Duration) {
-	if t.clientLeft(ctx) {
+	if t.clientLeft() {
 		t.outcome = outcomeLeft
 		return
 	}
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -197,3 +197,54 @@
 		})
 	}
 }
+
+// TestSilentEndpointIsLeft sends to an endpoint that says nothing: what may be repeated goes on at another one, before its
+// first event and in mid-stream, and what may not waits.
+func TestSilentEndpointIsLeft(t *testing.T) {
+	silent := func(ctx context.Context) (*Answer, error) {
+		<-ctx.Done()
+		return nil, errCrash
+	}
+	midway := func(ctx context.Context) (*Answer, error) {
+		answer := events(2, io.EOF)
+		next := answer.Next
+		answer.Next = func() ([]byte, string, error) {
+			event, id, err := next()
+			if err != nil {
+				<-ctx.Done()
+				return nil, "", errCrash
+			}
+			return event, id, nil
+		}
+		return answer, nil
+	}
+	tests := map[string]struct {
+		path, model string
+		first       func(context.Context) (*Answer, error)
+		second      *Answer
+		want        got
+	}{
+		"before the first event": {"/live/a", bedModel, silent, events(3, io.EOF), got{Status: 200, Begun: true, Events: 3}},
+		"in mid-stream":          {"/live/a", bedModel, midway, events(1, io.EOF), got{Status: 200, Begun: true, Events: 3}},
+		"a read":                 {"/read/a", "", silent, whole(http.StatusOK), got{Status: 200}},
+		"a booking waits":        {"/book/a", "", silent, nil, got{Status: 504, Refused: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sends := 0
+				b := newBed(t, func(ctx context.Context, _ Call) (*Answer, error) {
+					if sends++; sends == 1 {
+						return test.first(ctx)
+					}
+					return test.second, nil
+				}, engineEndpoint("w1", bedModel), engineEndpoint("w2", bedModel), deskEndpoint("d1"), deskEndpoint("d2"))
+				seen := b.ask(t.Context(), test.path, test.model, 0)
+				seen.Took = 0
+				if diff := cmp.Diff(test.want, seen); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
