--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -194,7 +194,7 @@
 }
 
 // giveUp ends a request that found no endpoint; after is when the client had better come back if it has not run.
-func (t *try) giveUp(ctx context.Context, reason string, after time.Duration) {
+func (t *try) giveUp(reason string, after time.Duration) {
 	if t.clientLeft() {
 		t.outcome = outcomeLeft
 		return
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -222,7 +222,7 @@
 	case <-time.After(retryPause):
 		return true
 	case <-ctx.Done():
-		t.giveUp(ctx, "no endpoint in time", comeBack)
+		t.giveUp("no endpoint in time", comeBack)
 		return false
 	}
 }
@@ -235,12 +235,12 @@
 		chosen, held, ok := t.chooseLocked(t.request, t.service, t.avoid, now)
 		if ok && t.owes && !t.paid && !t.budgets[t.service].Retry() {
 			t.mu.Unlock()
-			t.giveUp(ctx, "the retry budget is used up", comeBack)
+			t.giveUp("the retry budget is used up", comeBack)
 			return choice{}, false
 		}
 		if wait := t.queueWaitLocked(chosen.state); ok && t.sends == 0 && wait > sureFactor*time.Until(t.firstDue()) {
 			t.mu.Unlock()
-			t.giveUp(ctx, "every endpoint that holds its model has too long a queue", spread(wait))
+			t.giveUp("every endpoint that holds its model has too long a queue", spread(wait))
 			return choice{}, false
 		}
 		if ok {
@@ -259,17 +259,17 @@
 		t.mu.Unlock()
 		if wait > time.Until(t.firstDue()) {
 			t.missed()
-			t.giveUp(ctx, "its model cannot be loaded in time", wait)
+			t.giveUp("its model cannot be loaded in time", wait)
 			return choice{}, false
 		}
 		select {
 		case <-t.leaving.Done():
-			t.giveUp(ctx, "this gateway is about to stop", elsewhere)
+			t.giveUp("this gateway is about to stop", elsewhere)
 			return choice{}, false
 		case <-changed:
 		case <-time.After(retryPause):
 		case <-ctx.Done():
-			t.giveUp(ctx, "no endpoint in time", comeBack)
+			t.giveUp("no endpoint in time", comeBack)
 			return choice{}, false
 		}
 	}
