Give each endpoint's orders to a steward that the log names, not to a sidecar

Now holder.Table, kept in the stewards' log, names one steward for each endpoint. It orders only with a proof of the quorum of at most 150 ms ago; one that is silent for 2 s is replaced under a higher fence, and the new one waits the lease and 0.7 s.

Ruled out: a leader as the holder (3.7 s without orders after each election).

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -35,7 +35,6 @@
 			standinCommand(),
 			gatewayCommand(),
 			stewardCommand(),
-			sidecarCommand(),
 		},
 	})
 	quiet(root)
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -19,12 +19,7 @@
 
 // stewardCommand returns the command that runs a core machine of a platform deployment.
 func stewardCommand() *cli.Command {
-	return platformCommand("steward", "keep the table and the models on the platform", platform.RunSteward)
-}
-
-// sidecarCommand returns the command that runs beside a model endpoint of a platform deployment.
-func sidecarCommand() *cli.Command {
-	return platformCommand("sidecar", "give the model endpoint of this machine its orders", platform.RunSidecar)
+	return platformCommand("steward", "keep the table, decide where models are and give their endpoints orders", platform.RunSteward)
 }
 
 func platformCommand(name, usage string, run func(context.Context, platform.Settings, platform.Observer) error) *cli.Command {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -30,6 +30,8 @@
 	// Loading is the model that is being loaded, with the time that is left.
 	Loading     string
 	LoadingLeft time.Duration
+	// Holder is the address of the steward that gives the endpoint its orders, empty while none may.
+	Holder string
 }
 
 // Load is an endpoint's report of its work and orders.
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -11,7 +11,7 @@
 	out := &wirepb.EndpointState{
 		Id: s.ID, BornMs: s.Born, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: uint32(s.Slots),
 		Draining: s.Draining, Loading: s.Loading, LoadingLeftMs: uint32(s.LoadingLeft.Milliseconds()),
-		RemainingMs: uint32(s.Remaining.Milliseconds()),
+		RemainingMs: uint32(s.Remaining.Milliseconds()), Holder: s.Holder,
 	}
 	for _, m := range s.Models {
 		out.Models = append(out.Models, &wirepb.HeldModel{Name: m.Name, Adapters: m.Adapters})
@@ -45,7 +45,7 @@
 		ID: w.GetId(), Born: w.GetBornMs(), Service: w.GetService(), Address: w.GetAddress(), DataCentre: w.GetDataCentre(),
 		Slots: int(w.GetSlots()), Draining: w.GetDraining(), Loading: w.GetLoading(),
 		LoadingLeft: time.Duration(w.GetLoadingLeftMs()) * time.Millisecond,
-		Remaining:   time.Duration(w.GetRemainingMs()) * time.Millisecond,
+		Remaining:   time.Duration(w.GetRemainingMs()) * time.Millisecond, Holder: w.GetHolder(),
 	}
 	for _, m := range w.GetModels() {
 		s.Models = append(s.Models, Model{Name: m.GetName(), Adapters: m.GetAdapters()})
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -50,8 +50,8 @@
 		wanted := endpoint.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || w.HoldsAdapter(wanted) && now.After(g.absent[place{w.ID, q.Model, q.Adapter}]) {
 			having = append(having, e)
-		} else if w.Loading == "" && (w.Load == nil || !w.Load.Busy) {
-			// An endpoint that loads or drops a model takes no orders about adapters.
+		} else if w.Holder != "" && w.Loading == "" && (w.Load == nil || !w.Load.Busy) {
+			// An endpoint that loads or drops a model takes no orders about adapters, nor does one whose holder is away.
 			others = append(others, e)
 		}
 	}
@@ -80,15 +80,15 @@
 	return routing.Endpoint{}, false
 }
 
-// bringAdapter asks an endpoint's sidecar to have an adapter loaded and waits until it should be there.
+// bringAdapter asks an endpoint's holder to have an adapter loaded and waits until it should be there.
 func (g *Gateway) bringAdapter(ctx context.Context, w endpoint.State, q *Request) bool {
 	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
-		Endpoint: w.ID, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
+		Endpoint: w.ID, Address: w.Address, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
 	}}}
 	g.count(metricAdapters)
-	reply, err := g.pool.Call(ctx, g.sidecar(w.Address), frame, adapterTimeout)
+	reply, err := g.pool.Call(ctx, w.Holder, frame, adapterTimeout)
 	if err != nil || !reply.GetAdapterReply().GetAccepted() {
-		g.log.Info("adapter not brought", "id", q.ID, "endpoint", w.ID, "model", q.Model, "adapter", q.Adapter,
+		g.log.Info("adapter not brought", "id", q.ID, "endpoint", w.ID, "model", q.Model, "adapter", q.Adapter, "holder", w.Holder,
 			"answer", reply.GetAdapterReply().GetError(), "error", logging.ErrorText(err))
 		return false
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,11 +36,9 @@
 	log    logr.Logger
 	pool   *wire.Pool
 	links  *uplink.Uplink
-	// sidecar returns the address of an endpoint's sidecar.
-	sidecar func(endpoint string) string
-	decode  func([]byte) (*route.Table, error)
-	send    func(context.Context, Call) (*Answer, error)
-	list    func(context.Context) ([]endpoint.State, int, error)
+	decode func([]byte) (*route.Table, error)
+	send   func(context.Context, Call) (*Answer, error)
+	list   func(context.Context) ([]endpoint.State, int, error)
 
 	metrics  *metrics.Set
 	table    atomic.Pointer[route.Table]
@@ -81,8 +79,9 @@
 	// came and missed count since the last report: requests, and those that were told to come back for want of the model.
 	came, missed     int
 	running, waiting int
-	// at counts the requests that run, by endpoint.
-	at map[string]int
+	// at counts the requests that run, by endpoint, adapters those that use an adapter.
+	at       map[string]int
+	adapters map[place]int
 }
 
 // WithMetrics sets where counters and histograms are kept.
@@ -109,11 +108,6 @@
 	return func(g *Gateway) { g.list = list }
 }
 
-// WithSidecar sets what returns the address of an endpoint's sidecar.
-func WithSidecar(sidecar func(endpoint string) string) Option {
-	return func(g *Gateway) { g.sidecar = sidecar }
-}
-
 // New makes a Gateway that has no table and knows no endpoints yet.
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -76,6 +76,9 @@
 		return
 	}
 	g.log.Info("endpoints taken from the list", "count", len(listed), "unread", unread)
+	for i, w := range listed {
+		listed[i].Holder = g.endpoints[w.ID].Holder // the list does not know it
+	}
 	g.takeEndpointsLocked(listed, time.Now())
 }
 
@@ -97,9 +100,13 @@
 	report := &wirepb.DemandReport{}
 	for _, model := range slices.Sorted(maps.Keys(g.demands)) {
 		d := g.demands[model]
+		var adapters []*wirepb.AdapterUse
+		for used := range d.adapters {
+			adapters = append(adapters, &wirepb.AdapterUse{Endpoint: used.endpoint, Adapter: used.adapter})
+		}
 		report.Models = append(report.Models, &wirepb.GatewayDemand{
 			Service: d.service, Model: model, Came: uint32(d.came), Running: uint32(d.running), Waiting: uint32(d.waiting), Missed: uint32(d.missed),
-			RunningAt: slices.Sorted(maps.Keys(d.at)),
+			RunningAt: slices.Sorted(maps.Keys(d.at)), Adapters: adapters,
 		})
 	}
 	if !g.links.Tell(g.leading, &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -159,7 +159,7 @@
 	if t.request.Model != "" {
 		d := t.demands[t.request.Model]
 		if d == nil {
-			d = &demand{service: t.service, at: map[string]int{}}
+			d = &demand{service: t.service, at: map[string]int{}, adapters: map[place]int{}}
 			t.demands[t.request.Model] = d
 		}
 		d.came++
@@ -191,6 +191,13 @@
 	if d.at[at] += step; d.at[at] == 0 {
 		delete(d.at, at)
 	}
+	if t.request.Adapter == "" {
+		return
+	}
+	used := place{at, t.request.Model, t.request.Adapter}
+	if d.adapters[used] += step; d.adapters[used] == 0 {
+		delete(d.adapters, used)
+	}
 }
 
 // run sends the request until it is answered or can't be.
--- a/scaling/adapter.go
+++ b/scaling/adapter.go
@@ -28,8 +28,8 @@
 func (v Verdict) String() string { return [...]string{"No", "Order", "Busy", "Coming", "Held"}[v] }
 
 // Adapter returns the order that brings an adapter to an endpoint which reports what it holds now: first to drop the one that was
-// brought longest ago if there is no room. Adapters in skip are in use and stay.
-func Adapter(engine *route.Engine, r endpoint.Report, a endpoint.Adapter, brought map[endpoint.Adapter]time.Time, skip []endpoint.Adapter) (Order, Verdict) {
+// brought longest ago if there is no room, rather not one of those in use, whose runs the endpoint would wait for.
+func Adapter(engine *route.Engine, r endpoint.Report, a endpoint.Adapter, brought map[endpoint.Adapter]time.Time, inUse []endpoint.Adapter) (Order, Verdict) {
 	state := endpoint.State{Models: r.Models}
 	switch {
 	case !state.Holds(a.Model):
@@ -46,10 +46,12 @@
 	if len(held)+len(r.Load.Pending) < engine.AdapterSlots && Used(engine, r.Models, &r.Load)+adapterMB(engine, a.Model) <= engine.MemoryMB {
 		return order, VerdictOrder
 	}
-	held = slices.DeleteFunc(held, func(one endpoint.Adapter) bool { return slices.Contains(skip, one) })
 	if len(held) == 0 {
 		return Order{}, VerdictNo
 	}
+	if free := slices.DeleteFunc(slices.Clone(held), func(one endpoint.Adapter) bool { return slices.Contains(inUse, one) }); len(free) > 0 {
+		held = free
+	}
 	victim := slices.MinFunc(held, func(one, other endpoint.Adapter) int { return brought[one].Compare(brought[other]) })
 	order.Model, order.Adapter, order.Unload, order.Reason = victim.Model, victim.Name, true, "room for adapter "+a.Name
 	return order, VerdictOrder
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -1,5 +1,7 @@
 package scaling
 
+import "time"
+
 // Order is one order to an endpoint.
 type Order struct {
 	Endpoint string
@@ -11,6 +13,8 @@
 	Sequence int
 	Reason   string
 	Source   Source
+	// Takes is how long a load takes at full speed.
+	Takes time.Duration
 }
 
 // Outcome is what an endpoint said of an order.
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -37,13 +37,15 @@
 	endpoints []*tracked
 	// replicas counts those that are being loaded too, serving only those that are there.
 	replicas, serving map[string]int
+	// presumed are the models at endpoints whose load is not known.
+	presumed map[string]bool
 	// store counts the loads from the store under way, slots those that run at full speed.
 	store, slots int
 	rate         *rate.Limiter
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := fleet{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, slots: p.slots, rate: p.rates[service]}
+	f := fleet{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, presumed: map[string]bool{}, slots: p.slots, rate: p.rates[service]}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -61,17 +63,23 @@
 				f.store++
 			}
 		}
-		// A silent endpoint's replicas serve nobody.
-		if now.Sub(t.reported) > reportMost {
-			continue
+		if t.seen.IsZero() {
+			t.seen = now
+		}
+		silent := now.Sub(t.reported) > reportMost
+		if silent && !t.presumed(now) {
+			continue // its replicas serve nobody
 		}
 		for _, m := range t.state.Models {
 			if m.Name != t.leaving {
 				f.replicas[m.Name]++
 				f.serving[m.Name]++
+				f.presumed[m.Name] = f.presumed[m.Name] || silent
 			}
 		}
-		f.endpoints = append(f.endpoints, t)
+		if !silent {
+			f.endpoints = append(f.endpoints, t)
+		}
 	}
 	orders := p.follow(&f)
 	for range len(f.endpoints) {
@@ -162,6 +170,9 @@
 
 // crowded tells whether every endpoint that holds a model is crowded, be it by requests for other models.
 func (f *fleet) crowded(model string) bool {
+	if f.presumed[model] {
+		return false
+	}
 	for _, t := range f.endpoints {
 		if t.state.Holds(model) && t.leaving != model && !t.crowded() {
 			return false
@@ -294,7 +305,7 @@
 		f.rate.AllowN(f.now, 1)
 		t.beside = f.store
 	}
-	order.Model, order.Source = n.model.Name, source
+	order.Model, order.Source, order.Takes = n.model.Name, source, loadTime(n.model, source)
 	order.Reason = fmt.Sprintf("%d replicas, %.1f requests each", n.replicas, n.pressure)
 	return order
 }
@@ -436,9 +447,18 @@
 	return m.AdapterMB
 }
 
-// busy tells that no order can be given now: one is under way, or what the last one did is not known.
+// presumed tells whether an endpoint without a fresh report should hold what was last known of it: its first report is still to
+// come, or nobody asks it for one since its holder is being replaced.
+func (t *tracked) presumed(now time.Time) bool {
+	if t.reported.IsZero() {
+		return now.Sub(t.seen) <= reportMost
+	}
+	return t.unheld && now.Sub(t.reported) <= unheldMost
+}
+
+// busy tells that no order can be given now: nobody may give one, one is under way, or what the last one did is not known.
 func (t *tracked) busy(now time.Time) bool {
-	return t.state.Load == nil || t.state.Load.Busy || t.loading != "" || t.leaving != "" || t.asked || now.Before(t.quiet)
+	return t.unheld || t.state.Load == nil || t.state.Load.Busy || t.loading != "" || t.leaving != "" || t.asked || now.Before(t.quiet)
 }
 
 func (t *tracked) sourceOf(model string) Source {
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -44,6 +44,9 @@
 	reportLag = 150 * time.Millisecond
 	// reportMost is the age at which an endpoint's report says nothing any more.
 	reportMost = 2 * time.Second
+	// unheldMost is for how long an endpoint without a holder counts as it last reported: replacing a holder takes 2 s of silence,
+	// a commit and the lease of 3 s that the former one may still have.
+	unheldMost = 8 * time.Second
 	// soon is how long a load from a copy may have to wait for its endpoint and still beat the store.
 	soon = 1500 * time.Millisecond
 	// incomingMost is how long room is kept for a model whose predecessor's runs still go on.
@@ -87,6 +90,10 @@
 	quiet time.Time
 	// beside is how many loads from the store were under way with this one.
 	beside int
+	// unheld tells that no steward may give it orders now.
+	unheld bool
+	// seen is when it was first planned with.
+	seen time.Time
 }
 
 // level is a model's demand, in concurrent requests.
@@ -162,6 +169,14 @@
 	}
 }
 
+// Hold sets the holder of each endpoint's orders, "" while no steward may give it any.
+func (p *Planner) Hold(holder func(address string) string) {
+	for _, t := range p.endpoints {
+		t.state.Holder = holder(t.state.Address)
+		t.unheld = t.state.Holder == ""
+	}
+}
+
 // Prior takes the replicas that are there before any demand is seen for a sign of demand: the platform places busy models on
 // many endpoints. It does nothing once there was demand.
 func (p *Planner) Prior(now time.Time) {
@@ -189,7 +204,7 @@
 		return
 	}
 	if r.Born != 0 && t.state.Born != 0 && r.Born != t.state.Born {
-		*t = tracked{state: t.state}
+		*t = tracked{state: t.state, unheld: t.unheld}
 	}
 	if r.Born != 0 {
 		t.state.Born = r.Born
--- /dev/null
+++ b/steward/hold.go
@@ -0,0 +1,392 @@
+package steward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"burdocksaddle/endpoint"
+	"burdocksaddle/holder"
+	"burdocksaddle/logging"
+	"burdocksaddle/route"
+	"burdocksaddle/scaling"
+	"burdocksaddle/wirepb"
+)
+
+const (
+	// holdTick is how often a steward tells the leader that it holds its endpoints.
+	holdTick = 100 * time.Millisecond
+	// holdTimeout bounds that call; the next one tells the same.
+	holdTimeout = 500 * time.Millisecond
+	// settleFor is how long a new leader listens before it assigns endpoints: every steward speaks in that time.
+	settleFor = 400 * time.Millisecond
+	// goneFor is for how long an address must be off the list for its holder to be forgotten; no order is under way so long.
+	goneFor = 30 * time.Second
+	// balanceEvery is how often an endpoint may change its holder only to even out the load: it is without one for seconds.
+	balanceEvery = 10 * time.Second
+	// heardMost is the age of a steward's word up to which gateways send it their wishes for adapters.
+	heardMost = 600 * time.Millisecond
+)
+
+// heldEndpoint is an endpoint that this steward gives orders to.
+type heldEndpoint struct {
+	address    string
+	holder     *holder.Holder
+	assignment holder.Assignment
+	cancel     context.CancelFunc
+	ended      <-chan error
+	state      endpoint.State
+	// news tells that the leader has not heard of the state.
+	news bool
+}
+
+// assign puts a committed assignment of holders in force; one that does not follow from the last is void, unless it is restored.
+func (s *Steward) assign(holders holder.Table, restored bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !restored && holders.Revision != s.holders.Revision+1 {
+		s.log.Info("assignment of holders is void", "revision", holders.Revision, "held", s.holders.Revision)
+		return
+	}
+	for address, a := range holders.Holders {
+		if old := s.holders.Holders[address]; old != a && !restored {
+			s.log.Info("holder assigned", "address", address, "holder", a.Steward, "fence", a.Fence, "settled", a.Settled,
+				"revision", holders.Revision, "former", old.Steward)
+		}
+	}
+	s.holders = holders
+	nudge(s.holding)
+}
+
+// hold is the duty that gives the assigned endpoints their orders and tells the leader of them; the channel gives its end.
+func (s *Steward) hold(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		ticker := time.NewTicker(holdTick)
+		defer ticker.Stop()
+		defer s.release()
+		told := ""
+		for {
+			select {
+			case <-ctx.Done():
+				ended <- nil
+				return
+			case <-ticker.C:
+			case <-s.holding:
+			}
+			s.follow(ctx)
+			told = s.tellLeader(ctx, told)
+		}
+	}()
+	return ended
+}
+
+// follow begins and ends holding endpoints as the log says.
+func (s *Steward) follow(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.former = slices.DeleteFunc(s.former, func(h *heldEndpoint) bool {
+		select {
+		case err := <-h.ended:
+			s.logEnd(h, err)
+			return true
+		default:
+			return false
+		}
+	})
+	for address, h := range s.held {
+		if a := s.holders.Holders[address]; a.Steward != h.assignment.Steward || a.Fence != h.assignment.Fence {
+			h.cancel()
+			delete(s.held, address)
+			s.former = append(s.former, h)
+		}
+	}
+	for address, a := range s.holders.Holders {
+		if _, held := s.held[address]; held || a.Steward != s.config.Address {
+			continue
+		}
+		running, cancel := context.WithCancel(ctx)
+		h := &heldEndpoint{address: address, assignment: a, cancel: cancel}
+		h.holder = holder.New(holder.Config{Endpoint: address, Assignment: a, Lease: s.config.Lease},
+			holder.WithLog(s.log), holder.WithMetrics(s.metrics), holder.WithEngine(s.engine), holder.WithReport(s.report),
+			holder.WithGive(s.give), holder.WithProven(func(ctx context.Context) bool { return s.provesHolder(ctx, address, a.Fence) }),
+			holder.WithTell(func(state endpoint.State, changed bool) { s.toldState(h, state, changed) }))
+		h.ended = h.holder.Run(running)
+		s.held[address] = h
+	}
+}
+
+// release waits for what is held to end.
+func (s *Steward) release() {
+	s.mu.Lock()
+	held := slices.AppendSeq(s.former, maps.Values(s.held))
+	s.mu.Unlock()
+	for _, h := range held {
+		h.cancel()
+		s.logEnd(h, <-h.ended)
+	}
+}
+
+func (s *Steward) logEnd(h *heldEndpoint, err error) {
+	s.log.Info("endpoint no longer held", "address", h.address, "fence", h.assignment.Fence, "error", logging.ErrorText(err))
+}
+
+func (s *Steward) toldState(h *heldEndpoint, state endpoint.State, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.state, h.news = state, true
+	if changed {
+		nudge(s.holding)
+	}
+}
+
+// engine returns a service's engine by the table in force.
+func (s *Steward) engine(service string) *route.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil
+	}
+	found, _ := s.table.Service(service)
+	return found.Engine
+}
+
+// provesHolder tells whether this steward is still an endpoint's holder, by the log as it is now.
+func (s *Steward) provesHolder(ctx context.Context, address string, fence uint64) bool {
+	if !s.provesQuorum(ctx) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.holders.Holders[address]
+	return a.Steward == s.config.Address && a.Fence == fence
+}
+
+// provesQuorum tells whether this steward had applied, a moment ago, all that was committed by then.
+func (s *Steward) provesQuorum(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	select {
+	case s.proving <- struct{}{}:
+		defer func() { <-s.proving }()
+	case <-ctx.Done():
+		return false
+	}
+	if time.Since(s.provenAt) < provenMost {
+		return true
+	}
+	start := time.Now()
+	if _, err := s.shared.ReadBarrier(ctx); err != nil {
+		s.log.Info("no orders without a quorum", "error", err.Error())
+		return false
+	}
+	s.provenAt = start
+	return time.Since(start) < provenMost
+}
+
+// tellLeader tells the leader what is held here, and all of it if it was not told anything yet; it returns the leader.
+func (s *Steward) tellLeader(ctx context.Context, told string) string {
+	address, self := s.shared.Leader()
+	if self {
+		address = s.config.Address
+	}
+	if address == "" {
+		return ""
+	}
+	report := &wirepb.HolderReport{Steward: s.config.Address}
+	s.mu.Lock()
+	for _, place := range slices.Sorted(maps.Keys(s.held)) {
+		h := s.held[place]
+		if h.holder.Ready() {
+			report.Ready = append(report.Ready, &wirepb.HolderEntry{Endpoint: place, Fence: h.assignment.Fence})
+		}
+		if h.state.Load != nil && (h.news || address != told) {
+			report.Endpoints = append(report.Endpoints, h.state.ToWire())
+			h.news = false
+		}
+	}
+	s.mu.Unlock()
+	if self {
+		s.takeUse(s.takeHolder(ctx, report).GetHolderReportReply())
+		return address
+	}
+	reply, err := s.pool.Call(ctx, address, &wirepb.Frame{Body: &wirepb.Frame_HolderReport{HolderReport: report}}, holdTimeout)
+	if err != nil || !reply.GetHolderReportReply().GetLeads() {
+		return "" // it is told all again
+	}
+	s.takeUse(reply.GetHolderReportReply())
+	return address
+}
+
+// takeUse hands the holders what the leader knows of the adapters in use.
+func (s *Steward) takeUse(reply *wirepb.HolderReportReply) {
+	used := map[string][]endpoint.Adapter{}
+	for _, e := range reply.GetInUse() {
+		for _, m := range e.GetModels() {
+			for _, name := range m.GetAdapters() {
+				used[e.GetAddress()] = append(used[e.GetAddress()], endpoint.Adapter{Model: m.GetName(), Name: name})
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, h := range s.held {
+		h.holder.Use(used[address])
+	}
+}
+
+// takeHolder takes a steward's word on the endpoints that it holds.
+func (s *Steward) takeHolder(_ context.Context, r *wirepb.HolderReport) *wirepb.Frame {
+	_, self := s.shared.Leader()
+	reply := &wirepb.HolderReportReply{Leads: self}
+	if self {
+		now := time.Now()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.heard[r.GetSteward()] = now
+		for _, e := range r.GetReady() {
+			s.ready[e.GetEndpoint()] = e.GetFence()
+			if used := s.inUse[e.GetEndpoint()]; used != nil {
+				reply.InUse = append(reply.InUse, used)
+			}
+		}
+		for _, e := range r.GetEndpoints() {
+			state := endpoint.FromWire(e)
+			s.reports[state.Address] = endpointReport{at: now, state: state}
+		}
+		if len(r.GetEndpoints()) > 0 {
+			nudge(s.wake)
+		}
+	}
+	return &wirepb.Frame{Body: &wirepb.Frame_HolderReportReply{HolderReportReply: reply}}
+}
+
+// gatherUse gathers which adapters the gateways use at each endpoint, by its address.
+func (l *leader) gatherUse(now time.Time) {
+	addresses := map[string]string{}
+	for _, w := range l.planner.Endpoints(now) {
+		addresses[w.ID] = w.Address
+	}
+	type place struct{ address, model string }
+	adapters := map[place][]string{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, d := range l.demands {
+		for _, m := range d.models {
+			for _, used := range m.GetAdapters() {
+				at := place{addresses[used.GetEndpoint()], m.GetModel()}
+				adapters[at] = append(adapters[at], used.GetAdapter())
+			}
+		}
+	}
+	l.inUse = map[string]*wirepb.EndpointUse{}
+	for at, names := range adapters {
+		if l.inUse[at.address] == nil {
+			l.inUse[at.address] = &wirepb.EndpointUse{Address: at.address}
+		}
+		slices.Sort(names)
+		use := l.inUse[at.address]
+		use.Models = append(use.Models, &wirepb.HeldModel{Name: at.model, Adapters: slices.Compact(names)})
+	}
+}
+
+// orderFor carries out the leader's word on a model at an endpoint that is held here.
+func (s *Steward) orderFor(ctx context.Context, o *wirepb.EndpointOrder) *wirepb.Frame {
+	outcome, err := scaling.OutcomeRefused, error(holder.ErrNotHolder{Endpoint: o.GetAddress()})
+	if h := s.holderOf(o.GetAddress()); h != nil {
+		outcome, err = h.Order(ctx, o)
+	}
+	reply := &wirepb.EndpointOrderReply{Outcome: uint32(outcome), Error: logging.ErrorText(err)}
+	return &wirepb.Frame{Body: &wirepb.Frame_EndpointOrderReply{EndpointOrderReply: reply}}
+}
+
+// adapterFor brings an adapter to an endpoint that is held here.
+func (s *Steward) adapterFor(ctx context.Context, call *wirepb.AdapterCall) *wirepb.Frame {
+	verdict, err := scaling.VerdictNo, error(holder.ErrNotHolder{Endpoint: call.GetAddress()})
+	if h := s.holderOf(call.GetAddress()); h != nil {
+		verdict, err = h.Adapter(ctx, call)
+	}
+	held := verdict == scaling.VerdictHeld
+	reply := &wirepb.AdapterReply{Accepted: held || verdict == scaling.VerdictComing, Held: held, Error: logging.ErrorText(err)}
+	return &wirepb.Frame{Body: &wirepb.Frame_AdapterReply{AdapterReply: reply}}
+}
+
+func (s *Steward) holderOf(address string) *holder.Holder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.held[address]; h != nil {
+		return h.holder
+	}
+	return nil
+}
+
+// assignHolders commits a new assignment of the endpoints' holders where the last one does not fit any more, and shows the
+// planner who may give orders.
+func (l *leader) assignHolders(ctx context.Context, now time.Time) {
+	l.mu.Lock()
+	view, current := l.holderView(now), l.holders
+	for address := range l.ready {
+		if _, held := current.Holders[address]; !held {
+			delete(l.ready, address)
+		}
+	}
+	l.planner.Hold(func(address string) string {
+		a := current.Holders[address]
+		if l.ready[address] != a.Fence || now.Sub(l.heard[a.Steward]) > heardMost {
+			return ""
+		}
+		return a.Steward
+	})
+	l.mu.Unlock()
+	if l.assigning || now.Sub(l.since) < settleFor || !l.mayOrder(ctx) {
+		return
+	}
+	next, changed := current.Next(view)
+	if !changed {
+		return
+	}
+	if view.Balance {
+		l.balanced = now
+	}
+	l.assigning = true
+	l.running.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+		defer cancel()
+		err := l.propose(ctx, &wirepb.StewardChange{Holders: next.ToWire()})
+		l.finish(ctx, func() {
+			l.assigning = false
+			if err != nil {
+				l.log.Info("assignment of holders not committed", "revision", next.Revision, "error", err.Error())
+			}
+		})
+	})
+}
+
+// holderView returns what the leader knows of endpoints and stewards; the caller has the lock.
+func (l *leader) holderView(now time.Time) holder.View {
+	view := holder.View{Silent: map[string]time.Duration{}, Ready: l.ready, Balance: now.Sub(l.balanced) > balanceEvery}
+	for _, w := range l.planner.Endpoints(now) {
+		if l.planner.Engine(w.Service) {
+			view.Endpoints = append(view.Endpoints, w.Address)
+		}
+	}
+	for address, at := range l.listed {
+		if now.Sub(at) <= goneFor {
+			continue
+		}
+		if _, held := l.holders.Holders[address]; held {
+			view.Gone = append(view.Gone, address)
+		} else {
+			delete(l.listed, address)
+		}
+	}
+	for _, m := range l.shared.Members() {
+		last := l.since
+		if heard, ok := l.heard[m.Address]; ok {
+			last = heard
+		}
+		view.Silent[m.Address] = now.Sub(last)
+	}
+	return view
+}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -18,13 +18,13 @@
 	leadTick = 100 * time.Millisecond
 	// listEvery is how often the leader reads the list; an endpoint that leaves must be known everywhere within 3 s.
 	listEvery = 500 * time.Millisecond
-	// reportMost and demandMost are the ages at which a sidecar's or a gateway's word is dropped.
+	// reportMost and demandMost are the ages at which a holder's or a gateway's word is dropped.
 	reportMost = 2 * time.Second
 	demandMost = time.Second
 	// provenMost is how old the proof of leadership may be for an order; a machine that wakes from a freeze has 300 ms.
 	provenMost   = 150 * time.Millisecond
 	proveTimeout = 250 * time.Millisecond
-	// orderTimeout bounds a call to a sidecar.
+	// orderTimeout bounds a call to a holder.
 	orderTimeout  = time.Second
 	queuedResults = 256
 )
@@ -40,12 +40,17 @@
 	taken     map[string]time.Time
 	published time.Time
 	version   uint64
+	// assigning tells that a change of the holders is being committed; balanced is when an endpoint was last moved.
+	assigning bool
+	balanced  time.Time
+	// listed is when each address was last on the list.
+	listed map[string]time.Time
 }
 
 // lead is the duty that plans and gives orders while this steward leads; the channel gives its end.
 func (s *Steward) lead(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
-	l := &leader{Steward: s, results: make(chan func(), queuedResults), taken: map[string]time.Time{}}
+	l := &leader{Steward: s, results: make(chan func(), queuedResults), taken: map[string]time.Time{}, listed: map[string]time.Time{}}
 	go func() {
 		l.run(ctx)
 		ended <- nil
@@ -81,6 +86,8 @@
 	}
 	l.readList(ctx, now)
 	l.takeReports(now)
+	l.assignHolders(ctx, now)
+	l.gatherUse(now)
 	l.plan(ctx, now)
 	l.publish(now, false)
 }
@@ -88,7 +95,7 @@
 // plan gives the orders that the demand asks for.
 func (l *leader) plan(ctx context.Context, now time.Time) {
 	l.planner.Demand(l.demand(now), now)
-	if !l.mayOrder(ctx, now) {
+	if !l.mayOrder(ctx) {
 		return
 	}
 	unloads := false
@@ -109,7 +116,13 @@
 	if self != l.leads {
 		l.leads, l.since = self, now
 		l.planner = scaling.New()
-		l.version = 0
+		l.version, l.balanced = 0, now
+		clear(l.heard)
+		clear(l.ready)
+		clear(l.listed)
+		for address := range l.holders.Holders {
+			l.listed[address] = now
+		}
 		l.endpoints = nil
 		l.wakeLocked()
 		l.log.Info("leadership changed", "leads", self)
@@ -122,25 +135,12 @@
 }
 
 // mayOrder tells whether a table is there and no other steward can lead.
-func (l *leader) mayOrder(ctx context.Context, now time.Time) bool {
-	if l.version == 0 {
+func (l *leader) mayOrder(ctx context.Context) bool {
+	if l.version == 0 || !l.provesQuorum(ctx) {
 		return false
 	}
-	if now.Sub(l.proven) < provenMost {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
-	defer cancel()
-	start := time.Now()
-	if _, err := l.shared.ReadBarrier(ctx); err != nil {
-		l.log.Info("no orders without a quorum", "error", err.Error())
-		return false
-	}
-	if _, self := l.shared.Leader(); !self || time.Since(start) > provenMost {
-		return false
-	}
-	l.proven = start
-	return true
+	_, self := l.shared.Leader()
+	return self
 }
 
 func (l *leader) demand(now time.Time) []scaling.Demand {
@@ -183,6 +183,9 @@
 			if unread > 0 {
 				l.log.V(1).Info("entries of the list not read", "count", unread)
 			}
+			for _, w := range listed {
+				l.listed[w.Address] = time.Now()
+			}
 			l.planner.List(listed)
 			l.planner.Prior(time.Now())
 		})
@@ -197,7 +200,7 @@
 	}
 }
 
-// takeReports hands the sidecars' new words to the planner; what shows that an order is done is shown to the gateways at once.
+// takeReports hands the holders' new words to the planner; what shows that an order is done is shown to the gateways at once.
 func (l *leader) takeReports(now time.Time) {
 	fresh := map[string]endpointReport{}
 	l.mu.Lock()
@@ -228,7 +231,7 @@
 	}
 }
 
-// order gives one order through the endpoint's sidecar.
+// order gives one order through the endpoint's holder.
 func (l *leader) order(ctx context.Context, o scaling.Order) {
 	var target endpoint.State
 	for _, w := range l.planner.Endpoints(time.Now()) {
@@ -238,12 +241,13 @@
 	}
 	term := l.shared.Term()
 	l.log.Info("order decided", "endpoint", o.Endpoint, "model", o.Model, "unload", o.Unload, "term", term,
-		"source", o.Source.String(), "reason", o.Reason)
+		"source", o.Source.String(), "reason", o.Reason, "holder", target.Holder)
 	frame := &wirepb.Frame{Body: &wirepb.Frame_EndpointOrder{EndpointOrder: &wirepb.EndpointOrder{
-		Endpoint: o.Endpoint, Service: target.Service, Model: o.Model, Unload: o.Unload, Term: term, Reason: o.Reason,
+		Endpoint: o.Endpoint, Address: target.Address, Service: target.Service, Model: o.Model, Unload: o.Unload, Term: term,
+		Reason: o.Reason, TakesMs: uint32(o.Takes.Milliseconds()), FromCopy: !o.Unload && o.Source != scaling.SourceStore,
 	}}}
 	l.running.Go(func() {
-		reply, err := l.pool.Call(ctx, l.sidecar(target.Address), frame, orderTimeout)
+		reply, err := l.pool.Call(ctx, target.Holder, frame, orderTimeout)
 		outcome := scaling.OutcomeUnknown
 		if err == nil {
 			outcome = scaling.Outcome(reply.GetEndpointOrderReply().GetOutcome())
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -18,6 +18,7 @@
 	metricLag       = "burdocksaddle_steward_member_lag_entries"
 	metricReports   = "burdocksaddle_steward_reporting_endpoints"
 	metricStreams   = "burdocksaddle_steward_subscribers"
+	metricHeld      = "burdocksaddle_steward_held_endpoints"
 	metricOrders    = "burdocksaddle_steward_orders_total"
 	metricChanges   = "burdocksaddle_steward_changes_total"
 	metricChangeFor = "burdocksaddle_steward_change_seconds"
@@ -29,7 +30,8 @@
 func (s *Steward) registerGauges() {
 	s.metrics.NewGauge(metricTable, s.locked(func() float64 { return float64(s.version) }))
 	s.metrics.NewGauge(metricReports, s.locked(func() float64 { return float64(len(s.reports)) }))
-	s.metrics.NewGauge(metricStreams, s.locked(func() float64 { return float64(s.subscribers) }))
+	s.metrics.NewGauge(metricStreams, s.locked(func() float64 { return float64(s.gateways) }))
+	s.metrics.NewGauge(metricHeld, s.locked(func() float64 { return float64(len(s.held)) }))
 	s.metrics.NewGauge(metricTerm, func() float64 { return float64(s.shared.Term()) })
 	s.metrics.NewGauge(metricApplied, func() float64 { return float64(s.shared.Applied()) })
 	s.metrics.NewGauge(metricProofAge, func() float64 { return min(s.shared.Vouch(), maxProofAge).Seconds() })
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/holder"
 	"burdocksaddle/quorum"
 	"burdocksaddle/route"
 	"burdocksaddle/scaling"
@@ -35,6 +37,8 @@
 	// Peers are the stewards' addresses by the settings.
 	Peers      []string
 	FirstStart bool
+	// Lease is how long an endpoint counts the last holder's orders as those of a holder.
+	Lease time.Duration
 }
 
 // Steward is one member of the core.
@@ -47,26 +51,39 @@
 
 	decode  func([]byte) (*route.Table, error)
 	list    func(context.Context) ([]endpoint.State, int, error)
-	sidecar func(endpoint string) string
+	report  func(context.Context, string) (endpoint.Report, error)
+	give    func(context.Context, endpoint.State, scaling.Order, uint64) (scaling.Outcome, error)
 	planner *scaling.Planner
+	// proving is held by who proves the quorum, for the proof in provenAt.
+	proving  chan struct{}
+	provenAt time.Time
 
 	mu      sync.Mutex
 	table   *route.Table
 	raw     []byte
 	version uint64
-	// changed closes at any change that gateways see, tabled at a new table.
-	changed, tabled chan struct{}
-	demands         map[string]demandReport
-	// subscribers counts the open streams of gateways and sidecars, gateways those of gateways.
-	subscribers, gateways int
-	endpoints             []endpoint.State
-	leads                 bool
-	since                 time.Time
-	proven                time.Time
-	// reports are the sidecars' words on their endpoints, by the endpoint's address.
+	// holders says which steward gives each endpoint its orders, as committed.
+	holders holder.Table
+	// held are the endpoints that this steward gives orders to, by address, former those that are about to end.
+	held   map[string]*heldEndpoint
+	former []*heldEndpoint
+	// changed closes at any change that gateways see.
+	changed chan struct{}
+	demands map[string]demandReport
+	// gateways counts the open streams of gateways.
+	gateways  int
+	endpoints []endpoint.State
+	leads     bool
+	since     time.Time
+	// reports are the holders' words on their endpoints, by the endpoint's address, heard when each steward last sent any.
 	reports map[string]endpointReport
-	// wake tells the leading duty of new demand.
-	wake chan struct{}
+	heard   map[string]time.Time
+	// ready are the fences under which the endpoints' holders may give orders.
+	ready map[string]uint64
+	// inUse are the adapters that gateways use, by the endpoint's address.
+	inUse map[string]*wirepb.EndpointUse
+	// wake tells the leading duty of news, holding the duty that holds endpoints.
+	wake, holding chan struct{}
 	// absent are the models that no endpoint holds, with the time until one could.
 	absent map[string]time.Duration
 }
@@ -82,7 +99,7 @@
 // counts are a model's requests, and those that were told to come back.
 type counts struct{ came, missed int }
 
-// endpointReport is a sidecar's last word on its endpoint.
+// endpointReport is a holder's last word on its endpoint.
 type endpointReport struct {
 	at    time.Time
 	state endpoint.State
@@ -107,17 +124,22 @@
 	return func(s *Steward) { s.list = list }
 }
 
-// WithSidecar sets what returns the address of an endpoint's sidecar.
-func WithSidecar(sidecar func(endpoint string) string) Option {
-	return func(s *Steward) { s.sidecar = sidecar }
+// WithReport sets what reads an endpoint's report.
+func WithReport(report func(context.Context, string) (endpoint.Report, error)) Option {
+	return func(s *Steward) { s.report = report }
+}
+
+// WithGive sets what gives an endpoint an order under a fencing number.
+func WithGive(give func(context.Context, endpoint.State, scaling.Order, uint64) (scaling.Outcome, error)) Option {
+	return func(s *Steward) { s.give = give }
 }
 
 // Open opens the data folder and makes a Steward; it fails as quorum.Open does.
 func Open(config Config, pool *wire.Pool, options ...Option) (*Steward, error) {
 	s := &Steward{
-		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}), tabled: make(chan struct{}),
-		demands: map[string]demandReport{}, reports: map[string]endpointReport{},
-		wake: make(chan struct{}, 1),
+		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}),
+		demands: map[string]demandReport{}, reports: map[string]endpointReport{}, heard: map[string]time.Time{}, ready: map[string]uint64{},
+		held: map[string]*heldEndpoint{}, wake: make(chan struct{}, 1), holding: make(chan struct{}, 1), proving: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
@@ -151,14 +173,8 @@
 // Run carries the duties out until the context ends; the channel gives the end.
 func (s *Steward) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
-	shared, led := s.shared.Run(ctx), s.lead(ctx)
-	go func() {
-		err := <-shared
-		if second := <-led; err == nil {
-			err = second
-		}
-		ended <- err
-	}()
+	shared, led, held := s.shared.Run(ctx), s.lead(ctx), s.hold(ctx)
+	go func() { ended <- errors.Join(<-shared, <-led, <-held) }()
 	return ended
 }
 
@@ -166,17 +182,21 @@
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
 		Peer: s.shared.Handle, Subscribe: s.subscribe, TableChange: s.changeFor,
+		Order: s.orderFor, Adapter: s.adapterFor, Held: s.takeHolder,
 	}
 }
 
-// apply carries a committed change out: the highest version is in force.
+// apply carries a committed change out: the highest version of the table is in force, and the holders follow each other.
 func (s *Steward) apply(_ uint64, command []byte) any {
-	change := &wirepb.TableChange{}
+	change := &wirepb.StewardChange{}
 	if err := proto.Unmarshal(command, change); err != nil {
 		s.log.Error(err, "committed change cannot be read")
 		return err
 	}
-	s.install(change)
+	s.install(change.GetTable())
+	if holders := change.GetHolders(); holders != nil {
+		s.assign(holder.FromWire(holders), false)
+	}
 	return nil
 }
 
@@ -195,8 +215,6 @@
 	}
 	s.table, s.raw, s.version = table, change.GetTable(), change.GetVersion()
 	s.log.Info("table in force", "version", s.version, "routes", len(table.Routes), "bytes", len(s.raw))
-	close(s.tabled)
-	s.tabled = make(chan struct{})
 	s.wakeLocked()
 }
 
@@ -208,17 +226,18 @@
 func (s *Steward) snapshot() ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return proto.Marshal(&wirepb.TableChange{Table: s.raw, Version: s.version})
+	return proto.Marshal(&wirepb.StewardChange{
+		Table: &wirepb.TableChange{Table: s.raw, Version: s.version}, Holders: s.holders.ToWire(),
+	})
 }
 
 func (s *Steward) restore(_ uint64, state []byte) error {
-	change := &wirepb.TableChange{}
+	change := &wirepb.StewardChange{}
 	if err := proto.Unmarshal(state, change); err != nil {
 		return err
 	}
-	if change.GetVersion() > 0 {
-		s.install(change)
-	}
+	s.install(change.GetTable())
+	s.assign(holder.FromWire(change.GetHolders()), true)
 	return nil
 }
 
@@ -275,6 +294,10 @@
 }
 
 func (s *Steward) commit(ctx context.Context, change *wirepb.TableChange) error {
+	return s.propose(ctx, &wirepb.StewardChange{Table: change})
+}
+
+func (s *Steward) propose(ctx context.Context, change *wirepb.StewardChange) error {
 	data, err := proto.Marshal(change)
 	if err != nil {
 		return err
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"burdocksaddle/endpoint"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -20,33 +19,30 @@
 	provenFor = time.Second
 )
 
-// subscribe serves the stream of one gateway or sidecar until either side ends it.
+// subscribe serves the stream of one gateway until either side ends it.
 func (s *Steward) subscribe(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.log.Info("subscriber connected", "subscriber", node.GetNode(), "version", node.GetVersion())
-	s.subscribed(node, 1)
-	defer s.subscribed(node, -1)
+	s.subscribed(1)
+	defer s.subscribed(-1)
 	read, wanted := make(chan struct{}), make(chan struct{}, 1)
 	go func() {
 		defer close(read)
 		defer cancel()
 		s.readFrames(node.GetNode(), stream, wanted)
 	}()
-	s.show(ctx, node, stream, wanted)
+	s.show(ctx, stream, wanted)
 	stream.Close()
 	cancel()
 	<-read
 	s.log.Info("subscriber lost", "subscriber", node.GetNode())
 }
 
-func (s *Steward) subscribed(node *wirepb.Subscribe, change int) {
+func (s *Steward) subscribed(change int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.subscribers += change
-	if !node.GetTableOnly() {
-		s.gateways += change
-	}
+	s.gateways += change
 }
 
 func (s *Steward) readFrames(node string, stream *wire.Stream, wanted chan<- struct{}) {
@@ -58,9 +54,6 @@
 		if d := frame.GetDemandReport(); d != nil {
 			s.takeDemand(node, d)
 		}
-		if w := frame.GetEndpointState(); w != nil {
-			s.takeEndpoint(endpoint.FromWire(w))
-		}
 		if frame.GetTableWanted() != nil {
 			select {
 			case wanted <- struct{}{}:
@@ -82,28 +75,22 @@
 		news[m.GetModel()] = counts{came: n.came + int(m.GetCame()), missed: n.missed + int(m.GetMissed())}
 	}
 	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), news: news}
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	nudge(s.wake)
 }
 
-// takeEndpoint takes a sidecar's word on its endpoint.
-func (s *Steward) takeEndpoint(w endpoint.State) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reports[w.Address] = endpointReport{at: time.Now(), state: w}
+// nudge tells a duty that there is news; one that was told already hears it once.
+func nudge(duty chan<- struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case duty <- struct{}{}:
 	default:
 	}
 }
 
-func (s *Steward) show(ctx context.Context, node *wirepb.Subscribe, stream *wire.Stream, wanted <-chan struct{}) {
+func (s *Steward) show(ctx context.Context, stream *wire.Stream, wanted <-chan struct{}) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	for table := false; ; {
-		snapshot, changed := s.snapshotFor(node, table)
+		snapshot, changed := s.snapshotFor(table)
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
 		if err := stream.Send(frame, sendTimeout); err != nil {
 			return // the other side comes back by itself
@@ -122,7 +109,7 @@
 }
 
 // snapshotFor returns what a subscriber is to see, and what closes when that changes.
-func (s *Steward) snapshotFor(node *wirepb.Subscribe, table bool) (*wirepb.Snapshot, <-chan struct{}) {
+func (s *Steward) snapshotFor(table bool) (*wirepb.Snapshot, <-chan struct{}) {
 	proven := s.shared.Vouch() < provenFor
 	var stewards []string
 	for _, m := range s.shared.Members() {
@@ -134,9 +121,6 @@
 	if table {
 		snapshot.Table = s.raw
 	}
-	if node.GetTableOnly() {
-		return snapshot, s.tabled
-	}
 	if s.leads {
 		snapshot.HasEndpoints = true
 		for _, w := range s.endpoints {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -33,8 +33,6 @@
 	version func() uint64
 	take    func(steward string, s *wirepb.Snapshot)
 	lost    func(steward string)
-	// tableOnly tells that the process does not need to see the endpoints.
-	tableOnly bool
 
 	mu sync.Mutex
 	// fetching is the version of the table that was asked for last, at fetched.
@@ -69,9 +67,6 @@
 // WithLost sets what is told when a steward's stream has ended.
 func WithLost(lost func(steward string)) Option { return func(u *Uplink) { u.lost = lost } }
 
-// WithTableOnly leaves the endpoints out of the snapshots.
-func WithTableOnly() Option { return func(u *Uplink) { u.tableOnly = true } }
-
 // New makes an Uplink to the stewards that the settings name.
 func New(node string, stewards []string, pool *wire.Pool, options ...Option) *Uplink {
 	u := &Uplink{
@@ -189,7 +184,7 @@
 		return false, err
 	}
 	defer stream.Close()
-	hello := &wirepb.Subscribe{Node: u.node, Version: u.version(), TableOnly: u.tableOnly}
+	hello := &wirepb.Subscribe{Node: u.node, Version: u.version()}
 	if err := stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: hello}}, sendTimeout); err != nil {
 		return false, err
 	}
--- a/wire/server.go
+++ b/wire/server.go
@@ -34,6 +34,7 @@
 	TableChange func(context.Context, *wirepb.TableChange) *wirepb.Frame
 	Adapter     func(context.Context, *wirepb.AdapterCall) *wirepb.Frame
 	Order       func(context.Context, *wirepb.EndpointOrder) *wirepb.Frame
+	Held        func(context.Context, *wirepb.HolderReport) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends; the channel gives the reason, once.
@@ -152,6 +153,8 @@
 		return call(ctx, handlers.Order, body.EndpointOrder)
 	case *wirepb.Frame_AdapterCall:
 		return call(ctx, handlers.Adapter, body.AdapterCall)
+	case *wirepb.Frame_HolderReport:
+		return call(ctx, handlers.Held, body.HolderReport)
 	case *wirepb.Frame_Ping:
 		return &wirepb.Frame{Body: &wirepb.Frame_Pong{Pong: &wirepb.Pong{}}}
 	}
