--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -29,16 +29,6 @@
 	return out
 }
 
-// Shown returns a state with what gateways need of it: not the copies of weights nor the count of orders.
-func (s State) Shown() State {
-	if s.Load != nil {
-		load := *s.Load
-		load.InMemory, load.OnDisk, load.Pending = nil, nil, nil
-		s.Load = &load
-	}
-	return s
-}
-
 // FromWire returns the state of a message.
 func FromWire(w *wirepb.EndpointState) State {
 	s := State{
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -127,8 +127,8 @@
 // loadTimeLocked returns how long until a model that no endpoint holds can serve, by the leader's word or else from the store;
 // 0 while no leader is known.
 func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
-	if expected, ok := g.expected[model]; ok {
-		return max(0, expected-time.Since(g.shown))
+	if expected, ok := g.expecting.Expect(model, time.Now()); ok {
+		return expected
 	}
 	// Without a leader's word nobody knows where copies are; most models have one, and a leader is about to tell.
 	if g.leading == "" {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,8 +55,9 @@
 	shown  time.Time
 	// tabled is when the table came into force here.
 	tabled time.Time
-	// expected is how long until a model that no endpoint holds can serve, as of shown.
-	expected map[string]time.Duration
+	// pictures are what each steward's stream has shown, expecting is the one of the leader.
+	pictures  map[string]*endpoint.Picture
+	expecting *endpoint.Picture
 	// urgent asks for the leader to hear of new demand at once.
 	urgent  chan struct{}
 	changed chan struct{}
@@ -111,7 +112,7 @@
 // New makes a Gateway that has no table and knows no endpoints yet.
 func New(config Config, pool *wire.Pool, options ...Option) *Gateway {
 	g := &Gateway{
-		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absent: map[place]time.Time{},
+		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absent: map[place]time.Time{}, pictures: map[string]*endpoint.Picture{}, expecting: &endpoint.Picture{},
 		changed: make(chan struct{}), urgent: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, durations: map[string]time.Duration{},
 		router: routing.New(config.DataCentre, rand.IntN),
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -85,6 +85,7 @@
 func (g *Gateway) lost(steward string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.pictures, steward)
 	if g.leading == steward {
 		g.leading = ""
 	}
@@ -135,19 +136,19 @@
 	} else if !s.GetLeads() && g.leading == steward {
 		g.leading = ""
 	}
-	if !s.GetLeads() || !s.GetHasEndpoints() || !s.GetProven() || len(s.GetEndpoints()) == 0 {
+	if !s.GetLeads() || !s.GetHasEndpoints() {
 		return
 	}
-	now := time.Now()
-	endpoints := make([]endpoint.State, 0, len(s.GetEndpoints()))
-	for _, w := range s.GetEndpoints() {
-		endpoints = append(endpoints, endpoint.FromWire(w))
+	now, picture := time.Now(), g.pictures[steward]
+	if picture == nil {
+		picture = &endpoint.Picture{}
+		g.pictures[steward] = picture
 	}
-	g.shown, g.expected = now, make(map[string]time.Duration, len(s.GetAbsent()))
-	for _, a := range s.GetAbsent() {
-		g.expected[a.GetName()] = time.Duration(a.GetExpectedMs()) * time.Millisecond
+	if !picture.Take(s, now) || !s.GetProven() || len(picture.States) == 0 {
+		return
 	}
-	g.takeEndpointsLocked(endpoints, now)
+	g.shown, g.expecting = now, picture
+	g.takeEndpointsLocked(slices.Collect(maps.Values(picture.States)), now)
 }
 
 func (g *Gateway) takeTable(steward string, s *wirepb.Snapshot) {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -375,41 +375,47 @@
 }
 
 // Expect returns how long until a model that no endpoint holds can serve, by the copies of its weights.
-func (p *Planner) Expect(service, model string, now time.Time) (time.Duration, bool) {
+func (p *Planner) Expect(service, model string, now time.Time) (endpoint.Expected, bool) {
 	engine := p.engines[service]
 	if engine == nil {
-		return 0, false
+		return endpoint.Expected{}, false
 	}
 	m, ok := engine.Model(model)
 	if !ok {
-		return 0, false
+		return endpoint.Expected{}, false
 	}
-	expected := m.FromStore
+	expected := endpoint.Expected{In: m.FromStore}
 	for _, t := range p.endpoints {
 		if t.state.Service != service || t.state.Draining || now.Sub(t.reported) > reportMost {
 			continue
 		}
+		in := loadTime(m, t.sourceOf(model))
 		if t.loading == model {
-			expected = min(expected, max(0, t.until.Sub(now)))
-		} else {
-			expected = min(expected, loadTime(m, t.sourceOf(model)))
+			in = max(0, t.until.Sub(now))
+		}
+		if in <= expected.In {
+			expected = endpoint.Expected{In: in, Coming: t.loading == model || expected.Coming && in == expected.In}
 		}
 	}
-	return expected + planLag, true
+	expected.In += planLag
+	return expected, true
 }
 
-// Wanted returns the models that are asked for or were lately, and that no endpoint holds.
-func (p *Planner) Wanted(now time.Time) map[string]time.Duration {
+// Wanted returns the models that no endpoint holds, and when one could.
+func (p *Planner) Wanted(now time.Time) map[string]endpoint.Expected {
 	held := map[string]bool{}
 	for _, t := range p.endpoints {
 		for _, m := range t.state.Models {
 			held[m.Name] = held[m.Name] || m.Name != t.leaving
 		}
 	}
-	wanted := map[string]time.Duration{}
+	wanted := map[string]endpoint.Expected{}
 	for service, engine := range p.engines {
 		for _, m := range engine.Models {
-			if expected, ok := p.Expect(service, m.Name, now); ok && !held[m.Name] {
+			if held[m.Name] {
+				continue
+			}
+			if expected, ok := p.Expect(service, m.Name, now); ok {
 				wanted[m.Name] = expected
 			}
 		}
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -281,7 +281,7 @@
 	w.copyAt(1, modelName(2))
 	w.run(time.Second, func(time.Duration) {})
 	for model, want := range map[string]time.Duration{modelName(1): 6 * time.Second, modelName(2): 500 * time.Millisecond} {
-		if got, ok := w.planner.Expect(worldService, model, w.now); !ok || got != want+planLag {
+		if got, ok := w.planner.Expect(worldService, model, w.now); !ok || got.In != want+planLag {
 			t.Errorf("%s: %v, %v", model, got, ok)
 		}
 	}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -123,7 +123,7 @@
 		for address := range l.holders.Holders {
 			l.listed[address] = now
 		}
-		l.endpoints = nil
+		l.view = &endpoint.View{}
 		l.wakeLocked()
 		l.log.Info("leadership changed", "leads", self)
 	}
@@ -265,14 +265,15 @@
 
 // publish shows the endpoints to the gateways, at once or when it is time.
 func (l *leader) publish(now time.Time, atOnce bool) {
-	endpoints, absent := l.planner.Endpoints(now), l.planner.Wanted(now)
+	if !atOnce && now.Sub(l.published) < publishEvery {
+		return
+	}
+	l.published = now
+	endpoints, wanted := l.planner.Endpoints(now), l.planner.Wanted(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.endpoints, l.absent = endpoints, absent
-	if atOnce || now.Sub(l.published) >= publishEvery {
-		l.published = now
-		l.wakeLocked()
-	}
+	l.view.Show(endpoints, wanted, now)
+	l.wakeLocked()
 }
 
 // publishEvery is how often gateways see the endpoints' loads anew.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -71,10 +71,11 @@
 	changed chan struct{}
 	demands map[string]demandReport
 	// gateways counts the open streams of gateways.
-	gateways  int
-	endpoints []endpoint.State
-	leads     bool
-	since     time.Time
+	gateways int
+	// view is what gateways see of the endpoints while this steward leads.
+	view  *endpoint.View
+	leads bool
+	since time.Time
 	// reports are the holders' words on their endpoints, by the endpoint's address, heard when each steward last sent any.
 	reports map[string]endpointReport
 	heard   map[string]time.Time
@@ -84,8 +85,6 @@
 	inUse map[string]*wirepb.EndpointUse
 	// wake tells the leading duty of news, holding the duty that holds endpoints.
 	wake, holding chan struct{}
-	// absent are the models that no endpoint holds, with the time until one could.
-	absent map[string]time.Duration
 }
 
 // demandReport is a gateway's last word on what it is asked for.
@@ -139,7 +138,7 @@
 	s := &Steward{
 		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}),
 		demands: map[string]demandReport{}, reports: map[string]endpointReport{}, heard: map[string]time.Time{}, ready: map[string]uint64{},
-		held: map[string]*heldEndpoint{}, wake: make(chan struct{}, 1), holding: make(chan struct{}, 1), proving: make(chan struct{}, 1),
+		held: map[string]*heldEndpoint{}, view: &endpoint.View{}, wake: make(chan struct{}, 1), holding: make(chan struct{}, 1), proving: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -89,8 +90,9 @@
 func (s *Steward) show(ctx context.Context, stream *wire.Stream, wanted <-chan struct{}) {
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
+	var seen seenView
 	for table := false; ; {
-		snapshot, changed := s.snapshotFor(table)
+		snapshot, changed := s.snapshotFor(table, &seen)
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
 		if err := stream.Send(frame, sendTimeout); err != nil {
 			return // the other side comes back by itself
@@ -108,8 +110,14 @@
 	}
 }
 
+// seenView is what a subscriber has been sent of the endpoints: of which view, up to which revision.
+type seenView struct {
+	view     *endpoint.View
+	revision uint64
+}
+
 // snapshotFor returns what a subscriber is to see, and what closes when that changes.
-func (s *Steward) snapshotFor(table bool) (*wirepb.Snapshot, <-chan struct{}) {
+func (s *Steward) snapshotFor(table bool, seen *seenView) (*wirepb.Snapshot, <-chan struct{}) {
 	proven := s.shared.Vouch() < provenFor
 	var stewards []string
 	for _, m := range s.shared.Members() {
@@ -122,13 +130,10 @@
 		snapshot.Table = s.raw
 	}
 	if s.leads {
-		snapshot.HasEndpoints = true
-		for _, w := range s.endpoints {
-			snapshot.Endpoints = append(snapshot.Endpoints, w.Shown().ToWire())
-		}
-		for name, expected := range s.absent {
-			snapshot.Absent = append(snapshot.Absent, &wirepb.AbsentModel{Name: name, ExpectedMs: uint32(expected.Milliseconds())})
+		if seen.view != s.view {
+			*seen = seenView{view: s.view}
 		}
+		seen.revision = s.view.Fill(snapshot, seen.revision, time.Now())
 	}
 	return snapshot, s.changed
 }
