--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,14 @@
 SEEDS ?= 20
 FIRST ?= 1
 
-.PHONY: bench-requests build capacity e2e fmt generate lint replay soak system test unit vet
+.PHONY: bench-requests broken build capacity e2e faults fmt generate lint replay soak system test unit vet
 
 build:
 	$(GO) build -o burdocksaddle .
 
 # test is what CI calls: formatter, linter, vet, build and all tests.
 test: fmt lint vet build unit system
+	$(MAKE) faults SEEDS=2
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
@@ -32,6 +33,14 @@
 e2e:
 	BURDOCKSADDLE_E2E=1 .ci/known-red $(GO) test -count=1 -timeout 130s -v ./e2e
 
+# faults runs gateways and stewards as real processes behind loopback proxies and breaks them, SEEDS runs from FIRST on; broken
+# shows that each of its checks can fail.
+faults:
+	BURDOCKSADDLE_FAULTS=1 SEEDS=$(SEEDS) FIRST=$(FIRST) .ci/known-red $(GO) test ./e2e -run TestPlatformFaults -count=1 -parallel 4 -timeout 60m -v
+
+broken:
+	BURDOCKSADDLE_FAULTS=1 $(GO) test ./e2e -run TestChecksFail -count=1 -parallel 4 -timeout 10m -v
+
 # capacity measures the slopes that docs/CAPACITY.md works with.
 capacity:
 	CAPACITY=1 $(GO) test ./e2e -run 'TestCapacity' -count=1 -timeout 20m -v
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -21,6 +21,12 @@
 
 // start runs the binary with its output appended to a file of its own.
 func start(t *testing.T, binary, folder, name string, args ...string) *process {
+	t.Helper()
+	return startWith(t, binary, folder, name, nil, args...)
+}
+
+// startWith runs the binary with variables added to its environment.
+func startWith(t *testing.T, binary, folder, name string, environment []string, args ...string) *process {
 	t.Helper()
 	log, err := os.OpenFile(filepath.Join(folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -29,6 +35,7 @@
 	defer func() { _ = log.Close() }()
 	command := exec.CommandContext(context.WithoutCancel(t.Context()), binary, args...)
 	command.Stdout, command.Stderr = log, log
+	command.Env = append(os.Environ(), environment...)
 	// A panic of the test binary must not leave processes behind.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -41,10 +41,7 @@
 		t: t, running: map[string]*process{},
 		layout: layout{folder: folder, controls: controls, learners: learners, host: onLoopback()},
 	}
-	s.binary = filepath.Join(s.folder, "burdocksaddle")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", s.binary, "burdocksaddle").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	s.binary = buildBinary(t)
 	t.Cleanup(s.close)
 	if err := s.writeCatalog(); err != nil {
 		t.Fatal(err)
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -128,6 +128,20 @@
 	return all
 }
 
+// adapters returns what the engine holds now.
+func (e *engine) adapters() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.adaptersLocked()
+}
+
+// orders returns how many orders the engine took.
+func (e *engine) orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.given)
+}
+
 // adapterSlots is how many adapters the engine holds.
 const adapterSlots = 2
 
@@ -209,8 +223,8 @@
 			time.Sleep(adapterTakes)
 		}
 		time.Sleep(time.Second)
-		if held := len(e.adaptersLocked()); held != adapterSlots || len(e.given) != 2*calls-adapterSlots {
-			t.Errorf("%d adapters held after %d orders", held, len(e.given))
+		if held := len(e.adapters()); held != adapterSlots || e.orders() != 2*calls-adapterSlots {
+			t.Errorf("%d adapters held after %d orders", held, e.orders())
 		}
 	})
 }
@@ -225,7 +239,7 @@
 		h.Use([]endpoint.Adapter{{Model: "m1", Name: "a1"}})
 		verdict := bring(h, "a3")
 		time.Sleep(time.Second)
-		if diff := cmp.Diff([]string{"a1", "a3"}, e.adaptersLocked()); diff != "" || verdict != scaling.VerdictComing {
+		if diff := cmp.Diff([]string{"a1", "a3"}, e.adapters()); diff != "" || verdict != scaling.VerdictComing {
 			t.Errorf("%v\n%s", verdict, diff)
 		}
 	})
@@ -293,8 +307,8 @@
 			}
 		}
 		proven = false
-		if verdict := bring(h, "a1"); verdict != scaling.VerdictNo || len(e.given) != 0 {
-			t.Errorf("without proof: %v, %d orders", verdict, len(e.given))
+		if verdict := bring(h, "a1"); verdict != scaling.VerdictNo || e.orders() != 0 {
+			t.Errorf("without proof: %v, %d orders", verdict, e.orders())
 		}
 		proven = true
 		if verdict := bring(h, "a1"); verdict != scaling.VerdictComing {
--- a/steward/hold.go
+++ b/steward/hold.go
@@ -365,7 +365,7 @@
 
 // holderView returns what the leader knows of endpoints and stewards; the caller has the lock.
 func (l *leader) holderView(now time.Time) holder.View {
-	view := holder.View{Silent: map[string]time.Duration{}, Ready: l.ready, Balance: now.Sub(l.balanced) > balanceEvery}
+	view := holder.View{Silent: map[string]time.Duration{}, Ready: maps.Clone(l.ready), Balance: now.Sub(l.balanced) > balanceEvery}
 	for _, w := range l.planner.Endpoints(now) {
 		if l.planner.Engine(w.Service) {
 			view.Endpoints = append(view.Endpoints, w.Address)
