Load from the store for the model that most wait for

Needs without any replica went first, always.

A model with 36 requests for each replica or more (three times what a replica serves well) now counts like one without any; among those the most requests go first. TestStoreGoesWhereMostWait fails without it (1 replica after 8 s).

Ruled out: the endpoints' capacity (5,733 runs in 50 s at over 20 endpoints).

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -154,6 +154,18 @@
 	spare bool
 }
 
+// swamped is from how many requests for each replica a model comes before those that have none, of which one or two requests wait
+// for each: its callers leave within seconds, about as long as a load from the store takes.
+const swamped = 3 * replicaLoad
+
+// rank is lower for what goes first.
+func (n need) rank() int {
+	if n.replicas == 0 || n.pressure >= swamped {
+		return 0
+	}
+	return 1
+}
+
 // crowd is how many requests that wait for a model are worth a load from the store beside one from a copy, whose endpoint may
 // have to wait for runs of what gives way.
 const crowd = 6.0
@@ -189,7 +201,8 @@
 // rareRate is how many requests a second a model gets at most whose only place may go to another replica of a busy one.
 const rareRate = 0.05
 
-// next returns the order that relieves the model with the most requests for each replica; models without any go first.
+// next returns the order that relieves the model with the most requests for each replica; swamped ones and those without any
+// replica go first.
 func (p *Planner) next(f *fleet) (Order, bool) {
 	var needs []need
 	for _, name := range sortedKeys(p.levels) {
@@ -208,7 +221,7 @@
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
-		return cmp.Or(cmp.Compare(min(a.replicas, 1), min(b.replicas, 1)), cmp.Compare(b.pressure, a.pressure))
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.pressure, a.pressure))
 	})
 	for _, n := range needs {
 		if o, ok := p.place(f, n); ok {
@@ -283,6 +296,9 @@
 	if n.replicas == 0 {
 		return (!copied || n.pressure > crowd) && f.store < f.slots
 	}
+	if n.pressure >= swamped {
+		return f.store < f.slots
+	}
 	return f.store < max(1, f.slots-1)
 }
 
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -412,3 +412,23 @@
 		t.Error(diff)
 	}
 }
+
+// TestStoreGoesWhereMostWait has a model become busy at its only endpoint while rare models that nobody has a copy of are asked
+// for, one request each: its callers leave after 2 s, so its replicas must not queue behind those loads of 6 s.
+func TestStoreGoesWhereMostWait(t *testing.T) {
+	w := newWorld(t, 10, 40)
+	for i := range 10 {
+		w.hold(i, modelName(i))
+		w.hold(i, modelName(10+i))
+	}
+	w.run(time.Second, func(time.Duration) {})
+	w.running[modelName(0)] = 100
+	w.at[modelName(0)] = []string{"w00"}
+	for i := range 20 {
+		w.waiting[modelName(20+i)] = 1
+	}
+	w.run(8*time.Second, func(time.Duration) {})
+	if replicas := w.held(modelName(0)); replicas < 3 {
+		t.Errorf("%d replicas for 100 requests after 8 s", replicas)
+	}
+}
