Send removals and real changes of load only, and changes of the holders as such

Each endpoint that left made all views complete again; a whole table of holders went through the log with each change of one; each report made the leader sort all endpoints.

A view names the endpoints that left, keeps the last 256 of them, and shows a load anew when it differs by a tenth of the slots, fills up or empties. The log gets the changed holders alone. Reports are found by address, and publications pause 10 us for each endpoint.

--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -11,6 +11,9 @@
 // expectedSlack is by how much an expected time may be off before it is shown anew; clients' patience is counted in seconds.
 const expectedSlack = 100 * time.Millisecond
 
+// goneMost is how many removals are kept, for subscribers that have not seen them: 3,000 endpoints lose some each second.
+const goneMost = 256
+
 // Expected is how long until a model that no endpoint holds can serve.
 type Expected struct {
 	In time.Duration
@@ -30,15 +33,22 @@
 // at 300 VMs all endpoints to all gateways with each change took the leader 25 MB a second.
 type View struct {
 	revision uint64
-	// removed is the revision of the last removal: who has seen less is shown everything.
-	removed uint64
-	states  map[string]viewed
+	states   map[string]viewed
+	// gone are the endpoints that were removed, oldest first; who has seen less than forgotten is shown everything.
+	gone      []removal
+	forgotten uint64
 	// expected are the models that no endpoint holds, as shown at the revision and time given.
 	expected   map[string]Expected
 	expectedAt uint64
 	since      time.Time
 }
 
+// removal is the end of an endpoint.
+type removal struct {
+	id       string
+	revision uint64
+}
+
 // viewed is an endpoint with the revisions of its last change and of its last load.
 type viewed struct {
 	state           State
@@ -55,16 +65,20 @@
 		switch {
 		case !known || !s.sameShown(old.state):
 			old = viewed{s, v.revision, v.revision}
-		case s.Load != nil && (s.Load.Running != old.state.Load.Running || s.Load.Waiting != old.state.Load.Waiting):
+		case s.Load != nil && s.Load.differs(*old.state.Load, s.Slots):
 			old.state, old.loaded = s, v.revision
 		}
 		next[s.ID] = old
 	}
 	for id := range v.states {
 		if _, listed := next[id]; !listed {
-			v.removed = v.revision
+			v.gone = append(v.gone, removal{id, v.revision})
 		}
 	}
+	if extra := len(v.gone) - goneMost; extra > 0 {
+		v.forgotten = v.gone[extra-1].revision
+		v.gone = slices.Clone(v.gone[extra:])
+	}
 	v.states = next
 	passed := now.Sub(v.since)
 	same := maps.EqualFunc(expected, v.expected, func(a, b Expected) bool {
@@ -79,7 +93,10 @@
 // Fill puts into a snapshot what changed after a revision, and returns the revision that it shows; 0 is before all.
 func (v *View) Fill(snapshot *wirepb.Snapshot, after uint64, now time.Time) uint64 {
 	snapshot.HasEndpoints = true
-	snapshot.Complete = after == 0 || after < v.removed
+	snapshot.Complete = after == 0 || after < v.forgotten
+	for i := len(v.gone) - 1; i >= 0 && v.gone[i].revision > after && !snapshot.GetComplete(); i-- {
+		snapshot.Gone = append(snapshot.Gone, v.gone[i].id)
+	}
 	for _, id := range slices.Sorted(maps.Keys(v.states)) {
 		switch s := v.states[id]; {
 		case snapshot.GetComplete() || s.changed > after:
@@ -100,6 +117,15 @@
 	return v.revision
 }
 
+// differs tells whether a load has changed by so much that a choice between endpoints may change: a tenth of the slots, or
+// whether requests wait.
+func (l Load) differs(o Load, slots int) bool {
+	return abs(l.Running-o.Running) > slots/10 || (l.Waiting == 0) != (o.Waiting == 0) || abs(l.Waiting-o.Waiting) > slots/10 ||
+		(l.Running == 0) != (o.Running == 0) || (l.Running >= slots) != (o.Running >= slots)
+}
+
+func abs(n int) int { return max(n, -n) }
+
 // Shown returns a state with what gateways need of it.
 func (s State) Shown() State {
 	s.Remaining, s.LoadingLeft = 0, 0
@@ -135,6 +161,9 @@
 	if snapshot.GetComplete() {
 		p.States = make(map[string]State, len(snapshot.GetEndpoints()))
 	}
+	for _, id := range snapshot.GetGone() {
+		delete(p.States, id)
+	}
 	for _, w := range snapshot.GetEndpoints() {
 		p.States[w.GetId()] = FromWire(w)
 	}
--- a/holder/assign.go
+++ b/holder/assign.go
@@ -119,21 +119,43 @@
 	return slices.MinFunc(stewards, func(a, b string) int { return cmp.Compare(held[a], held[b]) })
 }
 
-// ToWire returns the message for a table.
+// ToWire returns the message for a whole table.
 func (t Table) ToWire() *wirepb.HolderTable {
+	out := t.Change(Table{})
+	out.Complete = true
+	return out
+}
+
+// Change returns the message that makes a table of the one before it.
+func (t Table) Change(before Table) *wirepb.HolderTable {
 	out := &wirepb.HolderTable{Revision: t.Revision, Fence: t.Fence}
 	for _, endpoint := range slices.Sorted(maps.Keys(t.Holders)) {
-		a := t.Holders[endpoint]
-		out.Holders = append(out.Holders, &wirepb.HolderEntry{Endpoint: endpoint, Steward: a.Steward, Fence: a.Fence, Settled: a.Settled})
+		if a := t.Holders[endpoint]; a != before.Holders[endpoint] {
+			out.Holders = append(out.Holders, &wirepb.HolderEntry{Endpoint: endpoint, Steward: a.Steward, Fence: a.Fence, Settled: a.Settled})
+		}
+	}
+	for _, endpoint := range slices.Sorted(maps.Keys(before.Holders)) {
+		if _, held := t.Holders[endpoint]; !held {
+			out.Gone = append(out.Gone, endpoint)
+		}
 	}
 	return out
 }
 
-// FromWire returns the table of a message.
-func FromWire(w *wirepb.HolderTable) Table {
-	t := Table{Revision: w.GetRevision(), Fence: w.GetFence(), Holders: map[string]Assignment{}}
+// With returns the table after a change; false where the change was not made from this table.
+func (t Table) With(w *wirepb.HolderTable) (Table, bool) {
+	next := Table{Revision: w.GetRevision(), Fence: w.GetFence(), Holders: map[string]Assignment{}}
+	if !w.GetComplete() {
+		if w.GetRevision() != t.Revision+1 {
+			return t, false
+		}
+		maps.Copy(next.Holders, t.Holders)
+		for _, endpoint := range w.GetGone() {
+			delete(next.Holders, endpoint)
+		}
+	}
 	for _, e := range w.GetHolders() {
-		t.Holders[e.GetEndpoint()] = Assignment{Steward: e.GetSteward(), Fence: e.GetFence(), Settled: e.GetSettled()}
+		next.Holders[e.GetEndpoint()] = Assignment{Steward: e.GetSteward(), Fence: e.GetFence(), Settled: e.GetSettled()}
 	}
-	return t
+	return next, true
 }
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -60,6 +60,8 @@
 // Planner is the aggregate; one owner changes it.
 type Planner struct {
 	endpoints map[string]*tracked
+	// addresses are the endpoints' IDs by address.
+	addresses map[string][]string
 	levels    map[string]*level
 	engines   map[string]*route.Engine
 	// slots is how many loads from the store run at full speed at a time, as far as they have shown.
@@ -113,7 +115,7 @@
 
 // New makes a Planner that knows nothing yet.
 func New() *Planner {
-	return &Planner{endpoints: map[string]*tracked{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}, slots: storeSlots, rates: map[string]*rate.Limiter{}}
+	return &Planner{endpoints: map[string]*tracked{}, addresses: map[string][]string{}, levels: map[string]*level{}, engines: map[string]*route.Engine{}, slots: storeSlots, rates: map[string]*rate.Limiter{}}
 }
 
 // Configure takes the engines of the configuration in force.
@@ -142,9 +144,6 @@
 	p.rates[service] = rate.NewLimiter(allowed, storeBurst)
 }
 
-// Engine tells whether a service's endpoints load models.
-func (p *Planner) Engine(service string) bool { return p.engines[service] != nil }
-
 // List takes the platform's list; endpoints that are not on it are forgotten.
 func (p *Planner) List(listed []endpoint.State) {
 	known := make(map[string]bool, len(listed))
@@ -162,10 +161,13 @@
 			t.state.Models = w.Models
 		}
 	}
-	for id := range p.endpoints {
+	clear(p.addresses)
+	for id, t := range p.endpoints {
 		if !known[id] {
 			delete(p.endpoints, id)
+			continue
 		}
+		p.addresses[t.state.Address] = append(p.addresses[t.state.Address], id)
 	}
 }
 
@@ -328,6 +330,32 @@
 	return ok && (t.loading != "" || t.leaving != "" || t.asked)
 }
 
+// At returns the endpoints that are listed at an address: more than one while the list still shows a former one.
+func (p *Planner) At(address string) []string { return p.addresses[address] }
+
+// Len returns the number of endpoints.
+func (p *Planner) Len() int { return len(p.endpoints) }
+
+// Endpoint returns what was last reported of an endpoint.
+func (p *Planner) Endpoint(id string) (endpoint.State, bool) {
+	t, ok := p.endpoints[id]
+	if !ok {
+		return endpoint.State{}, false
+	}
+	return t.state, true
+}
+
+// Addresses returns the addresses of the endpoints that hold models.
+func (p *Planner) Addresses() []string {
+	var all []string
+	for _, t := range p.endpoints {
+		if p.engines[t.state.Service] != nil {
+			all = append(all, t.state.Address)
+		}
+	}
+	return all
+}
+
 // Endpoints returns what is known of each endpoint, without models that are about to leave it.
 func (p *Planner) Endpoints(now time.Time) []endpoint.State {
 	all := make([]endpoint.State, 0, len(p.endpoints))
--- a/steward/hold.go
+++ b/steward/hold.go
@@ -41,19 +41,18 @@
 	news bool
 }
 
-// assign puts a committed assignment of holders in force; one that does not follow from the last is void, unless it is restored.
-func (s *Steward) assign(holders holder.Table, restored bool) {
+// assign puts a committed change of the holders in force; one that does not follow from the last is void.
+func (s *Steward) assign(change *wirepb.HolderTable) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !restored && holders.Revision != s.holders.Revision+1 {
-		s.log.Info("assignment of holders is void", "revision", holders.Revision, "held", s.holders.Revision)
+	holders, follows := s.holders.With(change)
+	if !follows {
+		s.log.Info("assignment of holders is void", "revision", change.GetRevision(), "held", s.holders.Revision)
 		return
 	}
-	for address, a := range holders.Holders {
-		if old := s.holders.Holders[address]; old != a && !restored {
-			s.log.Info("holder assigned", "address", address, "holder", a.Steward, "fence", a.Fence, "settled", a.Settled,
-				"revision", holders.Revision, "former", old.Steward)
-		}
+	for _, e := range change.GetHolders() {
+		s.log.Info("holder assigned", "address", e.GetEndpoint(), "holder", e.GetSteward(), "fence", e.GetFence(), "settled", e.GetSettled(),
+			"revision", change.GetRevision(), "former", s.holders.Holders[e.GetEndpoint()].Steward)
 	}
 	s.holders = holders
 	nudge(s.holding)
@@ -263,11 +262,7 @@
 }
 
 // gatherUse gathers which adapters the gateways use at each endpoint, by its address.
-func (l *leader) gatherUse(now time.Time) {
-	addresses := map[string]string{}
-	for _, w := range l.planner.Endpoints(now) {
-		addresses[w.ID] = w.Address
-	}
+func (l *leader) gatherUse() {
 	type place struct{ address, model string }
 	adapters := map[place][]string{}
 	l.mu.Lock()
@@ -275,7 +270,8 @@
 	for _, d := range l.demands {
 		for _, m := range d.models {
 			for _, used := range m.GetAdapters() {
-				at := place{addresses[used.GetEndpoint()], m.GetModel()}
+				w, _ := l.planner.Endpoint(used.GetEndpoint())
+				at := place{w.Address, m.GetModel()}
 				adapters[at] = append(adapters[at], used.GetAdapter())
 			}
 		}
@@ -353,7 +349,7 @@
 	l.running.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 		defer cancel()
-		err := l.propose(ctx, &wirepb.StewardChange{Holders: next.ToWire()})
+		err := l.propose(ctx, &wirepb.StewardChange{Holders: next.Change(current)})
 		l.finish(ctx, func() {
 			l.assigning = false
 			if err != nil {
@@ -366,11 +362,7 @@
 // holderView returns what the leader knows of endpoints and stewards; the caller has the lock.
 func (l *leader) holderView(now time.Time) holder.View {
 	view := holder.View{Silent: map[string]time.Duration{}, Ready: maps.Clone(l.ready), Balance: now.Sub(l.balanced) > balanceEvery}
-	for _, w := range l.planner.Endpoints(now) {
-		if l.planner.Engine(w.Service) {
-			view.Endpoints = append(view.Endpoints, w.Address)
-		}
-	}
+	view.Endpoints = l.planner.Addresses()
 	for address, at := range l.listed {
 		if now.Sub(at) <= goneFor {
 			continue
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -39,7 +39,9 @@
 	// taken is when the planner took each endpoint's last report.
 	taken     map[string]time.Time
 	published time.Time
-	version   uint64
+	// news tells that orders changed something that was not published yet.
+	news    bool
+	version uint64
 	// assigning tells that a change of the holders is being committed; balanced is when an endpoint was last moved.
 	assigning bool
 	balanced  time.Time
@@ -87,7 +89,7 @@
 	l.readList(ctx, now)
 	l.takeReports(now)
 	l.assignHolders(ctx, now)
-	l.gatherUse(now)
+	l.gatherUse()
 	l.plan(ctx, now)
 	l.publish(now, false)
 }
@@ -202,7 +204,11 @@
 
 // takeReports hands the holders' new words to the planner; what shows that an order is done is shown to the gateways at once.
 func (l *leader) takeReports(now time.Time) {
-	fresh := map[string]endpointReport{}
+	type arrival struct {
+		address string
+		endpointReport
+	}
+	var fresh []arrival
 	l.mu.Lock()
 	for address, r := range l.reports {
 		switch {
@@ -210,35 +216,28 @@
 			delete(l.reports, address)
 			delete(l.taken, address)
 		case r.at.After(l.taken[address]):
-			fresh[address] = r
+			fresh = append(fresh, arrival{address, r})
 		}
 	}
 	l.mu.Unlock()
-	changed := false
-	for _, w := range l.planner.Endpoints(now) {
-		r, ok := fresh[w.Address]
-		if !ok {
-			continue
+	for _, r := range fresh {
+		l.taken[r.address] = r.at
+		for _, id := range l.planner.At(r.address) {
+			before, _ := l.planner.Endpoint(id)
+			l.planner.Report(id, endpoint.Report{
+				Born: r.state.Born, Draining: r.state.Draining, Remaining: r.state.Remaining, Models: r.state.Models, Load: *r.state.Load,
+			}, r.at)
+			l.news = l.news || !r.state.SameOrders(before)
 		}
-		l.taken[w.Address] = r.at
-		l.planner.Report(w.ID, endpoint.Report{
-			Born: r.state.Born, Draining: r.state.Draining, Remaining: r.state.Remaining, Models: r.state.Models, Load: *r.state.Load,
-		}, r.at)
-		changed = changed || !r.state.SameOrders(w)
 	}
-	if changed {
+	if l.news {
 		l.publish(now, true)
 	}
 }
 
 // order gives one order through the endpoint's holder.
 func (l *leader) order(ctx context.Context, o scaling.Order) {
-	var target endpoint.State
-	for _, w := range l.planner.Endpoints(time.Now()) {
-		if w.ID == o.Endpoint {
-			target = w
-		}
-	}
+	target, _ := l.planner.Endpoint(o.Endpoint)
 	term := l.shared.Term()
 	l.log.Info("order decided", "endpoint", o.Endpoint, "model", o.Model, "unload", o.Unload, "term", term,
 		"source", o.Source.String(), "reason", o.Reason, "holder", target.Holder)
@@ -265,10 +264,11 @@
 
 // publish shows the endpoints to the gateways, at once or when it is time.
 func (l *leader) publish(now time.Time, atOnce bool) {
-	if !atOnce && now.Sub(l.published) < publishEvery {
+	since := now.Sub(l.published)
+	if !atOnce && since < publishEvery || since < time.Duration(l.planner.Len())*publishCost {
 		return
 	}
-	l.published = now
+	l.published, l.news = now, false
 	endpoints, wanted := l.planner.Endpoints(now), l.planner.Wanted(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -278,3 +278,7 @@
 
 // publishEvery is how often gateways see the endpoints' loads anew.
 const publishEvery = 200 * time.Millisecond
+
+// publishCost is the pause between two publications for each endpoint, so that thousands of them, of which some change all the
+// time, take a part of the leader's processor only.
+const publishCost = 10 * time.Microsecond
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -194,7 +194,7 @@
 	}
 	s.install(change.GetTable())
 	if holders := change.GetHolders(); holders != nil {
-		s.assign(holder.FromWire(holders), false)
+		s.assign(holders)
 	}
 	return nil
 }
@@ -236,7 +236,7 @@
 		return err
 	}
 	s.install(change.GetTable())
-	s.assign(holder.FromWire(change.GetHolders()), true)
+	s.assign(change.GetHolders())
 	return nil
 }
 
