Log all roles through one package, and time the disk

A group of writes reports its time: burdocksaddle_steward_disk_write_seconds, _control_disk_write_seconds. Tests: TestWithLogWritesAll, TestWithLogEndsWithoutContext, and the failed-disk test of quorum hears of a write. Ruled out: timing each sync in storage, which knows no clock.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"os"
 
+	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
 	"burdocksaddle/demo"
+	"burdocksaddle/logging"
 )
 
 // demoCommand returns the command that runs everything in one process.
@@ -17,12 +20,15 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ctx, cancel := context.WithCancel(ctx)
 			defer cancel()
-			d, err := demo.Start(ctx, newLog(c.Int("verbosity")), demo.WithAddresses(demoOperator, demoCaller))
-			if err != nil {
-				return err
-			}
-			explain(c, d)
-			return stopDemo(ctx, cancel, d.Ends())
+			// Standard output is for what to type.
+			return withLog(ctx, os.Stderr, c.Int("verbosity"), func(_ *logging.Writer, log logr.Logger) error {
+				d, err := demo.Start(ctx, log, demo.WithAddresses(demoOperator, demoCaller))
+				if err != nil {
+					return err
+				}
+				explain(c, d)
+				return stopDemo(ctx, cancel, d.Ends())
+			})
 		},
 	}
 }
--- /dev/null
+++ b/cmd/log_test.go
@@ -0,0 +1,44 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"burdocksaddle/logging"
+)
+
+// TestWithLogWritesAll returns an error right after the last line: every line is written, and the error comes back.
+func TestWithLogWritesAll(t *testing.T) {
+	var out bytes.Buffer
+	failed := errors.New("failed")
+	err := withLog(t.Context(), &out, 0, func(_ *logging.Writer, log logr.Logger) error {
+		log.Info("one", "id", "a")
+		log.V(1).Info("not shown")
+		log.Error(failed, "two")
+		return failed
+	})
+	var got []string
+	for line := range strings.Lines(out.String()) {
+		got = append(got, line[strings.Index(line, "msg="):])
+	}
+	want := []string{"msg=one id=a\n", "msg=two err=failed\n"}
+	if diff := cmp.Diff(want, got); diff != "" || !errors.Is(err, failed) {
+		t.Errorf("%v\n%s", err, diff)
+	}
+}
+
+// TestWithLogEndsWithoutContext ends although the command's own context has ended before.
+func TestWithLogEndsWithoutContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var out bytes.Buffer
+	if err := withLog(ctx, &out, 0, func(_ *logging.Writer, log logr.Logger) error { log.Info("last"); return nil }); err != nil || out.Len() == 0 {
+		t.Errorf("%v, %d bytes", err, out.Len())
+	}
+}
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
 	"burdocksaddle/logging"
@@ -33,14 +33,11 @@
 			if err != nil {
 				return err
 			}
-			writer := logging.New(os.Stdout)
-			writing, stop := context.WithCancel(context.WithoutCancel(ctx))
-			written := writer.Run(writing)
-			err = run(ctx, settings, platform.Observer{
-				Log: writer.Logger(0).WithValues("node", settings.Node), Metrics: metrics.NewSet(), Dropped: writer.Dropped,
+			return withLog(ctx, os.Stdout, 0, func(writer *logging.Writer, log logr.Logger) error {
+				return run(ctx, settings, platform.Observer{
+					Log: log.WithValues("node", settings.Node), Metrics: metrics.NewSet(), Dropped: writer.Dropped,
+				})
 			})
-			stop()
-			return errors.Join(err, <-written)
 		},
 	}
 }
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"log/slog"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
+	"burdocksaddle/logging"
 	"burdocksaddle/node"
 	"burdocksaddle/setting"
 )
@@ -28,11 +31,16 @@
 			}
 			abandon, stop := secondSignal(ctx)
 			defer stop()
-			return <-node.New(settings, node.WithLog(newLog(settings.Log.Verbosity)), node.WithAbandon(abandon)).Run(ctx)
+			return withLog(ctx, os.Stdout, settings.Log.Verbosity, func(writer *logging.Writer, log logr.Logger) error {
+				metrics.GetOrCreateGauge(metricDropped, func() float64 { return float64(writer.Dropped()) })
+				return <-node.New(settings, node.WithLog(log), node.WithAbandon(abandon)).Run(ctx)
+			})
 		},
 	}
 }
 
+const metricDropped = "burdocksaddle_dropped_log_lines"
+
 // secondSignal returns a context that ends at a signal after the one that ended ctx.
 func secondSignal(ctx context.Context) (abandon context.Context, stop func()) {
 	abandon, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -49,10 +57,14 @@
 	return abandon, cancel
 }
 
-// newLog writes one key=value line an event to standard error.
-func newLog(verbosity int) logr.Logger {
-	handler := slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
-	return logr.FromSlogHandler(handler)
+// withLog runs something with a logger to an output, and returns once all its lines are written.
+func withLog(ctx context.Context, out io.Writer, verbosity int, run func(*logging.Writer, logr.Logger) error) error {
+	writer := logging.New(out)
+	writing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	written := writer.Run(writing)
+	err := run(writer, writer.Logger(verbosity))
+	stop()
+	return errors.Join(err, <-written)
 }
 
 func printf(c *cli.Command, format string, values ...any) {
--- a/node/control.go
+++ b/node/control.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"burdocksaddle/catalog"
 	"burdocksaddle/control"
 	"burdocksaddle/quorum"
@@ -16,6 +18,7 @@
 const (
 	seedTimeout = 2 * time.Second
 	seedRetry   = 200 * time.Millisecond
+	metricDisk  = "burdocksaddle_control_disk_write_seconds"
 )
 
 // openControl makes the control member on top of its replicated log.
@@ -30,7 +33,8 @@
 		ReplaceAfter: time.Duration(s.Control.ReplaceAfterMS) * time.Millisecond, SnapshotEntries: s.Control.SnapshotEntries,
 	}
 	shared, err := quorum.Open(config, quorum.WithApply(n.member.Apply), quorum.WithSnapshot(n.member.Snapshot),
-		quorum.WithRestore(n.member.Restore), quorum.WithPool(pool), quorum.WithLog(n.log))
+		quorum.WithRestore(n.member.Restore), quorum.WithPool(pool), quorum.WithLog(n.log),
+		quorum.WithWrote(func(took time.Duration) { metrics.GetOrCreateHistogram(metricDisk).Update(took.Seconds()) }))
 	if err != nil {
 		return nil, err
 	}
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -68,5 +68,8 @@
 // WithTick sets the length of one tick; an election takes 10 ticks or more.
 func WithTick(tick time.Duration) Option { return func(l *Log) { l.tick = tick } }
 
+// WithWrote sets what hears how long each group of writes took to be durable.
+func WithWrote(wrote func(took time.Duration)) Option { return func(l *Log) { l.wrote = wrote } }
+
 // WithSeed makes election timeouts repeatable as far as the clock is; identities never repeat.
 func WithSeed(seed uint64) Option { return func(l *Log) { l.seed = seed } }
--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -37,8 +37,9 @@
 
 func testFailedDiskStopsTheRole(t *testing.T) {
 	var fail atomic.Bool
+	var wrote atomic.Int64
 	l, err := quorum.Open(quorum.Config{DataFolder: filepath.Join(t.TempDir(), "data"), Name: "m0", Address: "127.0.0.1:1"},
-		quorum.WithTick(testTick), quorum.WithFileSystem(failingDisk(&fail)))
+		quorum.WithTick(testTick), quorum.WithFileSystem(failingDisk(&fail)), quorum.WithWrote(func(time.Duration) { wrote.Add(1) }))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,6 +50,9 @@
 	if _, err := l.Propose(ctx, []byte("a")); err != nil {
 		t.Fatal(err)
 	}
+	if wrote.Load() == 0 {
+		t.Error("nobody heard of a write")
+	}
 	fail.Store(true)
 	if _, err := l.Propose(ctx, []byte("b")); !quorum.IsErrOutcomeUnknown(err) {
 		t.Errorf("proposal over a failed disk gave %v, want ErrOutcomeUnknown", err)
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -38,6 +38,8 @@
 	tick     time.Duration
 	seed     uint64
 	files    *storage.FileSystem
+	// wrote hears how long each group of writes took to be durable.
+	wrote func(time.Duration)
 	// groupWrites bounds what one fsync makes durable.
 	groupWrites int
 
@@ -70,7 +72,7 @@
 func Open(config Config, options ...Option) (*Log, error) {
 	l := &Log{
 		config: config, log: logr.Discard(), tick: defaultTick, groupWrites: queuedWrites,
-		apply: func(uint64, []byte) any { return nil },
+		apply: func(uint64, []byte) any { return nil }, wrote: func(time.Duration) {},
 		inbox: make(chan arrival, inboxMessages), proposals: make(chan *proposal, queuedCalls),
 		reads: make(chan *reader, queuedCalls), requests: make(chan request, queuedCalls),
 		writes: make(chan write, queuedWrites), persisted: make(chan uint64, 1),
--- a/quorum/write.go
+++ b/quorum/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"burdocksaddle/consensus"
 	"burdocksaddle/storage"
@@ -21,10 +22,12 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-l.writes:
+			began := time.Now()
 			sequence, err := l.writeGroup(l.drainWrites(first))
 			if err != nil {
 				return err
 			}
+			l.wrote(time.Since(began))
 			if sequence == 0 {
 				continue
 			}
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -21,6 +21,7 @@
 	metricHeld      = "burdocksaddle_steward_held_endpoints"
 	metricOrders    = "burdocksaddle_steward_orders_total"
 	metricChanges   = "burdocksaddle_steward_changes_total"
+	metricDisk      = "burdocksaddle_steward_disk_write_seconds"
 	metricChangeFor = "burdocksaddle_steward_change_seconds"
 	// maxProofAge stands for no proof at all.
 	maxProofAge = time.Hour
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -148,7 +148,8 @@
 		DataFolder: config.DataFolder, Name: config.Address, Address: config.Address, Bootstrap: peersOf(config.Peers),
 		Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
-		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(tick))
+		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(tick),
+		quorum.WithWrote(func(took time.Duration) { s.metrics.GetOrCreateHistogram(metricDisk).Update(took.Seconds()) }))
 	if err == nil {
 		s.registerGauges()
 	}
