Leave an endpoint alone that refused an order

A refusal keeps orders off for 0.8 s, the list's lag, so that the next best endpoint gets them. TestRefusedOrderGoesElsewhere fails without it.

Also a linter's finding in a test.

--- a/cmd/log_test.go
+++ b/cmd/log_test.go
@@ -25,9 +25,10 @@
 	})
 	var got []string
 	for line := range strings.Lines(out.String()) {
-		got = append(got, line[strings.Index(line, "msg="):])
+		_, event, _ := strings.Cut(line, "msg=")
+		got = append(got, event)
 	}
-	want := []string{"msg=one id=a\n", "msg=two err=failed\n"}
+	want := []string{"one id=a\n", "two err=failed\n"}
 	if diff := cmp.Diff(want, got); diff != "" || !errors.Is(err, failed) {
 		t.Errorf("%v\n%s", err, diff)
 	}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -42,6 +42,9 @@
 	orderTimeout = 600 * time.Millisecond
 	// reportLag is when an endpoint that did not take an order has reported anew.
 	reportLag = 150 * time.Millisecond
+	// refusedFor is for how long an endpoint gets no order after it refused one: it mostly is a new one at a former one's address,
+	// which the platform's list shows after 0.8 s.
+	refusedFor = 800 * time.Millisecond
 	// reportMost is the age at which an endpoint's report says nothing any more.
 	reportMost = 2 * time.Second
 	// unheldMost is for how long an endpoint without a holder counts as it last reported: replacing a holder takes 2 s of silence,
@@ -322,6 +325,9 @@
 	}
 	// What the endpoint holds is known by its next report only.
 	t.loading, t.leaving, t.incoming, t.quiet = "", "", "", now.Add(reportLag)
+	if outcome == OutcomeRefused {
+		t.quiet = now.Add(refusedFor)
+	}
 }
 
 // Unsettled tells that what an order to an endpoint did is still to be seen.
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -432,3 +432,27 @@
 		t.Errorf("%d replicas for 100 requests after 8 s", replicas)
 	}
 }
+
+// TestRefusedOrderGoesElsewhere has an endpoint refuse, as a new one at the address of a former one does until the list shows it:
+// the model that is asked for is loaded elsewhere at once.
+func TestRefusedOrderGoesElsewhere(t *testing.T) {
+	w := newWorld(t, 2, 6)
+	w.step()
+	for _, m := range w.machines {
+		w.planner.Report(m.state.ID, endpoint.Report{Load: endpoint.Load{OnDisk: []string{modelName(5)}}}, w.now)
+	}
+	w.planner.Demand([]Demand{{Service: worldService, Model: modelName(5), Waiting: 1}}, w.now)
+	orders := w.planner.Plan(w.now)
+	if len(orders) > 0 {
+		w.planner.Answered(orders[0], OutcomeRefused, w.now)
+	}
+	later := w.now.Add(refusedFor / 2)
+	w.planner.Demand([]Demand{{Service: worldService, Model: modelName(5), Waiting: 1}}, later)
+	for _, m := range w.machines {
+		w.planner.Report(m.state.ID, endpoint.Report{Load: endpoint.Load{OnDisk: []string{modelName(5)}}}, later)
+	}
+	again := w.planner.Plan(later)
+	if len(orders) != 1 || len(again) != 1 || orders[0].Endpoint == again[0].Endpoint {
+		t.Errorf("first %+v, then %+v", orders, again)
+	}
+}
