--- a/e2e/faults_site_test.go
+++ b/e2e/faults_site_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -49,6 +50,8 @@
 	mu      sync.Mutex
 	first   bool
 	process *process
+	// logged is how long its log was when the process was started.
+	logged int
 }
 
 // faultSite is a deployment of real processes on loopback addresses.
@@ -249,9 +252,24 @@
 func (s *faultSite) start(name string) {
 	v := s.vms[name]
 	environment := append([]string{"BURDOCKSADDLE_NODE_FILE=" + filepath.Join(v.folder, "node.json")}, s.env...)
+	v.logged = len(s.log(name))
 	v.process = startWith(s.t, s.binary, s.folder, name, environment, v.role)
 }
 
+// log returns what a VM's processes have written.
+func (s *faultSite) log(name string) []byte {
+	data, err := os.ReadFile(filepath.Join(s.folder, name+".log"))
+	if err != nil && !os.IsNotExist(err) {
+		s.t.Error(err)
+	}
+	return data
+}
+
+// begun tells whether a VM's process has said that it started: before that a signal to stop ends it as any process.
+func (s *faultSite) begun(v *vm) bool {
+	return bytes.Contains(s.log(v.name)[v.logged:], []byte(v.role+" started"))
+}
+
 // end kills what still runs; it is known by its own process ids.
 func (s *faultSite) end() {
 	for _, v := range s.vms {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -83,7 +83,7 @@
 // bringAdapter asks an endpoint's holder to have an adapter loaded and waits until it should be there.
 func (g *Gateway) bringAdapter(ctx context.Context, w endpoint.State, q *Request) bool {
 	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
-		Endpoint: w.ID, Address: w.Address, Service: w.Service, Model: q.Model, Adapter: q.Adapter,
+		Endpoint: w.ID, Address: w.Address, Service: w.Service, Model: q.Model, Adapter: q.Adapter, Request: q.ID,
 	}}}
 	g.count(metricAdapters)
 	reply, err := g.pool.Call(ctx, w.Holder, frame, adapterTimeout)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -298,7 +298,7 @@
 	verdict, err := h.bring(ctx, call)
 	h.metrics.GetOrCreateCounter(fmt.Sprintf("%s{verdict=%q}", metricAdapters, verdict.String())).Inc()
 	if verdict != scaling.VerdictHeld && verdict != scaling.VerdictComing {
-		h.log.Info("adapter not brought", "endpoint", call.GetEndpoint(), "model", call.GetModel(), "adapter", call.GetAdapter(),
+		h.log.Info("adapter not brought", "id", call.GetRequest(), "endpoint", call.GetEndpoint(), "model", call.GetModel(), "adapter", call.GetAdapter(),
 			"verdict", verdict.String(), "error", logging.ErrorText(err))
 	}
 	return verdict, err
--- a/steward/hold.go
+++ b/steward/hold.go
@@ -374,6 +374,9 @@
 		}
 	}
 	for _, m := range l.shared.Members() {
+		if !m.Voter {
+			continue // it may not be able to prove the quorum yet
+		}
 		last := l.since
 		if heard, ok := l.heard[m.Address]; ok {
 			last = heard
