Keep the holders of endpoints while the list cannot be read

Found by reading: an address that the leader had not seen on the list for 30 s lost its holder, and got another one at once, without the wait for the lease. While the platform's list is down nothing is seen on it, though the endpoints are there and get orders: two holders could have taken turns.

TestGoneEndpointIsForgotten failed before.

--- a/holder/assign.go
+++ b/holder/assign.go
@@ -38,7 +38,8 @@
 
 // View is what the leader knows when it decides on the assignment.
 type View struct {
-	// Endpoints are the addresses that are listed, Gone those that have not been for so long that no order can be under way.
+	// Endpoints are the addresses that are listed, Gone those that have not been for so long that no order can be under way; one
+	// that is both stays.
 	Endpoints, Gone []string
 	// Silent says for how long each member of the core has not been heard.
 	Silent map[string]time.Duration
@@ -56,7 +57,9 @@
 		next.Holders = map[string]Assignment{}
 	}
 	for _, endpoint := range v.Gone {
-		delete(next.Holders, endpoint)
+		if !slices.Contains(v.Endpoints, endpoint) {
+			delete(next.Holders, endpoint)
+		}
 	}
 	held := map[string]int{}
 	for steward, silent := range v.Silent {
--- a/holder/assign_test.go
+++ b/holder/assign_test.go
@@ -108,7 +108,11 @@
 func TestGoneEndpointIsForgotten(t *testing.T) {
 	v := view(map[string]time.Duration{"a": 0}, "e0", "e1")
 	table, _ := Table{}.Next(v)
-	v.Endpoints, v.Gone = []string{"e0"}, []string{"e1"}
+	v.Gone = []string{"e1"}
+	if same, changed := table.Next(v); changed {
+		t.Errorf("an endpoint that is listed lost its holder: %s", cmp.Diff(table, same))
+	}
+	v.Endpoints = []string{"e0"}
 	before := table
 	table, _ = table.Next(v)
 	change := table.Change(before)
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -45,8 +45,9 @@
 	// assigning tells that a change of the holders is being committed; balanced is when an endpoint was last moved.
 	assigning bool
 	balanced  time.Time
-	// listed is when each address was last on the list.
-	listed map[string]time.Time
+	// listed is when each address was last on the list, lastList when that was last read.
+	listed   map[string]time.Time
+	lastList time.Time
 }
 
 // lead is the duty that plans and gives orders while this steward leads; the channel gives its end.
@@ -185,8 +186,9 @@
 			if unread > 0 {
 				l.log.V(1).Info("entries of the list not read", "count", unread)
 			}
+			l.lastList = time.Now()
 			for _, w := range listed {
-				l.listed[w.Address] = time.Now()
+				l.listed[w.Address] = l.lastList
 			}
 			l.planner.List(listed)
 			l.planner.Prior(time.Now())
