--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -96,3 +96,25 @@
 	Models    []Model
 	Load      Load
 }
+
+// WithAdapter returns models with an adapter at its model.
+func WithAdapter(models []Model, a Adapter) []Model {
+	models = slices.Clone(models)
+	for i, m := range models {
+		if m.Name == a.Model && !slices.Contains(m.Adapters, a.Name) {
+			models[i].Adapters = append(slices.Clone(m.Adapters), a.Name)
+		}
+	}
+	return models
+}
+
+// WithoutAdapter returns models without an adapter.
+func WithoutAdapter(models []Model, a Adapter) []Model {
+	models = slices.Clone(models)
+	for i, m := range models {
+		if m.Name == a.Model {
+			models[i].Adapters = slices.DeleteFunc(slices.Clone(m.Adapters), func(name string) bool { return name == a.Name })
+		}
+	}
+	return models
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -103,27 +103,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if w, ok := g.endpoints[id]; ok {
-		g.endpoints[id] = withAdapter(w, endpoint.Adapter{Model: q.Model, Name: q.Adapter})
+		w.Models = endpoint.WithAdapter(w.Models, endpoint.Adapter{Model: q.Model, Name: q.Adapter})
+		g.endpoints[id] = w
 		delete(g.absent, place{id, q.Model, q.Adapter})
 	}
 	return true
 }
 
-func withAdapter(w endpoint.State, a endpoint.Adapter) endpoint.State {
-	if w.HoldsAdapter(a) {
-		return w
-	}
-	models := make([]endpoint.Model, len(w.Models))
-	copy(models, w.Models)
-	for i, m := range models {
-		if m.Name == a.Model {
-			models[i].Adapters = append(append([]string{}, m.Adapters...), a.Name)
-		}
-	}
-	w.Models = models
-	return w
-}
-
 // loadTimeLocked returns how long until a model that no endpoint holds can serve, by the leader's word or else from the store;
 // 0 while no leader is known.
 func (g *Gateway) loadTimeLocked(table *route.Table, service, model string) time.Duration {
--- a/holder/belief.go
+++ b/holder/belief.go
@@ -78,7 +78,7 @@
 	dropped := o.Unload && o.Adapter != "" && outcome == scaling.OutcomeHolds
 	switch {
 	case dropped:
-		models = withoutAdapter(models, endpoint.Adapter{Model: o.Model, Name: o.Adapter})
+		models = endpoint.WithoutAdapter(models, endpoint.Adapter{Model: o.Model, Name: o.Adapter})
 	case outcome != scaling.OutcomeAccepted:
 		b.doubtful = true
 		return b
@@ -91,7 +91,7 @@
 	case o.Unload:
 		// Runs still use it: the endpoint takes no order until they have ended, and no further requests for it.
 		load.Busy = true
-		models = withoutAdapter(models, endpoint.Adapter{Model: o.Model, Name: o.Adapter})
+		models = endpoint.WithoutAdapter(models, endpoint.Adapter{Model: o.Model, Name: o.Adapter})
 		b.loading, b.loaded = "", time.Time{}
 	default:
 		wanted := endpoint.Adapter{Model: o.Model, Name: o.Adapter}
@@ -109,7 +109,7 @@
 	for _, o := range b.adapters {
 		if now.Sub(o.at) >= adapterTakes && slices.Contains(r.Load.Pending, o.adapter) {
 			r.Load.Pending = slices.DeleteFunc(slices.Clone(r.Load.Pending), func(a endpoint.Adapter) bool { return a == o.adapter })
-			r.Models = withAdapter(r.Models, o.adapter)
+			r.Models = endpoint.WithAdapter(r.Models, o.adapter)
 		}
 	}
 	if b.loading != "" && b.certain && !now.Before(b.loaded) && !(endpoint.State{Models: r.Models}).Holds(b.loading) {
@@ -131,23 +131,3 @@
 	// Of a load only the end is of interest; an unload may end any time.
 	return b.loading == "" || now.After(b.loaded.Add(-loadSlack))
 }
-
-func withAdapter(models []endpoint.Model, a endpoint.Adapter) []endpoint.Model {
-	models = slices.Clone(models)
-	for i, m := range models {
-		if m.Name == a.Model && !slices.Contains(m.Adapters, a.Name) {
-			models[i].Adapters = append(slices.Clone(m.Adapters), a.Name)
-		}
-	}
-	return models
-}
-
-func withoutAdapter(models []endpoint.Model, a endpoint.Adapter) []endpoint.Model {
-	models = slices.Clone(models)
-	for i, m := range models {
-		if m.Name == a.Model {
-			models[i].Adapters = slices.DeleteFunc(slices.Clone(m.Adapters), func(name string) bool { return name == a.Name })
-		}
-	}
-	return models
-}
