--- a/e2e/faults_site_test.go
+++ b/e2e/faults_site_test.go
@@ -48,6 +48,8 @@
 	mu      sync.Mutex
 	first   bool
 	process *process
+	// killed tells that another fault killed the process, which is still to be started again.
+	killed bool
 	// logged is how long its log was when the process was started.
 	logged int
 }
@@ -248,7 +250,7 @@
 func (s *faultSite) start(name string) {
 	v := s.vms[name]
 	environment := append([]string{"BURDOCKSADDLE_NODE_FILE=" + filepath.Join(v.folder, "node.json")}, s.env...)
-	v.logged = len(s.log(name))
+	v.logged, v.killed = len(s.log(name)), false
 	v.process = startWith(s.t, s.binary, s.folder, name, environment, v.role)
 }
 
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -179,7 +180,10 @@
 }
 
 func (s *faultSite) signal(name string, signal syscall.Signal) {
-	s.take(name, func(v *vm) { v.process.signal(signal) })
+	s.take(name, func(v *vm) {
+		v.killed = v.killed || signal == syscall.SIGKILL
+		v.process.signal(signal)
+	})
 }
 
 func (s *faultSite) terminate(name string, away time.Duration) {
@@ -188,7 +192,7 @@
 		v.process.signal(syscall.SIGTERM)
 		select {
 		case err := <-v.process.ended:
-			if err != nil && s.begun(v) {
+			if err != nil && s.begun(v) && !v.killed {
 				s.t.Errorf("%s was asked to stop and ended with %v", name, err)
 			}
 		case <-time.After(faultGrace + time.Second):
@@ -282,6 +286,9 @@
 			t.Errorf("%s ended by itself: %v", name, err)
 		default:
 		}
+		if bytes.Contains(s.log(name), []byte("DATA RACE")) {
+			t.Errorf("%s has a data race", name)
+		}
 	}
 	f := load.facts(healed)
 	t.Logf("seed %d: %d requests, %d served, %d configurations, %d readings", seed, len(f.outcomes), load.served(began), len(f.changes), len(f.reads))
@@ -303,7 +310,11 @@
 	if os.Getenv(faultsEnvironment) == "" || seeds == 0 {
 		t.Skipf("real processes run only with %s=1, SEEDS and FIRST, as make faults sets them", faultsEnvironment)
 	}
-	binary := buildBinary(t)
+	var arguments []string
+	if os.Getenv(raceEnvironment) != "" {
+		arguments = []string{"-race"}
+	}
+	binary := buildBinary(t, arguments...)
 	played := make([]uint64, 0, seeds)
 	for _, one := range failedFaultSeeds {
 		played = append(played, one.seed)
@@ -325,7 +336,11 @@
 	}
 }
 
-const faultsEnvironment = "BURDOCKSADDLE_FAULTS"
+// Environment variables: one lets real processes run, the other builds them with the race detector, which halts them at a race.
+const (
+	faultsEnvironment = "BURDOCKSADDLE_FAULTS"
+	raceEnvironment   = "RACE"
+)
 
 // faultVMs are the names of the VMs that faults are drawn for.
 func faultVMs() []string {
