Aim at as many voters as the tolerated losses need

The last fault takes the disks of two of five stewards, as the settings allow (FaultTolerance), while all lose power. The group had started with the three seeds as its voters and aimed at three for good, so two of three disks were gone: no quorum, and an acknowledged configuration lost.

The group now aims at 2 x tolerated + 1 voters and promotes learners up to that. TestVotersForTolerance loses two of five disks while all are down; it failed before ('never: all vote'). Ruled out by the logs: the holders' commits, a torn disk, the paced list.

--- a/quorum/config.go
+++ b/quorum/config.go
@@ -23,6 +23,8 @@
 	Address    string
 	// Bootstrap lists the first voters in the same order on every member; empty means this member alone.
 	Bootstrap []Peer
+	// Voters is how many voters the group aims at: learners are promoted up to it. The first voters are the least.
+	Voters int
 	// Rejoin makes a member with an empty folder join a group that is there and never start one.
 	Rejoin bool
 	// Standing makes this member a learner that replaces a voter which stays gone.
--- a/quorum/join.go
+++ b/quorum/join.go
@@ -82,7 +82,7 @@
 // tryBootstrap starts the group if every first voter is reached and as empty as this one; if one holds a log, this member
 // was wiped and joins as a learner.
 func (l *Log) tryBootstrap(ctx context.Context, others []Peer) {
-	configuration := consensus.Configuration{Group: randomID(), Target: uint32(len(others) + 1)}
+	configuration := consensus.Configuration{Group: randomID(), Target: uint32(max(len(others)+1, l.config.Voters))}
 	self := consensus.Member{ID: l.id, Name: l.config.Name, Address: l.config.Address, Voter: true}
 	configuration = configuration.WithMember(self)
 	empty := 0
--- a/quorum/log_test.go
+++ b/quorum/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -367,3 +368,37 @@
 	}
 	return -1
 }
+
+// TestVotersForTolerance starts with three members of five and loses the disks of two of the first at the moment when all lose power:
+// what was committed is there all the same, and the group goes on.
+func TestVotersForTolerance(t *testing.T) { bubble(t, testVotersForTolerance) }
+
+func testVotersForTolerance(t *testing.T) {
+	const tolerated = 2
+	settings := configs(t, 3, 2)
+	for i := range settings {
+		settings[i].Standing, settings[i].Voters = false, 2*tolerated+1
+	}
+	processes := startAll(t, settings)
+	propose(t, processes, "a")
+	eventually(t, "all vote", func() bool { return len(voterNames(leaderOf(t, processes))) == 2*tolerated+1 })
+	propose(t, processes, "b")
+	for _, p := range processes {
+		p.stop(t)
+	}
+	var back []*process
+	for i, c := range settings {
+		c.Rejoin = true
+		if i < tolerated {
+			if err := os.RemoveAll(c.DataFolder); err != nil {
+				t.Fatal(err)
+			}
+		}
+		back = append(back, start(t, c))
+	}
+	propose(t, back, "c")
+	for _, p := range back {
+		eventually(t, "all commands", func() bool { return cmp.Equal([]string{"a", "b", "c"}, p.journal.all()) })
+	}
+	eventually(t, "all vote again", func() bool { return len(voterNames(leaderOf(t, back))) == 2*tolerated+1 })
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -37,6 +37,8 @@
 	// Peers are the stewards' addresses by the settings.
 	Peers      []string
 	FirstStart bool
+	// Tolerated is how many stewards may lose their disks at a time without a loss of what was acknowledged.
+	Tolerated int
 	// Lease is how long an endpoint counts the last holder's orders as those of a holder.
 	Lease time.Duration
 }
@@ -146,7 +148,7 @@
 	var err error
 	s.shared, err = quorum.Open(quorum.Config{
 		DataFolder: config.DataFolder, Name: config.Address, Address: config.Address, Bootstrap: peersOf(config.Peers),
-		Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
+		Voters: 2*config.Tolerated + 1, Rejoin: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
 		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(tick),
 		quorum.WithWrote(func(took time.Duration) { s.metrics.GetOrCreateHistogram(metricDisk).Update(took.Seconds()) }))
