--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -330,12 +330,6 @@
 	}
 }
 
-// Unsettled tells that what an order to an endpoint did is still to be seen.
-func (p *Planner) Unsettled(id string) bool {
-	t, ok := p.endpoints[id]
-	return ok && (t.loading != "" || t.leaving != "" || t.asked)
-}
-
 // At returns the endpoints that are listed at an address: more than one while the list still shows a former one.
 func (p *Planner) At(address string) []string { return p.addresses[address] }
 
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -102,18 +102,6 @@
 	}
 }
 
-// TellAll sends a frame to every steward that takes it.
-func (u *Uplink) TellAll(frame *wirepb.Frame) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, l := range u.links {
-		select {
-		case l.frames <- frame:
-		default: // a steward that does not read hears the next word
-		}
-	}
-}
-
 // Run keeps the streams until the context ends; the channel gives the end.
 func (u *Uplink) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
