--- a/gateway/link.go
+++ b/gateway/link.go
@@ -168,7 +168,10 @@
 	g.mu.Lock()
 	current := g.table.Load()
 	g.mu.Unlock()
-	if current != nil && current.Version >= s.GetVersion() {
+	unused := current != nil && current.Version >= s.GetVersion()
+	g.countTable(len(s.GetTable()), !unused)
+	if unused {
+		g.log.Info("table received again", "version", s.GetVersion(), "steward", steward, "bytes", len(s.GetTable()))
 		return
 	}
 	table, err := g.decodeTable(s.GetTable())
@@ -183,7 +186,7 @@
 	}
 	g.table.Store(table)
 	g.tableUpdatedAt = time.Now()
-	g.log.Info("table in force", "version", table.Version, "steward", steward, "routes", len(table.Routes))
+	g.log.Info("table in force", "version", table.Version, "steward", steward, "routes", len(table.Routes), "bytes", len(s.GetTable()))
 	g.notifyWaitersLocked()
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	metricEndpointsAge      = "burdocksaddle_gateway_endpoints_age_seconds"
 	metricTableVersion      = "burdocksaddle_gateway_table_version"
 	metricTableAge          = "burdocksaddle_gateway_table_age_seconds"
+	metricTables            = "burdocksaddle_gateway_tables_received_total"
+	metricTableBytes        = "burdocksaddle_gateway_table_bytes_total"
 	metricHasLeader         = "burdocksaddle_gateway_has_leader"
 )
 
@@ -61,6 +63,12 @@
 
 func (g *Gateway) count(name string) { g.metrics.GetOrCreateCounter(name).Inc() }
 
+// countTable counts a received table, and whether it was newer than the current one.
+func (g *Gateway) countTable(bytes int, used bool) {
+	g.count(fmt.Sprintf("%s{used=\"%t\"}", metricTables, used))
+	g.metrics.GetOrCreateCounter(metricTableBytes).Add(bytes)
+}
+
 // recordOutcome updates the metrics of a finished request.
 func (t *transaction) recordOutcome() {
 	kind := kindNames[t.route.Kind]
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/logging"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -33,7 +34,7 @@
 		defer cancel()
 		s.readFrames(request.GetNode(), stream, tableWanted)
 	}()
-	s.sendSnapshots(ctx, stream, tableWanted)
+	s.sendSnapshots(ctx, request.GetNode(), stream, tableWanted)
 	stream.Close()
 	cancel()
 	<-readDone
@@ -87,14 +88,20 @@
 	}
 }
 
-func (s *Steward) sendSnapshots(ctx context.Context, stream *wire.Stream, tableWanted <-chan struct{}) {
+func (s *Steward) sendSnapshots(ctx context.Context, subscriber string, stream *wire.Stream, tableWanted <-chan struct{}) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var sent sentView
 	for includeTable := false; ; {
 		snapshot, changed := s.nextSnapshot(includeTable, &sent)
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
-		if err := stream.Send(frame, sendTimeout); err != nil {
+		sendStart := time.Now()
+		err := stream.Send(frame, sendTimeout)
+		if includeTable {
+			s.log.Info("table sent", "subscriber", subscriber, "version", snapshot.GetVersion(), "bytes", len(snapshot.GetTable()),
+				"ms", time.Since(sendStart).Milliseconds(), "error", logging.ErrorText(err))
+		}
+		if err != nil {
 			return // the gateway reconnects by itself
 		}
 		includeTable = false
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -243,6 +243,7 @@
 		select {
 		case l.frames <- &wirepb.Frame{Body: &wirepb.Frame_TableWanted{TableWanted: &wirepb.TableWanted{}}}:
 			u.requestedVersion, u.requestedAt = version, now
+			u.log.Info("table requested", "steward", l.address, "version", version, "current", u.version())
 		default: // the queue is full; retry on the next heartbeat
 		}
 	}
