--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -76,7 +76,7 @@
 		if closed {
 			return 0, net.ErrClosed
 		}
-		n, changed, err := c.out.write(p, c.network.Dropped(c.from, c.to))
+		n, changed, err := c.out.write(p, c.network.Dropped(c.from, c.to), func(bytes int) time.Time { return c.network.arrival(c.to, bytes) })
 		if n > 0 || err != nil || len(p) == 0 {
 			c.network.count(c.from, c.to, n)
 			return n, err
--- a/memnet/network.go
+++ b/memnet/network.go
@@ -38,11 +38,12 @@
 	down     map[string]bool
 	isolated map[string]bool
 	traffic  map[string]Traffic
+	inbound  map[string]*inboundLink
 }
 
 // New returns a Network without faults.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, dropped: map[string]bool{}, down: map[string]bool{}, isolated: map[string]bool{}, traffic: map[string]Traffic{}}
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, dropped: map[string]bool{}, down: map[string]bool{}, isolated: map[string]bool{}, traffic: map[string]Traffic{}, inbound: map[string]*inboundLink{}}
 }
 
 func hostOf(address string) string {
@@ -137,6 +138,36 @@
 	n.dropped[from+">"+to] = dropped
 }
 
+// inboundLink is the link over which a host receives, shared by all its connections.
+type inboundLink struct {
+	bytesPerSecond float64
+	// busyUntil is when everything sent so far has been transmitted.
+	busyUntil time.Time
+}
+
+// SetInboundRate limits what a host receives over all its connections, in bytes per second.
+func (n *Network) SetInboundRate(host string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inbound[host] = &inboundLink{bytesPerSecond: bytesPerSecond}
+}
+
+// arrival returns when data that is sent to a host now can be read there.
+func (n *Network) arrival(to string, bytes int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	link := n.inbound[to]
+	if link == nil {
+		return now.Add(latency)
+	}
+	if link.busyUntil.Before(now) {
+		link.busyUntil = now
+	}
+	link.busyUntil = link.busyUntil.Add(time.Duration(float64(bytes) / link.bytesPerSecond * float64(time.Second)))
+	return link.busyUntil.Add(latency)
+}
+
 // forEachConn calls visit for the connections of host a, or only for those between a and b if b is not empty.
 func (n *Network) forEachConn(a, b string, visit func(*conn)) {
 	n.mu.Lock()
--- a/memnet/network_test.go
+++ b/memnet/network_test.go
@@ -47,6 +47,36 @@
 	}
 }
 
+// TestInboundRateIsShared sends on two connections to a host at the same time.
+func TestInboundRateIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New()
+		listener, err := n.Listen(t.Context(), "b:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.SetInboundRate("b", 1000)
+		var servers []net.Conn
+		for range 2 {
+			client, server := connect(t, n, listener)
+			if _, err := client.Write(make([]byte, 500)); err != nil {
+				t.Fatal(err)
+			}
+			servers = append(servers, server)
+		}
+		start := time.Now()
+		for _, server := range servers {
+			if _, err := io.ReadFull(server, make([]byte, 500)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The second connection is opened one latency after the first write.
+		if diff := cmp.Diff(time.Second, time.Since(start)); diff != "" {
+			t.Errorf("time to receive (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func connect(t *testing.T, n *Network, listener net.Listener) (client, server net.Conn) {
 	client, err := n.DialFrom("a")(t.Context(), "b:1")
 	if err != nil {
--- a/memnet/pipe.go
+++ b/memnet/pipe.go
@@ -64,9 +64,9 @@
 	return n, 0, nil, nil
 }
 
-// write writes b as a whole if it fits into the buffer or the buffer is empty. Dropped data counts as sent until the
-// connection is reset.
-func (p *pipe) write(b []byte, drop bool) (int, <-chan struct{}, error) {
+// write writes b as a whole if it fits into the buffer or the buffer is empty; arrival returns when that many bytes can be read.
+// Dropped data counts as sent until the connection is reset.
+func (p *pipe) write(b []byte, drop bool, arrival func(bytes int) time.Time) (int, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.err != nil {
@@ -78,7 +78,7 @@
 	if p.size > 0 && p.size+len(b) > bufferBytes {
 		return 0, p.changed, nil
 	}
-	p.segments = append(p.segments, segment{data: append([]byte{}, b...), readableAt: time.Now().Add(latency)})
+	p.segments = append(p.segments, segment{data: append([]byte{}, b...), readableAt: arrival(len(b))})
 	p.size += len(b)
 	p.notify()
 	return len(b), nil, nil
