Fetch large tables once at a time, as differences

Cause: a gateway received the whole table as one uncompressed frame (770 KB for 4,250 routes) on the stream that also carries heartbeats. It requested it from any steward again 250 ms after the last request, and at once for each newer version, while the first transfer was under way. Five copies fill a link of 10 Mbit/s for seconds; the frame then took longer than the 1.5 s after which the session was closed, and the transfer began anew. The class: work that is repeated on a timer, or started over, while the first attempt still makes progress.

Now the table has a stream of its own, one transfer at a time, in parts of 16 KB, as the difference from the version that the gateway has. It does not depend on the size of a table, on links or on the number of changes: what is announced meanwhile is fetched afterwards, as one version.

--- a/e2e/table_transfer_test.go
+++ b/e2e/table_transfer_test.go
@@ -72,7 +72,9 @@
 	t.Cleanup(func() {
 		cancel()
 		for _, e := range ended {
-			<-e
+			if err := <-e; err != nil {
+				t.Error(err)
+			}
 		}
 	})
 	return c
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,7 +133,7 @@
 	}
 	g.registerGauges()
 	g.stewardLinks = uplink.New(config.Node, config.Stewards, pool, uplink.WithLog(g.log), uplink.WithSnapshotHandler(g.applySnapshot),
-		uplink.WithDisconnectHandler(g.onStewardLost), uplink.WithTableVersion(g.version))
+		uplink.WithDisconnectHandler(g.onStewardLost), uplink.WithTableHandler(g.applyTable))
 	return g
 }
 
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -9,6 +9,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/routing"
+	"burdocksaddle/uplink"
 	"burdocksaddle/wirepb"
 )
 
@@ -133,11 +134,8 @@
 	return leaving
 }
 
-// applySnapshot applies a steward's snapshot; a table is never replaced by an older one.
+// applySnapshot applies a steward's snapshot.
 func (g *Gateway) applySnapshot(steward string, s *wirepb.Snapshot) {
-	if len(s.GetTable()) > 0 {
-		g.applyTable(steward, s)
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s.GetProven() && s.GetGateways() > 0 {
@@ -164,30 +162,24 @@
 	g.setEndpointsLocked(slices.Collect(maps.Values(view.States)), now)
 }
 
-func (g *Gateway) applyTable(steward string, s *wirepb.Snapshot) {
-	g.mu.Lock()
-	current := g.table.Load()
-	g.mu.Unlock()
-	unused := current != nil && current.Version >= s.GetVersion()
-	g.countTable(len(s.GetTable()), !unused)
-	if unused {
-		g.log.Info("table received again", "version", s.GetVersion(), "steward", steward, "bytes", len(s.GetTable()))
-		return
-	}
-	table, err := g.decodeTable(s.GetTable())
+// applyTable puts a table into force; a table is never replaced by an older one.
+func (g *Gateway) applyTable(received uplink.Table) error {
+	g.countTable(received)
+	table, err := g.decodeTable(received.Raw)
 	if err != nil {
-		g.log.Error(err, "failed to decode the table", "steward", steward, "version", s.GetVersion())
-		return
+		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if current = g.table.Load(); current != nil && current.Version >= table.Version {
-		return
+	if current := g.table.Load(); current != nil && current.Version >= table.Version {
+		return nil
 	}
 	g.table.Store(table)
 	g.tableUpdatedAt = time.Now()
-	g.log.Info("table in force", "version", table.Version, "steward", steward, "routes", len(table.Routes), "bytes", len(s.GetTable()))
+	g.log.Info("table in force", "version", table.Version, "steward", received.Steward, "routes", len(table.Routes), "bytes", len(received.Raw),
+		"transferredBytes", received.TransferredBytes, "ms", received.Took.Milliseconds())
 	g.notifyWaitersLocked()
+	return nil
 }
 
 // setEndpointsLocked replaces the known endpoints.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"burdocksaddle/uplink"
 )
 
 // Metric names. Labels have few values: kinds of routes, and the gateway's own outcomes and reasons.
@@ -26,6 +28,7 @@
 	metricTableAge          = "burdocksaddle_gateway_table_age_seconds"
 	metricTables            = "burdocksaddle_gateway_tables_received_total"
 	metricTableBytes        = "burdocksaddle_gateway_table_bytes_total"
+	metricTableSeconds      = "burdocksaddle_gateway_table_transfer_seconds"
 	metricHasLeader         = "burdocksaddle_gateway_has_leader"
 )
 
@@ -63,10 +66,11 @@
 
 func (g *Gateway) count(name string) { g.metrics.GetOrCreateCounter(name).Inc() }
 
-// countTable counts a received table, and whether it was newer than the current one.
-func (g *Gateway) countTable(bytes int, used bool) {
-	g.count(fmt.Sprintf("%s{used=\"%t\"}", metricTables, used))
-	g.metrics.GetOrCreateCounter(metricTableBytes).Add(bytes)
+// countTable counts a received table, its bytes on the wire and the time that its transfer took.
+func (g *Gateway) countTable(received uplink.Table) {
+	g.count(metricTables)
+	g.metrics.GetOrCreateCounter(metricTableBytes).Add(received.TransferredBytes)
+	g.metrics.GetOrCreateHistogram(metricTableSeconds).Update(received.Took.Seconds())
 }
 
 // recordOutcome updates the metrics of a finished request.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -64,6 +64,8 @@
 	table        *route.Table
 	rawTable     []byte
 	tableVersion uint64
+	// tables holds the raw table and the ones before it, for transfers to gateways.
+	tables tableHistory
 	// holders is the committed assignment of endpoints to stewards.
 	holders holder.Table
 	// held are the endpoints held by this steward, by address. stopping are those whose holders have been told to stop.
@@ -186,7 +188,7 @@
 // Handlers returns the handlers for calls of other processes.
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
-		Peer: s.quorumLog.Handle, Subscribe: s.handleSubscribe, TableChange: s.handleTableChange,
+		Peer: s.quorumLog.Handle, Subscribe: s.handleSubscribe, TableQuery: s.handleTableQuery, TableChange: s.handleTableChange,
 		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport,
 	}
 }
@@ -219,6 +221,7 @@
 		return
 	}
 	s.table, s.rawTable, s.tableVersion = table, change.GetTable(), change.GetVersion()
+	s.tables.add(s.tableVersion, s.rawTable)
 	s.log.Info("table in force", "version", s.tableVersion, "routes", len(table.Routes), "bytes", len(s.rawTable))
 	s.notifySubscribersLocked()
 }
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"burdocksaddle/endpoint"
-	"burdocksaddle/logging"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -25,16 +24,16 @@
 func (s *Steward) handleSubscribe(ctx context.Context, request *wirepb.Subscribe, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.log.Info("subscriber connected", "subscriber", request.GetNode(), "version", request.GetVersion())
+	s.log.Info("subscriber connected", "subscriber", request.GetNode())
 	s.addGatewayStreams(1)
 	defer s.addGatewayStreams(-1)
-	readDone, tableWanted := make(chan struct{}), make(chan struct{}, 1)
+	readDone := make(chan struct{})
 	go func() {
 		defer close(readDone)
 		defer cancel()
-		s.readFrames(request.GetNode(), stream, tableWanted)
+		s.readFrames(request.GetNode(), stream)
 	}()
-	s.sendSnapshots(ctx, request.GetNode(), stream, tableWanted)
+	s.sendSnapshots(ctx, stream)
 	stream.Close()
 	cancel()
 	<-readDone
@@ -47,7 +46,7 @@
 	s.gatewayStreams += delta
 }
 
-func (s *Steward) readFrames(node string, stream *wire.Stream, tableWanted chan<- struct{}) {
+func (s *Steward) readFrames(node string, stream *wire.Stream) {
 	for {
 		frame, err := stream.Receive(0)
 		if err != nil {
@@ -56,12 +55,6 @@
 		if d := frame.GetDemandReport(); d != nil {
 			s.recordDemand(node, d)
 		}
-		if frame.GetTableWanted() != nil {
-			select {
-			case tableWanted <- struct{}{}:
-			default: // a request for the table is already pending
-			}
-		}
 	}
 }
 
@@ -88,28 +81,19 @@
 	}
 }
 
-func (s *Steward) sendSnapshots(ctx context.Context, subscriber string, stream *wire.Stream, tableWanted <-chan struct{}) {
+func (s *Steward) sendSnapshots(ctx context.Context, stream *wire.Stream) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var sent sentView
-	for includeTable := false; ; {
-		snapshot, changed := s.nextSnapshot(includeTable, &sent)
+	for {
+		snapshot, changed := s.nextSnapshot(&sent)
 		frame := &wirepb.Frame{Body: &wirepb.Frame_Snapshot{Snapshot: snapshot}}
-		sendStart := time.Now()
-		err := stream.Send(frame, sendTimeout)
-		if includeTable {
-			s.log.Info("table sent", "subscriber", subscriber, "version", snapshot.GetVersion(), "bytes", len(snapshot.GetTable()),
-				"ms", time.Since(sendStart).Milliseconds(), "error", logging.ErrorText(err))
-		}
-		if err != nil {
+		if err := stream.Send(frame, sendTimeout); err != nil {
 			return // the gateway reconnects by itself
 		}
-		includeTable = false
 		select {
 		case <-ctx.Done():
 			return
-		case <-tableWanted:
-			includeTable = true
 		case <-ticker.C:
 		case <-changed:
 			time.Sleep(coalesceDelay)
@@ -124,7 +108,7 @@
 }
 
 // nextSnapshot returns the next snapshot for a subscriber and a channel that is closed when its content changes.
-func (s *Steward) nextSnapshot(includeTable bool, sent *sentView) (*wirepb.Snapshot, <-chan struct{}) {
+func (s *Steward) nextSnapshot(sent *sentView) (*wirepb.Snapshot, <-chan struct{}) {
 	proven := s.quorumLog.QuorumProofAge() < maxTableProofAge
 	var stewards []string
 	for _, m := range s.quorumLog.Members() {
@@ -133,9 +117,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	snapshot := &wirepb.Snapshot{Version: s.tableVersion, Stewards: stewards, Leads: s.leading, Proven: proven, Gateways: uint32(s.gatewayStreams)}
-	if includeTable {
-		snapshot.Table = s.rawTable
-	}
 	if s.leading {
 		if sent.view != s.endpointView {
 			*sent = sentView{view: s.endpointView}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -20,24 +20,22 @@
 	reconcileInterval = 100 * time.Millisecond
 	sendQueueLength   = 4
 	sendTimeout       = time.Second
-	// tableRequestInterval is the time after which a table that has not arrived is requested again from any steward.
-	tableRequestInterval = 250 * time.Millisecond
 )
 
 // Uplink manages a process's streams to stewards.
 type Uplink struct {
-	node string
-	pool *wire.Pool
-	log  logr.Logger
-	// version returns the process's current table version.
-	version      func() uint64
+	node         string
+	pool         *wire.Pool
+	log          logr.Logger
+	onTable      func(Table) error
 	onSnapshot   func(steward string, s *wirepb.Snapshot)
 	onDisconnect func(steward string)
+	// announcement wakes the transfer loop when a steward announces a version or is lost.
+	announcement chan struct{}
 
 	mu sync.Mutex
-	// requestedVersion is the last requested table version, and requestedAt the time of that request.
-	requestedVersion uint64
-	requestedAt      time.Time
+	// announced holds the version that each connected steward announced last.
+	announced map[string]uint64
 	// configured are the stewards' addresses in the settings, discovered those in the last snapshot of a steward with a proven
 	// quorum.
 	configured, discovered []string
@@ -57,8 +55,9 @@
 // WithLog sets where events are logged.
 func WithLog(log logr.Logger) Option { return func(u *Uplink) { u.log = log } }
 
-// WithTableVersion sets the function that returns the process's current table version.
-func WithTableVersion(version func() uint64) Option { return func(u *Uplink) { u.version = version } }
+// WithTableHandler sets the handler of new tables. Their versions only increase. A table that the handler returns an error for is
+// fetched again.
+func WithTableHandler(handle func(Table) error) Option { return func(u *Uplink) { u.onTable = handle } }
 
 // WithSnapshotHandler sets the handler of stewards' snapshots.
 func WithSnapshotHandler(handle func(steward string, s *wirepb.Snapshot)) Option {
@@ -73,8 +72,8 @@
 // New returns an Uplink to the stewards in the settings.
 func New(node string, stewards []string, pool *wire.Pool, options ...Option) *Uplink {
 	u := &Uplink{
-		node: node, pool: pool, log: logr.Discard(), configured: stewards, links: map[string]*link{},
-		version: func() uint64 { return 0 }, onSnapshot: func(string, *wirepb.Snapshot) {}, onDisconnect: func(string) {},
+		node: node, pool: pool, log: logr.Discard(), configured: stewards, links: map[string]*link{}, announced: map[string]uint64{},
+		announcement: make(chan struct{}, 1), onTable: func(Table) error { return nil }, onSnapshot: func(string, *wirepb.Snapshot) {}, onDisconnect: func(string) {},
 	}
 	for _, option := range options {
 		option(u)
@@ -110,7 +109,9 @@
 func (u *Uplink) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
+		transfersDone := u.runTransfers(ctx)
 		u.loop(ctx)
+		<-transfersDone
 		done <- nil
 	}()
 	return done
@@ -160,6 +161,7 @@
 		if connected && ctx.Err() == nil {
 			u.log.Info("steward lost", "steward", l.address, "error", err.Error())
 		}
+		u.recordAnnouncement(l.address, 0)
 		u.onDisconnect(l.address)
 		select {
 		case <-time.After(reconnectDelay):
@@ -176,7 +178,7 @@
 		return false, err
 	}
 	defer stream.Close()
-	request := &wirepb.Subscribe{Node: u.node, Version: u.version()}
+	request := &wirepb.Subscribe{Node: u.node}
 	if err := stream.Send(&wirepb.Frame{Body: &wirepb.Frame_Subscribe{Subscribe: request}}, sendTimeout); err != nil {
 		return false, err
 	}
@@ -202,7 +204,7 @@
 		if s := frame.GetSnapshot(); s != nil {
 			u.updateStewards(s)
 			u.onSnapshot(l.address, s)
-			u.requestTable(l, s.GetVersion())
+			u.recordAnnouncement(l.address, s.GetVersion())
 		}
 	}
 }
@@ -232,23 +234,6 @@
 	}
 }
 
-// requestTable requests a newer table from a steward, unless it was requested from another one within tableRequestInterval.
-func (u *Uplink) requestTable(l *link, version uint64) {
-	if version <= u.version() {
-		return
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if now := time.Now(); version > u.requestedVersion || now.Sub(u.requestedAt) > tableRequestInterval {
-		select {
-		case l.frames <- &wirepb.Frame{Body: &wirepb.Frame_TableWanted{TableWanted: &wirepb.TableWanted{}}}:
-			u.requestedVersion, u.requestedAt = version, now
-			u.log.Info("table requested", "steward", l.address, "version", version, "current", u.version())
-		default: // the queue is full; retry on the next heartbeat
-		}
-	}
-}
-
 // updateStewards takes the stewards' addresses from a snapshot if its sender has proven its quorum.
 func (u *Uplink) updateStewards(s *wirepb.Snapshot) {
 	if !s.GetProven() || len(s.GetStewards()) == 0 {
--- a/wire/server.go
+++ b/wire/server.go
@@ -31,6 +31,7 @@
 	ForceQuery func(context.Context, *wirepb.ForceQuery) *wirepb.Frame
 
 	Subscribe    func(context.Context, *wirepb.Subscribe, *Stream)
+	TableQuery   func(context.Context, *wirepb.TableQuery, *Stream)
 	TableChange  func(context.Context, *wirepb.TableChange) *wirepb.Frame
 	Adapter      func(context.Context, *wirepb.AdapterCall) *wirepb.Frame
 	Order        func(context.Context, *wirepb.EndpointOrder) *wirepb.Frame
@@ -117,6 +118,10 @@
 		if handlers.Subscribe != nil {
 			handlers.Subscribe(ctx, body.Subscribe, stream)
 		}
+	case *wirepb.Frame_TableQuery:
+		if handlers.TableQuery != nil {
+			handlers.TableQuery(ctx, body.TableQuery, stream)
+		}
 	case *wirepb.Frame_PeerMessage:
 		if handlers.Peer != nil {
 			handlers.Peer(ctx, body.PeerMessage, stream)
