Limit the stewards' log by bytes, not only by entries

TestLargeTablesFillNeitherDiskNorMemory, 300 tables of 770 KB: 145 MB of disk and 227 MB of memory before (fails), 17 and 32 MB after.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -20,15 +20,16 @@
 	PendingReads int
 	// ApplyBytes limits the committed entry data of one Ready.
 	ApplyBytes int
-	// TrailingEntries is the number of entries kept in the log before a snapshot, for peers that lag behind.
+	// TrailingEntries and TrailingBytes limit the entries kept in the log before a snapshot, for peers that lag behind.
 	TrailingEntries uint64
+	TrailingBytes   int
 }
 
 // DefaultLimits returns limits suitable for a control member with 256 MB of memory.
 func DefaultLimits() Limits {
 	return Limits{
 		AppendBytes: 256 << 10, InflightMessages: 64, InflightBytes: 4 << 20, ChunkBytes: 256 << 10,
-		UncommittedEntries: 4096, PendingReads: 1024, ApplyBytes: 1 << 20, TrailingEntries: 1000,
+		UncommittedEntries: 4096, PendingReads: 1024, ApplyBytes: 1 << 20, TrailingEntries: 1000, TrailingBytes: 16 << 20,
 	}
 }
 
@@ -261,15 +262,13 @@
 	return c.log.lastIndex(), c.term, nil
 }
 
-// Compact records a snapshot of the applied state and discards the entries more than TrailingEntries behind it.
+// Compact records a snapshot of the applied state and discards the entries before it, except for the trailing ones.
 func (c *Core) Compact(s Snapshot) {
 	if s.Index <= c.snapshot.Index || s.Index > c.log.applying {
 		return
 	}
 	c.snapshot = s
-	if s.Index > c.config.Limits.TrailingEntries {
-		c.log.compact(min(s.Index-c.config.Limits.TrailingEntries, c.log.stable))
-	}
+	c.log.compact(min(c.log.trailingStart(s.Index, c.config.Limits), c.log.stable))
 }
 
 // SnapshotAt returns a snapshot of the given state at an applied index, or false if the log no longer holds the index.
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -106,6 +106,17 @@
 	return out
 }
 
+// trailingStart returns the index up to which entries may be discarded so that those left up to the end keep within the limits.
+func (l *entryLog) trailingStart(end uint64, limits Limits) uint64 {
+	index, bytes := end, 0
+	for ; index > l.baseIndex && end-index < limits.TrailingEntries; index-- {
+		if bytes += len(l.entryAt(index).Data); bytes > limits.TrailingBytes {
+			break
+		}
+	}
+	return index
+}
+
 // compact discards the entries up to and including an index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.baseIndex {
--- a/quorum/apply.go
+++ b/quorum/apply.go
@@ -25,7 +25,7 @@
 // applyLoop applies committed commands in order; an error stops the member.
 func (l *Log) applyLoop(ctx context.Context) error {
 	var barriers []applyTask
-	lastSnapshot := uint64(0)
+	lastSnapshot, appliedBytes := uint64(0), 0
 	for {
 		var task applyTask
 		select {
@@ -34,22 +34,24 @@
 		case task = <-l.applies:
 		}
 		if task.restore != nil {
-			lastSnapshot = task.restore.Index
+			lastSnapshot, appliedBytes = task.restore.Index, 0
 			if err := l.restoreState(*task.restore); err != nil {
 				return err
 			}
 		}
 		for i, e := range task.entries {
 			l.applyEntry(e, task.entryProposals[i])
+			appliedBytes += len(e.Data)
 		}
 		if len(task.readers) > 0 {
 			barriers = append(barriers, task)
 		}
 		barriers = l.releaseReaders(barriers)
-		if l.snapshot == nil || l.Applied() < lastSnapshot+uint64(l.config.SnapshotEntries) {
+		due := l.Applied() >= lastSnapshot+uint64(l.config.SnapshotEntries) || appliedBytes >= l.config.SnapshotBytes
+		if l.snapshot == nil || !due {
 			continue
 		}
-		lastSnapshot = l.Applied()
+		lastSnapshot, appliedBytes = l.Applied(), 0
 		if err := l.takeSnapshot(ctx); err != nil {
 			return err
 		}
--- a/quorum/config.go
+++ b/quorum/config.go
@@ -32,13 +32,16 @@
 	Standing bool
 	// ReplaceAfter is how long a voter may be silent before a standby learner replaces it; 0 disables replacement.
 	ReplaceAfter time.Duration
-	// SnapshotEntries is the number of applied entries between two snapshots; 0 selects the default.
+	// SnapshotEntries and SnapshotBytes are how many entries, and bytes of commands, are applied between two snapshots at most; 0
+	// selects the default.
 	SnapshotEntries int
+	SnapshotBytes   int
 }
 
 const (
 	defaultTick            = 100 * time.Millisecond
 	defaultSnapshotEntries = 10_000
+	defaultSnapshotBytes   = 32 << 20
 )
 
 // Option configures a Log.
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -81,6 +81,9 @@
 	if l.config.SnapshotEntries == 0 {
 		l.config.SnapshotEntries = defaultSnapshotEntries
 	}
+	if l.config.SnapshotBytes == 0 {
+		l.config.SnapshotBytes = defaultSnapshotBytes
+	}
 	for _, option := range options {
 		option(l)
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -25,8 +25,9 @@
 	changeTimeout = 900 * time.Millisecond
 	// consensusTick results in elections of 0.5 to 1 s. Links between stewards take 1 to 3 ms, and a disk sync 1 to 5 ms.
 	consensusTick = 50 * time.Millisecond
-	// snapshotEntries keeps the log within a disk of 128 MB at 100 KB per entry.
+	// snapshotEntries limits the entries that a restart applies, snapshotBytes the disk space of the log.
 	snapshotEntries = 200
+	snapshotBytes   = 16 << 20
 )
 
 // Config configures a Steward.
@@ -152,7 +153,7 @@
 	var err error
 	s.quorumLog, err = quorum.Open(quorum.Config{
 		DataDir: config.DataDir, Name: config.Address, Address: config.Address, Bootstrap: peersOf(config.Peers),
-		Voters: 2*config.FaultTolerance + 1, JoinOnly: !config.FirstStart, SnapshotEntries: snapshotEntries, ReplaceAfter: replaceAfter,
+		Voters: 2*config.FaultTolerance + 1, JoinOnly: !config.FirstStart, SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
 		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(consensusTick),
 		quorum.WithWriteObserver(func(took time.Duration) { s.metrics.GetOrCreateHistogram(metricDiskWrite).Update(took.Seconds()) }))
