Time out frames that make no progress, not frames that are large

Now the timeout of Receive and Send is that of a single read or write of at most 32 KB. Close and the end of the stream's context unblock a Receive even if it renews its deadline at that moment.

TestSlowFrameIsNotTimedOutWhileItProgresses failed before on both sides ('read pipe: i/o timeout', 'unexpected EOF').

--- a/wire/stream.go
+++ b/wire/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -19,23 +20,57 @@
 
 const (
 	readBufferBytes = 8 << 10
+	// maxWriteBytes limits a single write, within whose time some of it must have been sent.
+	maxWriteBytes = 32 << 10
 	// maxReusedBufferBytes limits the send buffer that a stream keeps for reuse.
 	maxReusedBufferBytes = 64 << 10
 )
 
 // Stream carries one call. It is closed when the context that it was opened with ends.
 type Stream struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	sendMu sync.Mutex
-	buffer []byte
-	stop   func() bool
-	peer   string
+	conn     net.Conn
+	incoming *incoming
+	reader   *bufio.Reader
+	sendMu   sync.Mutex
+	buffer   []byte
+	stop     func() bool
+	peer     string
+}
+
+// incoming reads from a connection. Each read may take as long as the timeout, so that a frame is not given up while it arrives.
+type incoming struct {
+	conn    net.Conn
+	timeout time.Duration
+	// failure is the error of an earlier read of the same frame.
+	failure error
+	closed  atomic.Bool
+}
+
+func (i *incoming) Read(p []byte) (n int, err error) {
+	if i.failure != nil {
+		return 0, i.failure
+	}
+	defer func() { i.failure = err }()
+	if err := i.conn.SetReadDeadline(deadline(i.timeout)); err != nil {
+		return 0, err
+	}
+	if i.closed.Load() { // otherwise the deadline above may have replaced the one that close set
+		return 0, net.ErrClosed
+	}
+	return i.conn.Read(p)
+}
+
+func (i *incoming) close() {
+	i.closed.Store(true)
+	_ = i.conn.Close()
+	// A yamux stream closes its own side only; the deadline unblocks a Receive that still waits for the peer.
+	_ = i.conn.SetReadDeadline(time.Now())
 }
 
 func newStream(ctx context.Context, conn net.Conn, peer string) *Stream {
-	s := &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), peer: peer}
-	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s := &Stream{conn: conn, incoming: &incoming{conn: conn}, peer: peer}
+	s.reader = bufio.NewReaderSize(s.incoming, readBufferBytes)
+	s.stop = context.AfterFunc(ctx, s.incoming.close)
 	return s
 }
 
@@ -45,8 +80,8 @@
 // Peer returns the address of the peer.
 func (s *Stream) Peer() string { return s.peer }
 
-// Send writes one frame within the timeout; with timeout 0 only the stream's context limits it. It returns ErrStreamBroken if it
-// fails.
+// Send writes one frame. It returns ErrStreamBroken if the frame makes no progress within the timeout; with timeout 0 only the
+// stream's context limits it.
 func (s *Stream) Send(frame *wirepb.Frame, timeout time.Duration) error {
 	return s.SendAll(timeout, frame)
 }
@@ -55,10 +90,7 @@
 func (s *Stream) SendAll(timeout time.Duration, frames ...*wirepb.Frame) error {
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
-	if err := s.conn.SetWriteDeadline(deadline(timeout)); err != nil {
-		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
-	}
-	if err := s.write(frames...); err != nil {
+	if err := s.write(timeout, frames...); err != nil {
 		// A part of the frame may have been sent, so no other frame can follow.
 		_ = s.conn.Close()
 		return ErrStreamBroken{Peer: s.peer, Step: "send", Cause: err}
@@ -72,18 +104,15 @@
 		return nil
 	}
 	defer s.sendMu.Unlock()
-	if err := s.conn.SetWriteDeadline(time.Time{}); err != nil {
-		return ErrStreamBroken{Peer: s.peer, Step: "ping", Cause: err}
-	}
-	if err := s.write(&wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: &wirepb.Ping{}}}); err != nil {
+	if err := s.write(0, &wirepb.Frame{Body: &wirepb.Frame_Ping{Ping: &wirepb.Ping{}}}); err != nil {
 		_ = s.conn.Close()
 		return ErrStreamBroken{Peer: s.peer, Step: "ping", Cause: err}
 	}
 	return nil
 }
 
-// write encodes length-prefixed frames into the stream's reused buffer and sends them in a single write.
-func (s *Stream) write(frames ...*wirepb.Frame) error {
+// write encodes length-prefixed frames into the stream's reused buffer and sends them, in a single write unless they are large.
+func (s *Stream) write(timeout time.Duration, frames ...*wirepb.Frame) error {
 	var options proto.MarshalOptions
 	buffer := s.buffer[:0]
 	for _, frame := range frames {
@@ -96,16 +125,23 @@
 	if cap(buffer) <= maxReusedBufferBytes {
 		s.buffer = buffer
 	}
-	_, err := s.conn.Write(buffer)
-	return err
+	for len(buffer) > 0 {
+		if err := s.conn.SetWriteDeadline(deadline(timeout)); err != nil {
+			return err
+		}
+		n, err := s.conn.Write(buffer[:min(len(buffer), maxWriteBytes)])
+		if err != nil {
+			return err
+		}
+		buffer = buffer[n:]
+	}
+	return nil
 }
 
-// Receive reads one frame within the timeout; with timeout 0 only the stream's context limits it. It returns ErrStreamBroken if
-// it fails.
+// Receive reads one frame. It returns ErrStreamBroken if nothing arrives within the timeout; with timeout 0 only the stream's context
+// limits it.
 func (s *Stream) Receive(timeout time.Duration) (*wirepb.Frame, error) {
-	if err := s.conn.SetReadDeadline(deadline(timeout)); err != nil {
-		return nil, ErrStreamBroken{Peer: s.peer, Step: "receive", Cause: err}
-	}
+	s.incoming.timeout, s.incoming.failure = timeout, nil
 	frame := &wirepb.Frame{}
 	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
 	if err := options.UnmarshalFrom(s.reader, frame); err != nil {
@@ -117,9 +153,7 @@
 // Close closes the stream in both directions.
 func (s *Stream) Close() {
 	s.stop()
-	_ = s.conn.Close()
-	// A yamux stream closes its own side only; the deadline unblocks a Receive that still waits for the peer.
-	_ = s.conn.SetReadDeadline(time.Now())
+	s.incoming.close()
 }
 
 func deadline(timeout time.Duration) time.Time {
--- a/wire/stream_test.go
+++ b/wire/stream_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"burdocksaddle/wirepb"
@@ -54,6 +56,97 @@
 	}
 }
 
+// slowConn passes a few bytes at a time, with a pause before each part.
+type slowConn struct{ net.Conn }
+
+const (
+	slowPartBytes = 16 << 10
+	slowPause     = 100 * time.Millisecond
+)
+
+func (s slowConn) Read(p []byte) (int, error) {
+	time.Sleep(slowPause)
+	return s.Conn.Read(p[:min(len(p), slowPartBytes)])
+}
+
+func (s slowConn) Write(p []byte) (int, error) {
+	for sent := 0; sent < len(p); sent += slowPartBytes {
+		time.Sleep(slowPause)
+		if n, err := s.Conn.Write(p[sent:min(len(p), sent+slowPartBytes)]); err != nil {
+			return sent + n, err
+		}
+	}
+	return len(p), nil
+}
+
+func TestSlowFrameIsNotTimedOutWhileItProgresses(t *testing.T) {
+	const timeout, size = time.Second, 512 << 10 // takes 3.2 s
+	for _, slowSide := range []string{"sender", "receiver"} {
+		t.Run(slowSide, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				aConn, bConn := net.Pipe()
+				sendTimeout, receiveTimeout := timeout, time.Duration(0)
+				if slowSide == "sender" {
+					aConn, sendTimeout, receiveTimeout = slowConn{aConn}, 0, timeout
+				} else {
+					bConn = slowConn{bConn}
+				}
+				a, b := newStream(t.Context(), aConn, "a"), newStream(t.Context(), bConn, "b")
+				defer a.Close()
+				defer b.Close()
+				sent := make(chan error, 1)
+				go func() { sent <- a.Send(newChunk(size), sendTimeout) }()
+				got, err := b.Receive(receiveTimeout)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !proto.Equal(newChunk(size), got) {
+					t.Error("the frame that arrived is not the one that was sent")
+				}
+				if err := <-sent; err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+func TestReceiveTimesOutWithoutProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		aConn, bConn := net.Pipe()
+		b := newStream(t.Context(), bConn, "b")
+		defer b.Close()
+		go func() { _, _ = aConn.Write([]byte{100, 1, 2, 3}) }() // the start of a frame of 100 bytes
+		start := time.Now()
+		if _, err := b.Receive(time.Second); !IsErrStreamBroken(err) || !IsTimeout(err) {
+			t.Errorf("got %v", err)
+		}
+		if diff := cmp.Diff(time.Second, time.Since(start)); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestCloseEndsReceiveWithoutTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, bConn := net.Pipe()
+		b := newStream(t.Context(), bConn, "b")
+		ended := make(chan error, 1)
+		go func() {
+			_, err := b.Receive(0)
+			ended <- err
+		}()
+		synctest.Wait()
+		b.Close()
+		if err := <-ended; !IsErrStreamBroken(err) {
+			t.Errorf("got %v", err)
+		}
+		if _, err := b.Receive(0); !IsErrStreamBroken(err) {
+			t.Errorf("received on a closed stream: %v", err)
+		}
+	})
+}
+
 func TestPingSkippedDuringSend(t *testing.T) {
 	a, _ := newStreamPair(t)
 	blocked := make(chan error, 1)
