Match hosts of routes in any case

Callers would have got 404 on a route for Two.Example for as long as the table was in force ('a route that had been added was not served'), and a table with two routes for one place that differ in case was taken ('an invalid one was taken'). The users' hosts are all in lower case, so this is not what they saw.

TestRouteOfHostInAnyCaseIsServed and a case of TestInvalidTables failed before. route had no tests of its own; now its table of invalid configurations has one.

--- a/route/table.go
+++ b/route/table.go
@@ -107,6 +107,7 @@
 	Services []Service
 	Limits   Limits
 
+	// hosts holds the routes by host name in lower case.
 	hosts    map[string][]Route
 	services map[string]Service
 }
@@ -134,12 +135,13 @@
 		if err := t.check(r); err != nil {
 			return nil, err
 		}
-		hostPrefix := [2]string{r.Host, r.Prefix}
+		host := strings.ToLower(r.Host)
+		hostPrefix := [2]string{host, r.Prefix}
 		if hostPrefixes[hostPrefix] {
 			return nil, ErrInvalid{PartType: "route", Name: r.Name, Reason: "another route has its host and prefix"}
 		}
 		hostPrefixes[hostPrefix] = true
-		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		t.hosts[host] = append(t.hosts[host], r)
 	}
 	return t, nil
 }
