Test gateways behind narrow links with large tables in the fault test

Now the proxies pass 10 Mbit/s to each gateway, up to three configurations of a run have 1,400 routes more, each followed by another one 0.3 s later, and the check InForce asks each gateway five times a second for the route that a version acknowledged 2.5 s before has added.

--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -18,6 +18,13 @@
 	sent, acked time.Time
 }
 
+// routeProbe is a request for the route that a configuration version added, at a gateway where it must be in force.
+type routeProbe struct {
+	gateway string
+	version int
+	outcome standin.Outcome
+}
+
 // configRead is the configuration version that a steward returned; at is when the read began.
 type configRead struct {
 	at      time.Time
@@ -31,13 +38,14 @@
 	endpoints   []*standin.Endpoint
 	changes     []sentChange
 	configReads []configRead
+	probes      []routeProbe
 	// finalReads holds one read from each steward after the load has ended.
 	finalReads []configRead
 	// resumedAt holds the times at which each VM's suspended process was resumed.
 	resumedAt map[string][]time.Time
-	// stewards is the number of stewards.
-	stewards int
-	// gateways holds the addresses from which gateways send, disturbances when faults affected each VM, by that address.
+	// stewards and gateways hold the addresses from which these processes send, disturbances when faults affected each VM, by that
+	// address.
+	stewards     []string
 	gateways     []string
 	disturbances map[string][]period
 	// recoveredBy is the deadline for recovery after the last fault.
@@ -59,6 +67,7 @@
 	{"Holder", checkHolder, true},
 	{"Limit", checkLimit, true},
 	{"Config", checkConfig, true},
+	{"InForce", checkInForce, true},
 	{"Recover", checkRecover, true},
 	{"Leaving", checkLeaving, false},
 	{"Pauses", checkPauses, false},
@@ -222,8 +231,31 @@
 			broken = append(broken, fmt.Sprintf("%s has version %d at the end, but version %d was acknowledged", r.steward, r.version, newestAcked))
 		}
 	}
-	if len(o.finalReads) < o.stewards {
-		broken = append(broken, fmt.Sprintf("only %d of %d stewards returned their configuration at the end", len(o.finalReads), o.stewards))
+	if len(o.finalReads) < len(o.stewards) {
+		broken = append(broken, fmt.Sprintf("only %d of %d stewards returned their configuration at the end", len(o.finalReads), len(o.stewards)))
+	}
+	return judged, broken
+}
+
+// contactTime is how long a gateway and all stewards must have been without a fault for a gateway to count as connected.
+const contactTime = 3 * time.Second
+
+// checkInForce checks that a connected gateway denies no route of a version that was acknowledged more than maxApplyDelay before, and
+// does not refuse a request because it lacks that version.
+func checkInForce(o observations) (judged int, broken []string) {
+	for _, p := range o.probes {
+		from, until := p.outcome.Sent.Add(-contactTime), p.outcome.Done
+		excused := o.disturbed(p.gateway, from, until)
+		for _, steward := range o.stewards {
+			excused = excused || o.disturbed(steward, from, until)
+		}
+		if excused {
+			continue
+		}
+		judged++
+		if p.outcome.Status == http.StatusNotFound || p.outcome.Status == http.StatusServiceUnavailable && strings.Contains(p.outcome.Body, "configuration") {
+			broken = append(broken, fmt.Sprintf("%s has no route of version %d, which was acknowledged more than %v before", p.gateway, p.version, maxApplyDelay))
+		}
 	}
 	return judged, broken
 }
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -185,6 +185,9 @@
 	}
 	c.vms[v.name] = v
 	c.names = append(c.names, v.name)
+	if role == "gateway" {
+		c.network.setInboundRate(v.name, gatewayLinkRate)
+	}
 	port := ":" + strconv.Itoa(c.port)
 	c.network.proxy(c.ctx, c.listen(v.address+port), v.name, v.bindAddress+port, c.vmNameAt)
 }
@@ -332,16 +335,26 @@
 	}
 }
 
-// routingTable returns a configuration; each version has an additional route named after it.
-func (c *platformCluster) routingTable(version int) []byte {
+// versionPath is the prefix of the route that a configuration version adds.
+func versionPath(version int) string { return "/v" + strconv.Itoa(version) + "/" }
+
+// routingTable returns a configuration. Each version adds a route named after it; moreRoutes adds routes that nobody uses.
+func (c *platformCluster) routingTable(version, moreRoutes int) []byte {
 	routes := []standin.Route{
 		{Name: "live", PathPrefix: "/live/", Kind: "streaming", Service: "engine", LatencyObjectiveMS: 500, TimeoutMS: 6000, Resumable: true},
 		{Name: "once", PathPrefix: "/once/", Kind: "streaming", Service: "engine", LatencyObjectiveMS: 500, TimeoutMS: 6000},
 		{Name: "book", PathPrefix: "/book/", Kind: "non_idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500},
 		{Name: "read", PathPrefix: "/read/", Kind: "idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500},
 	}
-	extraRoute := "v" + strconv.Itoa(version)
-	routes = append(routes, standin.Route{Name: extraRoute, PathPrefix: "/" + extraRoute + "/", Kind: "idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500})
+	add := func(name, prefix string) {
+		routes = append(routes, standin.Route{Name: name, PathPrefix: prefix, Kind: "idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500})
+	}
+	for v := range version {
+		add("v"+strconv.Itoa(v+1), versionPath(v+1))
+	}
+	for n := range moreRoutes {
+		add("more"+strconv.Itoa(n), "/"+strconv.FormatUint(rand.New(rand.NewPCG(1, uint64(n))).Uint64(), 16)+"/")
+	}
 	var models []string
 	for m := range platformModels {
 		models = append(models, modelName(m))
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -373,6 +373,8 @@
 	cause string
 }{
 	{10, "a steward crashed on a map that its leader loop read while a holder's report modified it"},
+	{800, "copies of a large table filled the gateways' links"},
+	{801, "copies of a large table filled the gateways' links"},
 }
 
 // TestPlatformFaults runs faults drawn from seeds: SEEDS seeds from FIRST on and the regression seeds.
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -19,7 +19,14 @@
 	platformRequestInterval = 60 * time.Millisecond
 	// changeInterval is how often the operator sends a new configuration, readInterval how often it reads the current one.
 	changeInterval = 1500 * time.Millisecond
-	readInterval   = 200 * time.Millisecond
+	// A configuration with routesPerLargeChange routes more is followed by the next one after largeChangeInterval. There are up to
+	// maxMoreRoutes of these routes.
+	routesPerLargeChange = 1400
+	largeChangeInterval  = 300 * time.Millisecond
+	maxMoreRoutes        = 3 * routesPerLargeChange
+	// probeInterval is how often each gateway is asked for a route that must be in force.
+	probeInterval = 200 * time.Millisecond
+	readInterval  = 200 * time.Millisecond
 	// finalReadTimeout is how long a steward may be unable to confirm that its configuration is the newest.
 	finalReadTimeout = 4 * time.Second
 )
@@ -37,6 +44,8 @@
 	changes     []sentChange
 	configReads []configRead
 	version     int
+	moreRoutes  int
+	probes      []routeProbe
 	// finalReads holds one read from each steward after the load has ended.
 	finalReads []configRead
 }
@@ -51,7 +60,10 @@
 			l.workers.Go(func() { l.runCaller(standin.NewCaller(address, n%2 == 1), r, fmt.Sprintf("g%dc%d", g, n)) })
 		}
 	}
-	l.workers.Go(func() { l.runOperator(rand.New(rand.NewPCG(seed, 7))) })
+	for g := range c.shape.gateways {
+		l.workers.Go(func() { l.runProbes("gateway-" + strconv.Itoa(g)) })
+	}
+	l.workers.Go(func() { l.runOperator(rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))) })
 	return l
 }
 
@@ -100,12 +112,48 @@
 	return o
 }
 
-// runOperator sends a new configuration every changeInterval and reads the current one every readInterval.
-func (l *platformLoad) runOperator(r *rand.Rand) {
+// runProbes asks a gateway for the route of the newest configuration that must be in force there.
+func (l *platformLoad) runProbes(gateway string) {
+	caller := standin.NewCaller(l.cluster.vms[gateway].client, false)
+	defer caller.Close()
+	for n := 0; sleepContext(l.ctx, probeInterval); n++ {
+		version := l.versionAckedBefore(time.Now().Add(-maxApplyDelay))
+		if version == 0 {
+			continue
+		}
+		request := standin.Request{ID: fmt.Sprintf("probe-%s-%d", gateway, n), Host: "one.example", Path: versionPath(version) + "x", Timeout: 1500 * time.Millisecond}
+		outcome := l.record(caller.Do(l.cluster.ctx, request))
+		l.mu.Lock()
+		l.probes = append(l.probes, routeProbe{l.cluster.vms[gateway].bindAddress, version, outcome})
+		l.mu.Unlock()
+	}
+}
+
+// versionAckedBefore returns the newest version that was acknowledged before the given time.
+func (l *platformLoad) versionAckedBefore(at time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := 0
+	for _, c := range l.changes {
+		if !c.acked.IsZero() && c.acked.Before(at) {
+			newest = max(newest, c.version)
+		}
+	}
+	return newest
+}
+
+// runOperator sends a new configuration every changeInterval and reads the current one every readInterval. sizes draws which
+// configurations are large.
+func (l *platformLoad) runOperator(r, sizes *rand.Rand) {
 	operator, nextChange := standin.NewOperator(), time.Now()
 	for sleepContext(l.ctx, readInterval) {
 		if time.Now().After(nextChange) {
-			nextChange = time.Now().Add(changeInterval)
+			interval := changeInterval
+			if l.moreRoutes < maxMoreRoutes && l.version > 0 && sizes.IntN(3) == 0 {
+				l.moreRoutes += routesPerLargeChange
+				interval = largeChangeInterval
+			}
+			nextChange = time.Now().Add(interval)
 			l.applyConfig(operator, r)
 		}
 		l.readConfig(operator, pick(r, l.cluster.operatorAddresses()))
@@ -115,10 +163,10 @@
 func (l *platformLoad) applyConfig(operator *standin.Operator, r *rand.Rand) {
 	l.version += 1 + r.IntN(3)
 	change := sentChange{version: l.version, sent: time.Now()}
-	seeds := l.cluster.operatorAddresses()
+	seeds, table := l.cluster.operatorAddresses(), l.cluster.routingTable(l.version, l.moreRoutes)
 	for range 3 * len(seeds) {
 		address := pick(r, seeds)
-		if status := operator.Replace(l.ctx, address, l.cluster.routingTable(l.version)); status == http.StatusOK {
+		if status := operator.Replace(l.ctx, address, table); status == http.StatusOK {
 			change.acked = time.Now()
 			break
 		}
@@ -175,9 +223,13 @@
 	l.cluster.mu.Lock()
 	resumedAt := l.cluster.resumedAt
 	l.cluster.mu.Unlock()
-	var gateways []string
-	for n := range l.cluster.shape.gateways {
-		gateways = append(gateways, l.cluster.vms["gateway-"+strconv.Itoa(n)].bindAddress)
+	var gateways, stewards []string
+	for _, name := range l.cluster.names {
+		if v := l.cluster.vms[name]; v.role == "gateway" {
+			gateways = append(gateways, v.bindAddress)
+		} else {
+			stewards = append(stewards, v.bindAddress)
+		}
 	}
-	return observations{stewards: l.cluster.shape.stewards, gateways: gateways, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, resumedAt: resumedAt, recoveredBy: recoveredBy}
+	return observations{stewards: stewards, gateways: gateways, probes: l.probes, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, resumedAt: resumedAt, recoveredBy: recoveredBy}
 }
--- a/e2e/platform_proxy_test.go
+++ b/e2e/platform_proxy_test.go
@@ -12,9 +12,10 @@
 type link struct{ from, to string }
 
 // proxyNetwork relays all connections between processes and to endpoints through loopback proxies and injects network faults:
-// delays, one-way and two-way partitions, stalled connections and resets.
+// delays, one-way and two-way partitions, stalled connections and resets. It also limits the rate at which VMs receive.
 type proxyNetwork struct {
 	mu      sync.Mutex
+	inbound map[string]*inboundLink
 	delay   map[link]time.Duration
 	blocked map[link]bool
 	conns   map[*relayedConn]bool
@@ -29,8 +30,14 @@
 	stalled      bool
 }
 
+// inboundLink is the link over which a VM receives, shared by all its connections. busyUntil is when everything so far has passed.
+type inboundLink struct {
+	bytesPerSecond float64
+	busyUntil      time.Time
+}
+
 func newProxyNetwork() *proxyNetwork {
-	return &proxyNetwork{delay: map[link]time.Duration{}, blocked: map[link]bool{}, conns: map[*relayedConn]bool{}}
+	return &proxyNetwork{inbound: map[string]*inboundLink{}, delay: map[link]time.Duration{}, blocked: map[link]bool{}, conns: map[*relayedConn]bool{}}
 }
 
 // proxy relays connections from a listener to the target address until the context ends; name maps an address to a VM name.
@@ -92,7 +99,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := in.Read(buffer)
-		if !n.awaitPassage(ctx, r, from, to) {
+		if !n.awaitPassage(ctx, r, from, to) || !sleepContext(ctx, n.transmissionTime(to, count)) {
 			return
 		}
 		if count > 0 {
@@ -133,6 +140,28 @@
 	}
 }
 
+// transmissionTime returns how long data to a VM takes, after what was sent to it before.
+func (n *proxyNetwork) transmissionTime(to string, bytes int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.inbound[to]
+	if l == nil {
+		return 0
+	}
+	if now := time.Now(); l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	return time.Until(l.busyUntil)
+}
+
+// setInboundRate limits what a VM receives over all its connections, in bytes per second.
+func (n *proxyNetwork) setInboundRate(vm string, bytesPerSecond float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inbound[vm] = &inboundLink{bytesPerSecond: bytesPerSecond}
+}
+
 func sleepContext(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
