Read the endpoint list once at a time at a gateway

A list of several pages that answers slowly, with a limit on calls that all processes share, was so read by each gateway several times at once, which makes it slower and uses up the limit. The stewards' leader already reads it once at a time.

TestSlowEndpointListIsNotReadTwiceAtOnce failed before: three reads at the same time with a list that takes three seconds; one after.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -40,20 +40,26 @@
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	nextList, nextDemand := time.Time{}, time.Time{}
+	listing, listed := false, make(chan struct{}, 1)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.reportDemandNow:
 			g.reportDemand()
+		case <-listed:
+			listing = false
 		case now := <-ticker.C:
 			if now.After(nextDemand) {
 				nextDemand = now.Add(demandInterval)
 				g.reportDemand()
 			}
-			if g.endpointsStale(now) && now.After(nextList) {
-				nextList = now.Add(listInterval)
-				fetches.Go(func() { g.fetchEndpointList(ctx) })
+			if g.endpointsStale(now) && !listing && now.After(nextList) {
+				nextList, listing = now.Add(listInterval), true
+				fetches.Go(func() {
+					g.fetchEndpointList(ctx)
+					listed <- struct{}{}
+				})
 			}
 		}
 	}
--- /dev/null
+++ b/gateway/list_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocksaddle/endpoint"
+	"burdocksaddle/wire"
+)
+
+func TestSlowEndpointListIsNotReadTwiceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		open, most, reads := 0, 0, 0
+		list := func(ctx context.Context) ([]endpoint.State, int, error) {
+			mu.Lock()
+			open, reads = open+1, reads+1
+			most = max(most, open)
+			mu.Unlock()
+			defer func() {
+				mu.Lock()
+				defer mu.Unlock()
+				open--
+			}()
+			select {
+			case <-time.After(3 * listInterval):
+			case <-ctx.Done():
+			}
+			return nil, 0, ctx.Err()
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := New(Config{Node: "test"}, wire.NewPool(), WithListEndpoints(list)).Run(ctx)
+		time.Sleep(20 * listInterval)
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		if most != 1 || reads < 5 {
+			t.Errorf("%d reads, %d at the same time", reads, most)
+		}
+	})
+}
