Do not commit a table again that is already committed

A steward that has not applied a version yet forwards it to the leader when the operator sends it once more, as after a lost acknowledgement. The leader committed it a second time: 770 KB to every disk and over every link between stewards, and another entry in the log. It has applied the version itself, so it can acknowledge.

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -320,7 +320,9 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	reply := &wirepb.TableChangeReply{}
-	if _, self := s.quorumLog.Leader(); !self {
+	if s.hasVersion(change.GetVersion()) {
+		reply.Committed = true
+	} else if _, self := s.quorumLog.Leader(); !self {
 		reply.Error = "this steward does not lead"
 	} else if err := s.proposeTable(ctx, change); err != nil {
 		reply.Error = err.Error()
--- a/steward/disk_test.go
+++ b/steward/table_test.go
@@ -10,9 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
 )
 
 // Limits of the platform's core VMs.
@@ -30,12 +33,10 @@
 	return route.New(version, nil, nil, route.Limits{})
 }
 
-// TestLargeTablesFillNeitherDiskNorMemory commits as many tables as an operator may send in a day.
-func TestLargeTablesFillNeitherDiskNorMemory(t *testing.T) {
-	const versions, tableBytes = 250, 770_000
-	dir := t.TempDir()
+// startSteward starts a group of one steward. With dir "" its log is in memory.
+func startSteward(t *testing.T, dir string) (*Steward, context.Context) {
+	t.Helper()
 	pool := wire.NewPool()
-	defer pool.Close()
 	s, err := Open(Config{Name: "s", Address: "127.0.0.1:1", DataDir: dir, Peers: []string{"127.0.0.1:1"}, FirstStart: true}, pool,
 		WithTableDecoder(decodeVersion), WithListEndpoints(func(context.Context) ([]endpoint.State, int, error) { return nil, 0, nil }))
 	if err != nil {
@@ -43,18 +44,39 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := s.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		pool.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, ctx
+}
+
+// commitTable commits a table, once the steward leads.
+func commitTable(ctx context.Context, t *testing.T, s *Steward, raw []byte, version uint64) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; {
+		err := s.CommitTable(ctx, raw, version)
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("version %d: %v", version, err)
+		}
+	}
+}
+
+// TestLargeTablesFillNeitherDiskNorMemory commits as many tables as an operator may send in a day.
+func TestLargeTablesFillNeitherDiskNorMemory(t *testing.T) {
+	const versions, tableBytes = 250, 770_000
+	dir := t.TempDir()
+	s, ctx := startSteward(t, dir)
 	routes := bytes.TrimPrefix(rawTable(0, tableBytes), []byte("version 0:"))
 	before, largest := heapBytes(), int64(0)
 	for version := uint64(1); version <= versions; version++ {
-		for end := time.Now().Add(10 * time.Second); ; {
-			err := s.CommitTable(ctx, append(fmt.Appendf(nil, "version %d:", version), routes...), version)
-			if err == nil {
-				break
-			}
-			if time.Now().After(end) {
-				t.Fatalf("version %d: %v", version, err)
-			}
-		}
+		commitTable(ctx, t, s, append(fmt.Appendf(nil, "version %d:", version), routes...), version)
 		largest = max(largest, dirBytes(t, dir))
 	}
 	held := heapBytes() - before
@@ -65,10 +87,6 @@
 	if largest > vmDiskBytes {
 		t.Errorf("%d MB of disk used, %d available", largest>>20, vmDiskBytes>>20)
 	}
-	cancel()
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
 }
 
 func heapBytes() int64 {
@@ -94,3 +112,18 @@
 	}
 	return total
 }
+
+// TestForwardedTableIsNotCommittedTwice forwards a table to the leader again, as a steward that has not applied it yet does when an
+// operator sends it a second time.
+func TestForwardedTableIsNotCommittedTwice(t *testing.T) {
+	s, ctx := startSteward(t, "")
+	commitTable(ctx, t, s, rawTable(1, 100), 1)
+	applied := s.quorumLog.Applied()
+	reply := s.handleTableChange(ctx, &wirepb.TableChange{Table: rawTable(1, 100), Version: 1}).GetTableChangeReply()
+	if !reply.GetCommitted() {
+		t.Errorf("not acknowledged: %s", reply.GetError())
+	}
+	if diff := cmp.Diff(applied, s.quorumLog.Applied()); diff != "" {
+		t.Errorf("applied entries: %s", diff)
+	}
+}
