Survive a reload signal while a process starts or stops

On the users' platform the process would be started again, as an exit of its own.

Now the signal is caught before the settings are read and until the process ends.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
@@ -29,6 +31,8 @@
 			if err := noArguments(c); err != nil {
 				return err
 			}
+			// A reload signal that arrives before the settings are watched, or after, must not end the process.
+			signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 			settings, err := platform.LoadSettings()
 			if err != nil {
 				return err
