Do not let a new table wait until an earlier one is encoded

Found in the last reading: encode held the history's lock for the 10 to 30 ms that an encoding takes, and a committed table is added to the history while the steward's own lock is held. Several gateways with different versions could so have delayed a steward's orders and reports by a tenth of a second after each change. Nothing like it was seen.

TestNewTableDoesNotWaitForTransfer fails with the lock held ('a new table waits until an earlier one is encoded').

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
+	"burdocksaddle/delta"
 	"burdocksaddle/endpoint"
 	"burdocksaddle/holder"
 	"burdocksaddle/quorum"
@@ -145,7 +146,7 @@
 	s := &Steward{
 		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}),
 		demands: map[string]demandReport{}, reports: map[string]endpointReport{}, lastReportAt: map[string]time.Time{}, readyFences: map[string]uint64{},
-		held: map[string]*heldEndpoint{}, endpointView: &endpoint.View{}, leaderWake: make(chan struct{}, 1), holderWake: make(chan struct{}, 1), quorumCheck: make(chan struct{}, 1),
+		held: map[string]*heldEndpoint{}, endpointView: &endpoint.View{}, tables: tableHistory{encodeDelta: delta.Encode}, leaderWake: make(chan struct{}, 1), holderWake: make(chan struct{}, 1), quorumCheck: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
--- a/steward/transfer.go
+++ b/steward/transfer.go
@@ -21,7 +21,10 @@
 
 // tableHistory holds the newest table and earlier ones, and encodes the newest one for gateways that have one of them.
 type tableHistory struct {
-	mu sync.Mutex
+	encodeDelta func(base, document []byte) ([]byte, error)
+	// encoding is held while a table is encoded, mu only for a moment: a new table must not wait for that.
+	encoding sync.Mutex
+	mu       sync.Mutex
 	// tables are the tables in ascending order of their versions.
 	tables []versionedTable
 	// encodings are the encodings of the newest table by the version that they are based on.
@@ -56,30 +59,41 @@
 
 // encode returns the newest table for a gateway that has the base version. It returns ErrNoTable or delta.ErrEncode.
 func (h *tableHistory) encode(base uint64) (tableEncoding, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(h.tables) == 0 {
+	h.encoding.Lock()
+	defer h.encoding.Unlock()
+	newest, baseTable, cached := h.lookUp(base)
+	switch {
+	case newest.version == 0:
 		return tableEncoding{}, ErrNoTable{}
-	}
-	newest := h.tables[len(h.tables)-1]
-	var baseTable versionedTable
-	for _, t := range h.tables[:len(h.tables)-1] {
-		if t.version == base {
-			baseTable = t
-		}
-	}
-	if cached, ok := h.encodings[baseTable.version]; ok {
+	case cached.version != 0:
 		return cached, nil
 	}
-	data, err := delta.Encode(baseTable.raw, newest.raw)
+	data, err := h.encodeDelta(baseTable.raw, newest.raw)
 	if err != nil {
 		return tableEncoding{}, err
 	}
 	encoding := tableEncoding{version: newest.version, base: baseTable.version, checksum: delta.Checksum(newest.raw), data: data}
-	h.encodings[baseTable.version] = encoding
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.tables[len(h.tables)-1].version == newest.version {
+		h.encodings[baseTable.version] = encoding
+	}
 	return encoding, nil
 }
 
+// lookUp returns the newest table, the base if it is an earlier table that is still kept, and the encoding if it was made before.
+func (h *tableHistory) lookUp(base uint64) (newest, baseTable versionedTable, cached tableEncoding) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range h.tables {
+		if newest.version == base {
+			baseTable = newest
+		}
+		newest = t
+	}
+	return newest, baseTable, h.encodings[baseTable.version]
+}
+
 // handleTableQuery sends the newest table in parts, so that the other streams of the session can send in between.
 func (s *Steward) handleTableQuery(_ context.Context, query *wirepb.TableQuery, stream *wire.Stream) {
 	began := time.Now()
--- a/steward/transfer_test.go
+++ b/steward/transfer_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -40,7 +41,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var h tableHistory
+			h := tableHistory{encodeDelta: delta.Encode}
 			for _, version := range test.versions {
 				h.add(version, rawTable(version, tableBytes))
 			}
@@ -68,8 +69,45 @@
 }
 
 func TestNoTableToEncode(t *testing.T) {
-	var h tableHistory
+	h := tableHistory{encodeDelta: delta.Encode}
 	if _, err := h.encode(0); !errors.As(err, &ErrNoTable{}) {
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestNewTableDoesNotWaitForTransfer(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	h := tableHistory{encodeDelta: func([]byte, []byte) ([]byte, error) {
+		close(started)
+		<-finish
+		return []byte("encoding of version 1"), nil
+	}}
+	h.add(1, []byte("version 1"))
+	encoded := make(chan tableEncoding, 1)
+	go func() {
+		encoding, err := h.encode(0)
+		if err != nil {
+			t.Error(err)
+		}
+		encoded <- encoding
+	}()
+	<-started
+	added := make(chan struct{})
+	go func() {
+		h.add(2, []byte("version 2"))
+		close(added)
+	}()
+	select {
+	case <-added:
+	case <-time.After(5 * time.Second):
+		t.Error("a new table waits until an earlier one is encoded")
+	}
+	close(finish)
+	if diff := cmp.Diff(uint64(1), (<-encoded).version); diff != "" {
+		t.Errorf("version encoded: %s", diff)
+	}
+	h.encodeDelta = func([]byte, []byte) ([]byte, error) { return []byte("encoding of version 2"), nil }
+	if encoding, err := h.encode(0); err != nil || encoding.version != 2 || string(encoding.data) != "encoding of version 2" {
+		t.Errorf("encoded version %d, %q, error %v", encoding.version, encoding.data, err)
+	}
+}
