--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,7 +22,7 @@
 	if t.sends == 1 {
 		t.firstSentAfter = time.Since(t.arrivedAt)
 	}
-	t.endpoint = c.state.ID
+	t.endpoint, t.begun, t.attemptEvents = c.state.ID, false, 0
 	stream := t.route.Kind == route.KindStream
 	idleTimer := t.watchdog(cancel, t.firstResponseTimeout(), c.endpoint.Name)
 	defer idleTimer.Stop()
@@ -38,6 +38,7 @@
 		return t.handleFailure(ctx, c, err)
 	}
 	defer response.Close()
+	t.begun = response.Signed
 	t.recordNotices(c, response)
 	t.needsRetryToken = true
 	switch {
@@ -206,7 +207,7 @@
 		t.release(c, err)
 	}
 	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "model", t.request.Model, "send", t.sends,
-		"ran", t.executions, "events", t.events, "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
+		"ran", t.executions, "begun", t.begun, "attemptEvents", t.attemptEvents, "events", t.events, "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
 	if t.clientDisconnected() {
 		t.outcome = outcomeClientLeft
@@ -293,6 +294,7 @@
 			t.lastEvent = id
 		}
 		t.events++
+		t.attemptEvents++
 		now := time.Now()
 		if !previousAt.IsZero() {
 			t.longestGap = max(t.longestGap, now.Sub(previousAt))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -15,6 +15,8 @@
 	Adapter string
 	// PromptPrefix identifies the shared prefix of the prompt; 0 means none.
 	PromptPrefix uint64
+	// SharedParts are the IDs of the prompt's parts that other requests may have, too.
+	SharedParts []uint64
 	// PromptTokens and MaxTokens are the sizes declared by the client.
 	PromptTokens int
 	MaxTokens    int
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -81,6 +81,9 @@
 	avoid            []string
 	lastEvent        string
 	streamStarted    bool
+	// begun is set once the current attempt's endpoint has begun a response, attemptEvents counts that response's events.
+	begun         bool
+	attemptEvents int
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
 	demandReportRequested bool
 	events                int
