Keep to the limits that endpoints name, for all gateways together

Cause: nothing read Server-Limit. Ruled out: gateways that keep to the limit each by itself, and retries.

A gateway applies a limit at once and tells the leader, whose view of the endpoints spreads it. Each request to such an endpoint needs a turn, which the leader grants at the limit's rate. Endpoints without a limit come first; requests wait in order of arrival, or are refused at once if their turn would come too late; a model with more requests than its endpoint takes is loaded elsewhere.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -30,6 +30,8 @@
 	// Loading is the model being loaded, and LoadingLeft the remaining load time.
 	Loading     string
 	LoadingLeft time.Duration
+	// Limit is the rate of requests that the endpoint takes from all processes together.
+	Limit Limit
 	// Holder is the address of the steward that sends orders to the endpoint, empty while no steward may.
 	Holder string
 }
--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -12,6 +12,8 @@
 	// noticeRetention is how long notices of an endpoint are kept that is not listed. It may be listed again, by a steward that
 	// lags behind or after a restart under the same ID.
 	noticeRetention = 5 * time.Minute
+	// limitTTL is how long what an endpoint said about its limit overrides the leader, which learns it within a fraction of that.
+	limitTTL = 3 * time.Second
 )
 
 // Use is whether an endpoint may be used for a request, by what it said about itself.
@@ -21,6 +23,8 @@
 const (
 	// UseNormal means that nothing speaks against the endpoint.
 	UseNormal Use = iota
+	// UseLimited means that each request needs a turn, since the endpoint named a limit.
+	UseLimited
 	// UseLast means that the endpoint is leaving and serves only what no other endpoint can.
 	UseLast
 	// UseNever means that the endpoint must not be sent the request.
@@ -34,8 +38,8 @@
 	StartMS int64
 }
 
-// Notices holds what endpoints said about themselves in their responses to this process: that they are leaving, and until when they
-// want no requests. Lists and other processes don't override it. It isn't safe for concurrent use.
+// Notices holds what endpoints said about themselves in their responses to this process: that they are leaving, until when they want no
+// requests, and how many a second they take. Lists and other processes don't override it. It isn't safe for concurrent use.
 type Notices struct {
 	drainTime time.Duration
 	byID      map[string]notice
@@ -47,6 +51,9 @@
 	leavingSince time.Time
 	pausedUntil  time.Time
 	lastListed   time.Time
+	// limit is what the endpoint said at limitHeardAt. Until noTurnUntil, it gets no further request within its limit.
+	limit                     Limit
+	limitHeardAt, noTurnUntil time.Time
 }
 
 // NewNotices returns empty Notices; drainTime is how long a leaving endpoint may still be sent new requests.
@@ -85,6 +92,64 @@
 	}
 }
 
+// RecordLimit records what an endpoint said about its limit in the response to a request sent at the given time, and reports whether that
+// is new. A request sent before the endpoint named its limit doesn't show that the limit has ended.
+func (n *Notices) RecordLimit(state State, limit Limit, sentAt, now time.Time) bool {
+	known := n.of(state.Incarnation())
+	if !limit.Named && !state.Limit.Named && !known.limit.Named {
+		return false
+	}
+	if !limit.Named && known.limit.Named && !sentAt.After(known.limitHeardAt) {
+		return false
+	}
+	changed := known.limit != limit || known.limitHeardAt.IsZero()
+	known.limit, known.limitHeardAt, known.lastListed = limit, now, now
+	n.byID[state.ID] = known
+	return changed
+}
+
+// LimitOf returns the limit to apply to an endpoint whose state the leader sent. leaderSettled is whether a leader has been known for long
+// enough to have heard of all limits.
+func (n *Notices) LimitOf(state State, leaderSettled bool, now time.Time) Limit {
+	known := n.of(state.Incarnation())
+	switch {
+	case !known.limitHeardAt.IsZero() && now.Sub(known.limitHeardAt) < limitTTL:
+		return known.limit
+	case state.Limit.Named || leaderSettled:
+		return state.Limit
+	}
+	return known.limit
+}
+
+// RecordNoTurn records that an endpoint with a limit gets no further request for a time.
+func (n *Notices) RecordNoTurn(i Incarnation, wait time.Duration, now time.Time) {
+	known := n.of(i)
+	known.noTurnUntil, known.lastListed = now.Add(wait), now
+	n.byID[i.ID] = known
+}
+
+// NoTurnUntil returns until when an endpoint with a limit gets no further request, or the zero time.
+func (n *Notices) NoTurnUntil(i Incarnation) time.Time { return n.of(i).noTurnUntil }
+
+// HeardLimit is what an endpoint said about its limit, and when.
+type HeardLimit struct {
+	Incarnation
+	Limit
+	HeardAt time.Time
+}
+
+// HeardLimits returns what endpoints said about their limits and the leader doesn't show, sorted by ID.
+func (n *Notices) HeardLimits(listed map[string]State) []HeardLimit {
+	var heard []HeardLimit
+	for id, known := range n.byID {
+		if state, ok := listed[id]; ok && !known.limitHeardAt.IsZero() && state.Limit != known.limit {
+			heard = append(heard, HeardLimit{Incarnation{ID: id, StartMS: known.startMS}, known.limit, known.limitHeardAt})
+		}
+	}
+	slices.SortFunc(heard, func(a, b HeardLimit) int { return cmp.Compare(a.ID, b.ID) })
+	return heard
+}
+
 // UseOf returns whether an endpoint may be used now for a request that arrived at the given time.
 func (n *Notices) UseOf(i Incarnation, arrived, now time.Time) Use {
 	if len(n.byID) == 0 {
@@ -126,7 +191,8 @@
 			known.lastListed = now
 			n.byID[id] = known
 		}
-		idle := known.leavingSince.IsZero() && !now.Before(known.pausedUntil)
+		limited := known.limit.Named || now.Sub(known.limitHeardAt) < limitTTL || now.Before(known.noTurnUntil)
+		idle := known.leavingSince.IsZero() && !now.Before(known.pausedUntil) && !limited
 		if idle || now.Sub(known.lastListed) > noticeRetention {
 			delete(n.byID, id)
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,12 +63,10 @@
 		t.count(metricInvalidPauses)
 		t.log.Info("endpoint asked for an invalid pause", "id", t.request.ID, "endpoint", c.state.ID, "value", response.InvalidPause)
 	}
-	if !response.Leaving && response.Pause <= 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, i := time.Now(), c.state.Incarnation()
+	t.recordLimitLocked(c, response, now)
 	if response.Leaving && t.notices.RecordLeaving(i, now) {
 		t.count(metricLeaving)
 		t.log.Info("endpoint is leaving", "id", t.request.ID, "endpoint", i.ID, "startMs", i.StartMS, "listed", c.state.Draining)
@@ -120,7 +118,7 @@
 		return true
 	}
 	other, _, ok := t.chooseLocked(t.request, t.service, append([]string{current}, t.stalledEndpoints...), time.Now())
-	if !ok || other.endpoint.Name == current || hasBacklog(t.endpoints[current]) && hasBacklog(other.state) || !t.budgets[t.service].TakeRetry() {
+	if !ok || other.endpoint.Name == current || other.limit.Named || hasBacklog(t.endpoints[current]) && hasBacklog(other.state) || !t.budgets[t.service].TakeRetry() {
 		return false
 	}
 	t.retryTokenTaken = true
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -31,20 +31,25 @@
 	query    routing.Request
 	// needsAdapter is set if the adapter must be loaded first.
 	needsAdapter bool
+	// limit is the endpoint's limit; if it named one, the request needs a turn.
+	limit endpoint.Limit
 }
 
 // availability is what the endpoints of a request's service offer, whether or not one can execute it now.
 type availability struct {
 	// modelHeld is set if an endpoint holds the request's model and may be used.
 	modelHeld bool
-	// pausedUntil is the earliest end of a pause that an endpoint with the request's model asked for, or the zero time.
+	// pausedUntil is when the first endpoint with the request's model takes requests again, if all asked for a pause or are at their
+	// limits; else the zero time.
 	pausedUntil time.Time
+	// limitedRate is the sum of the limits of the endpoints with the request's model that named one, in requests a second.
+	limitedRate float64
 }
 
 // chooseLocked selects an endpoint that can execute a request now. Endpoints that are leaving are used only if no other can.
 func (g *Gateway) chooseLocked(q *Request, service string, avoid []string, now time.Time) (c choice, found availability, ok bool) {
 	byUse, found := g.candidatesLocked(q, service, now)
-	for _, use := range []endpoint.Use{endpoint.UseNormal, endpoint.UseLast} {
+	for _, use := range []endpoint.Use{endpoint.UseNormal, endpoint.UseLimited, endpoint.UseLast} {
 		if c, ok = g.chooseAmongLocked(q, byUse[use], avoid, now); ok {
 			return c, found, true
 		}
@@ -69,6 +74,14 @@
 			found.addPause(g.notices.PausedUntil(state.Incarnation()), now)
 			continue
 		}
+		if limit := g.limitOfLocked(state, now); limit.Named {
+			found.limitedRate += limit.PerSecond
+			if until := g.notices.NoTurnUntil(state.Incarnation()); until.After(now) {
+				found.addPause(until, now)
+				continue
+			}
+			use = max(use, endpoint.UseLimited)
+		}
 		found.modelHeld = true
 		if now.Before(g.absentUntil[modelLocation{state.ID, q.Model, ""}]) {
 			continue // wait briefly: the model may be loaded soon
@@ -77,7 +90,7 @@
 		wanted := endpoint.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || state.HoldsAdapter(wanted) && now.After(g.absentUntil[modelLocation{state.ID, q.Model, q.Adapter}]) {
 			byUse[use].ready = append(byUse[use].ready, e)
-		} else if use == endpoint.UseNormal && state.Holder != "" && state.Loading == "" && (state.Load == nil || !state.Load.Busy) {
+		} else if use != endpoint.UseLast && state.Holder != "" && state.Loading == "" && (state.Load == nil || !state.Load.Busy) {
 			// No adapter can be loaded while the endpoint loads or unloads a model, while its holder is unavailable, or
 			// once the endpoint is leaving.
 			byUse[use].withoutAdapter = append(byUse[use].withoutAdapter, e)
@@ -96,10 +109,10 @@
 func (g *Gateway) chooseAmongLocked(q *Request, among candidates, avoid []string, now time.Time) (choice, bool) {
 	query := routing.Request{Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid}
 	if e, found := g.router.Choose(query, among.ready, now); found {
-		return choice{endpoint: e, state: g.endpoints[e.Name], query: query}, true
+		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, limit: g.limitOfLocked(g.endpoints[e.Name], now)}, true
 	}
 	if e, found := g.chooseAdapterEndpointLocked(query, among.withoutAdapter, now); found {
-		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, needsAdapter: true}, true
+		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, needsAdapter: true, limit: g.limitOfLocked(g.endpoints[e.Name], now)}, true
 	}
 	return choice{}, false
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"burdocksaddle/routing"
 	"burdocksaddle/uplink"
 	"burdocksaddle/wire"
+	"burdocksaddle/wirepb"
 )
 
 // Config holds the identity and the limits of a gateway.
@@ -43,6 +44,7 @@
 	send          func(context.Context, Call) (*Response, error)
 	listEndpoints func(context.Context) ([]endpoint.State, int, error)
 	hasStopped    func(ctx context.Context, address string) bool
+	askTurn       func(ctx context.Context, leader string, request *wirepb.TurnRequest) (*wirepb.TurnReply, error)
 	// pendingCrashes are broken attempts for runCrashChecks.
 	pendingCrashes chan pendingCrash
 
@@ -79,8 +81,14 @@
 	// meanStreamDurations holds the mean time from the first event of a stream to its end, by service.
 	meanStreamDurations map[string]time.Duration
 	currentLeader       string
-	active              int
-	crashes             crashRecord
+	// leaderSince is when currentLeader became known.
+	leaderSince time.Time
+	// gateways is the number of gateways, as a steward reported it; 0 if unknown.
+	gateways int
+	// turnQueues are the requests that wait for turns at endpoints with a limit, in the order of their arrival.
+	turnQueues map[turnQueue][]*transaction
+	active     int
+	crashes    crashRecord
 }
 
 // modelLocation identifies a model, or one of its adapters, at an endpoint.
@@ -133,10 +141,11 @@
 	g := &Gateway{
 		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absentUntil: map[modelLocation]time.Time{}, stewardViews: map[string]*endpoint.SubscriberView{}, leaderView: &endpoint.SubscriberView{},
 		notices: endpoint.NewNotices(config.DrainTime),
-		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, meanStreamDurations: map[string]time.Duration{},
+		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, meanStreamDurations: map[string]time.Duration{},
 		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
 		hasStopped: func(context.Context, string) bool { return false },
 	}
+	g.askTurn = g.callForTurn
 	g.setRetryBurst(assumedGateways)
 	g.pendingCtx, g.cancelPending = context.WithCancel(context.Background())
 	g.activeCtx, g.cancelActive = context.WithCancel(context.Background())
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -86,7 +86,8 @@
 	}
 	g.log.Info("using endpoints from the platform's list", "count", len(listed), "unread", unparsed)
 	for i, state := range listed {
-		listed[i].Holder = g.endpoints[state.ID].Holder // the list does not contain the holder
+		known := g.endpoints[state.ID]
+		listed[i].Holder, listed[i].Limit = known.Holder, known.Limit // the list does not contain them
 	}
 	g.setEndpointsLocked(listed, time.Now())
 }
@@ -122,6 +123,11 @@
 	}
 	report.Leaving = g.leavingLocked()
 	now := time.Now()
+	for _, heard := range g.notices.HeardLimits(g.endpoints) {
+		report.Limits = append(report.Limits, &wirepb.EndpointLimit{
+			Id: heard.ID, BornMs: heard.StartMS, Limited: heard.Named, PerSecond: heard.PerSecond, AgeMs: milliseconds(now.Sub(heard.HeardAt)),
+		})
+	}
 	g.crashes.prune(now)
 	told := g.crashes.fillReport(report, now)
 	if !g.stewardLinks.Send(g.currentLeader, &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}) {
@@ -152,11 +158,12 @@
 	defer g.mu.Unlock()
 	g.announcedVersion = max(g.announcedVersion, s.GetVersion())
 	if s.GetProven() && s.GetGateways() > 0 {
-		g.setRetryBurst(int(s.GetGateways()))
+		g.gateways = int(s.GetGateways())
+		g.setRetryBurst(g.gateways)
 	}
 	if s.GetLeads() && g.currentLeader != steward {
 		g.log.Info("leader changed", "leader", steward)
-		g.currentLeader = steward
+		g.currentLeader, g.leaderSince = steward, time.Now()
 		g.crashes.forgetLeader()
 	} else if !s.GetLeads() && g.currentLeader == steward {
 		g.currentLeader = ""
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"burdocksaddle/endpoint"
 )
 
 // Request is a decoded client request.
@@ -59,6 +61,10 @@
 	Pause time.Duration
 	// InvalidPause is the pause that the endpoint asked for if that could not be read.
 	InvalidPause string
+	// Limit is the limit that the endpoint named.
+	Limit endpoint.Limit
+	// InvalidLimit is the limit that the endpoint named if that could not be read.
+	InvalidLimit string
 	// Signed is set if the response carries the endpoint's signature.
 	Signed bool
 	Body   []byte
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -207,6 +207,7 @@
 	defer t.mu.Unlock()
 	t.active--
 	delete(t.crashes.cancels, t)
+	t.leaveTurnQueueLocked()
 	if d := t.demands[t.request.Model]; d != nil {
 		d.waiting--
 	}
@@ -251,6 +252,10 @@
 			}
 			continue
 		}
+		if chosen.limit.Named && (!t.takeTurn(ctx, chosen) || !t.stillUsable(chosen)) {
+			t.release(chosen, nil)
+			continue
+		}
 		if done := t.attempt(ctx, chosen); done {
 			return
 		}
@@ -283,6 +288,8 @@
 		t.mu.Lock()
 		now := time.Now()
 		chosen, found, ok := t.chooseLocked(t.request, t.service, t.avoid, now)
+		behind := ok && chosen.limit.Named && t.joinTurnQueueLocked() > 1
+		ok = ok && !behind
 		if ok && t.needsRetryToken && !t.retryTokenTaken && !t.budgets[t.service].TakeRetry() {
 			t.mu.Unlock()
 			t.giveUp("the retry budget is used up", defaultRetryAfter)
@@ -295,19 +302,25 @@
 		}
 		if ok {
 			t.needsRetryToken, t.retryTokenTaken = false, false
+			if !chosen.limit.Named {
+				t.leaveTurnQueueLocked()
+			}
 			t.router.RecordStart(chosen.endpoint, chosen.query, now)
 			t.countRunningLocked(chosen.endpoint.Name, true)
 			t.mu.Unlock()
 			return chosen, true
 		}
 		changed := t.changed
-		wait := time.Duration(0)
+		wait, turnWait := time.Duration(0), time.Duration(0)
+		if found.limitedRate > 0 && (behind || !found.modelHeld) {
+			turnWait = t.turnWaitLocked(found.limitedRate)
+		}
 		if !found.modelHeld && t.request.Model != "" {
 			wait = t.modelLoadTimeLocked(t.table, t.service, t.request.Model)
 			t.requestDemandReportLocked()
 		}
 		t.mu.Unlock()
-		if reason, after := t.hopeless(found, wait, now); reason != "" {
+		if reason, after := t.hopeless(found, wait, turnWait, now); reason != "" {
 			t.countMissed()
 			t.giveUp(reason, after)
 			return choice{}, false
@@ -326,13 +339,16 @@
 }
 
 // hopeless returns why a request for which no endpoint is available now cannot be served in time and when the client should retry, or
-// "". loadTime is the time until its model is loaded, 0 if that is unknown or an endpoint holds it.
-func (t *transaction) hopeless(found availability, loadTime time.Duration, now time.Time) (reason string, after time.Duration) {
+// "". loadTime is the time until its model is loaded, 0 if that is unknown or an endpoint holds it; turnWait is the time until an endpoint
+// with a limit can take the request, 0 if it need not wait for that.
+func (t *transaction) hopeless(found availability, loadTime, turnWait time.Duration, now time.Time) (reason string, after time.Duration) {
 	left := t.firstResponseDue().Sub(now)
 	paused := found.pausedUntil.Sub(now)
 	switch {
 	case !found.modelHeld && !found.pausedUntil.IsZero() && paused > left && (loadTime == 0 || loadTime > left):
 		return "every endpoint that could serve it wants no requests", withJitter(paused)
+	case turnWait > max(left, 0) && (loadTime == 0 || loadTime > left):
+		return "every endpoint that could serve it is at its limit", withJitter(turnWait)
 	case !found.modelHeld && found.pausedUntil.IsZero() && loadTime > left:
 		return "its model cannot be loaded in time", loadTime
 	case left < 0:
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -71,7 +71,7 @@
 			continue // its replicas are assumed not to serve
 		}
 		for _, m := range t.state.Models {
-			if m.Name != t.unloading {
+			if m.Name != t.unloading && !p.overLimit(t, m.Name, now) {
 				f.replicas[m.Name]++
 				f.serving[m.Name]++
 				f.assumedHeld[m.Name] = f.assumedHeld[m.Name] || silent
@@ -181,12 +181,12 @@
 )
 
 // saturated reports whether every endpoint that holds the model is saturated, including by requests for other models.
-func (f *planState) saturated(model string) bool {
+func (p *Planner) saturated(f *planState, model string) bool {
 	if f.assumedHeld[model] {
 		return false
 	}
 	for _, t := range f.endpoints {
-		if t.state.Holds(model) && t.unloading != model && !t.saturated() {
+		if t.state.Holds(model) && t.unloading != model && !p.overLimit(t, model, f.now) && !t.saturated() {
 			return false
 		}
 	}
@@ -213,7 +213,7 @@
 			needs = append(needs, need{model: m, requestsPerReplica: value + l.missedAt(f.now)})
 		case n > 0 && n < len(f.endpoints) && value > targetConcurrency*float64(n):
 			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: value / float64(n)})
-		case n > 0 && n == f.serving[name] && value >= minSaturatedConcurrency && f.saturated(name):
+		case n > 0 && n == f.serving[name] && value >= minSaturatedConcurrency && p.saturated(f, name):
 			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: max(value/float64(n), targetConcurrency)})
 		}
 	}
@@ -235,7 +235,7 @@
 	bestCost := 0.0
 	hasCopy := f.copyAvailable(n.model.Name)
 	for _, t := range f.endpoints {
-		if t.busy(f.now) || t.reservedFor != "" || t.state.Holds(n.model.Name) {
+		if t.busy(f.now) || t.reservedFor != "" || t.state.Limit.Named || t.state.Holds(n.model.Name) {
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -101,6 +101,8 @@
 	concurrentStoreLoads int
 	// unheld reports whether no steward may give the endpoint orders now.
 	unheld bool
+	// limitHeardAt is when the endpoint last said something about its limit.
+	limitHeardAt time.Time
 	// firstPlanned is when the endpoint was first included in planning.
 	firstPlanned time.Time
 }
@@ -214,6 +216,7 @@
 	}
 	if r.StartMS != 0 && t.state.StartMS != 0 && r.StartMS != t.state.StartMS {
 		*t = trackedEndpoint{state: t.state, unheld: t.unheld}
+		t.state.Limit = endpoint.Limit{}
 	}
 	if r.StartMS != 0 {
 		t.state.StartMS = r.StartMS
@@ -241,6 +244,29 @@
 	return true
 }
 
+// RecordLimit records what an endpoint said to a gateway about its limit at the given time, unless something newer is known. It reports
+// whether that changes the limit.
+func (p *Planner) RecordLimit(i endpoint.Incarnation, limit endpoint.Limit, at time.Time) bool {
+	t, ok := p.endpoints[i.ID]
+	if !ok || !at.After(t.limitHeardAt) || i.StartMS != 0 && t.state.StartMS != 0 && i.StartMS != t.state.StartMS {
+		return false
+	}
+	t.limitHeardAt = at
+	if t.state.Limit == limit {
+		return false
+	}
+	t.state.Limit = limit
+	return true
+}
+
+// overLimit reports whether a model has more requests than its endpoint takes. The models there share the limit.
+func (p *Planner) overLimit(t *trackedEndpoint, model string, now time.Time) bool {
+	if !t.state.Limit.Named {
+		return false
+	}
+	return p.demandByModel[model].arrivalRateAt(now)*float64(len(t.state.Models)) > t.state.Limit.PerSecond
+}
+
 // updateStoreConcurrency adjusts the estimated store concurrency from the duration of a finished load.
 func (p *Planner) updateStoreConcurrency(t *trackedEndpoint, now time.Time) {
 	engine := p.engines[t.state.Service]
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -110,6 +110,7 @@
 func (l *leader) plan(ctx context.Context, now time.Time) {
 	l.planner.RecordDemand(l.collectDemand(now), now)
 	l.recordLeaving(now)
+	l.recordLimits(now)
 	if !l.ordersAllowed(ctx) {
 		return
 	}
@@ -138,7 +139,7 @@
 		for address := range l.holders.Holders {
 			l.lastListed[address] = now
 		}
-		l.endpointView = &endpoint.View{}
+		l.endpointView, l.turns = &endpoint.View{}, endpoint.NewTurns()
 		l.evidence, l.publishedSuspects = quarantine.New(), nil
 		l.crashReports, l.suspects = crashReports{}, nil
 		l.notifySubscribersLocked()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -93,6 +93,8 @@
 	quarantine   quarantine.Table
 	crashReports crashReports
 	suspects     []uint64
+	// turns paces the requests to endpoints with a limit while this steward leads.
+	turns *endpoint.Turns
 	// adaptersInUse are the adapters that gateways use, by endpoint address.
 	adaptersInUse map[string]*wirepb.EndpointUse
 	// leaderWake and holderWake wake the loops of runLeader and runHolders.
@@ -105,6 +107,8 @@
 	models []*wirepb.GatewayDemand
 	// leaving are the endpoints that told the gateway that they are leaving.
 	leaving []*wirepb.LeavingEndpoint
+	// limits are what endpoints told the gateway about their limits, as of at.
+	limits []*wirepb.EndpointLimit
 	// newRequests counts the requests that the leader has not yet taken into account, by model.
 	newRequests map[string]requestCounts
 }
@@ -152,7 +156,7 @@
 	s := &Steward{
 		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}),
 		demands: map[string]demandReport{}, reports: map[string]endpointReport{}, lastReportAt: map[string]time.Time{}, readyFences: map[string]uint64{},
-		held: map[string]*heldEndpoint{}, endpointView: &endpoint.View{}, tables: tableHistory{encodeDelta: delta.Encode}, leaderWake: make(chan struct{}, 1), holderWake: make(chan struct{}, 1), quorumCheck: make(chan struct{}, 1),
+		held: map[string]*heldEndpoint{}, endpointView: &endpoint.View{}, turns: endpoint.NewTurns(), tables: tableHistory{encodeDelta: delta.Encode}, leaderWake: make(chan struct{}, 1), holderWake: make(chan struct{}, 1), quorumCheck: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
@@ -197,7 +201,7 @@
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
 		Peer: s.quorumLog.Handle, Subscribe: s.handleSubscribe, TableQuery: s.handleTableQuery, TableChange: s.handleTableChange,
-		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport,
+		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn,
 	}
 }
 
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -73,7 +73,7 @@
 	if s.leading {
 		s.crashReports.add(d, time.Now())
 	}
-	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), leaving: d.GetLeaving(), newRequests: newRequests}
+	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), leaving: d.GetLeaving(), limits: d.GetLimits(), newRequests: newRequests}
 	notify(s.leaderWake)
 }
 
--- /dev/null
+++ b/steward/turn.go
@@ -0,0 +1,52 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"burdocksaddle/endpoint"
+	"burdocksaddle/wirepb"
+)
+
+// recordLimits passes on what endpoints told gateways about their limits, so that all gateways apply them.
+func (l *leader) recordLimits(now time.Time) {
+	type heard struct {
+		endpoint.HeardLimit
+		gateway string
+	}
+	var all []heard
+	l.mu.Lock()
+	for node, d := range l.demands {
+		for _, e := range d.limits {
+			all = append(all, heard{endpoint.HeardLimit{
+				Incarnation: endpoint.Incarnation{ID: e.GetId(), StartMS: e.GetBornMs()}, Limit: endpoint.Limit{Named: e.GetLimited(), PerSecond: e.GetPerSecond()},
+				HeardAt: d.at.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond),
+			}, node})
+		}
+	}
+	l.mu.Unlock()
+	changed := false
+	for _, h := range all {
+		if l.planner.RecordLimit(h.Incarnation, h.Limit, h.HeardAt) {
+			l.log.Info("endpoint limit changed", "endpoint", h.ID, "startMs", h.StartMS, "named", h.Named, "perSecond", h.PerSecond, "gateway", h.gateway)
+			changed = true
+		}
+	}
+	if changed {
+		l.publish(now, true)
+	}
+}
+
+// handleTurn decides whether a gateway may send a request to an endpoint with a limit.
+func (s *Steward) handleTurn(_ context.Context, request *wirepb.TurnRequest) *wirepb.Frame {
+	reply := &wirepb.TurnReply{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, self := s.quorumLog.Leader(); !self || !s.leading {
+		reply.Error = "this steward does not lead"
+	} else {
+		granted, wait := s.turns.Take(endpoint.Incarnation{ID: request.GetEndpoint(), StartMS: request.GetBornMs()}, request.GetPerSecond(), time.Now())
+		reply.Granted, reply.WaitMs = granted, uint32(wait.Milliseconds())
+	}
+	return &wirepb.Frame{Body: &wirepb.Frame_TurnReply{TurnReply: reply}}
+}
