--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -111,6 +111,9 @@
 // LimitOf returns the limit to apply to an endpoint whose state the leader sent. leaderSettled is whether a leader has been known for long
 // enough to have heard of all limits.
 func (n *Notices) LimitOf(state State, leaderSettled bool, now time.Time) Limit {
+	if len(n.byID) == 0 {
+		return state.Limit
+	}
 	known := n.of(state.Incarnation())
 	switch {
 	case !known.limitHeardAt.IsZero() && now.Sub(known.limitHeardAt) < limitTTL:
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -155,6 +155,10 @@
 	if response.Status/100 == 2 {
 		t.recordAnswer()
 	}
+	if !t.route.Repeatable() && promisesNotRun(response.Status) {
+		t.finishIncomplete()
+		return true
+	}
 	t.outcome = outcomeAnswered
 	if err := t.responder.Respond(response.Status, response.Header, response.Body); err != nil {
 		t.outcome = outcomeClientLeft
@@ -162,6 +166,15 @@
 	return true
 }
 
+// promisesNotRun reports whether clients take a status as a promise that the request was not and will not be executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 func (t *transaction) recordSuccess(c choice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
