--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -71,6 +71,8 @@
 	{"Recover", checkRecover, true},
 	{"Leaving", checkLeaving, false},
 	{"Pauses", checkPauses, false},
+	{"Crashes", checkCrashes, false},
+	{"Turns", checkTurns, false},
 }
 
 // runChecks returns the violations found and the number of cases judged, by check name.
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -77,6 +78,9 @@
 	subnet       int
 	env          []string
 	replacements int
+	// deadly is set while callers send requests with deadlyPart. crashes are the restarts of endpoints that crashed.
+	deadly  atomic.Bool
+	crashes sync.WaitGroup
 	// replacing is held while an endpoint is replaced, since several faults may do so at the same time.
 	replacing sync.Mutex
 
@@ -201,6 +205,7 @@
 		Slots: 8, Events: streamEvents, EventInterval: 40 * time.Millisecond, RequestTime: 20 * time.Millisecond, KVTokens: 10_000,
 	}
 	if service == "engine" {
+		config.DeadlyParts, config.OnCrash = []string{deadlyPart}, c.restartCrashed
 		config.MemoryMB, config.AdapterSlots, config.Models = 65_000, 3, map[string]standin.Model{}
 		config.StoreLoadTime, config.DiskLoadTime = 1500*time.Millisecond, 200*time.Millisecond
 		for m := range platformModels {
@@ -232,10 +237,34 @@
 	return append([]*standin.Endpoint{}, c.allEndpoints...)
 }
 
+// deadlyPart is a part of prompts that crashes endpoints, crashDowntime how long a crashed endpoint is away.
+const (
+	deadlyPart    = "dead"
+	crashDowntime = time.Second
+)
+
+// restartCrashed replaces an endpoint that crashed, unless a fault has replaced it already.
+func (c *platformCluster) restartCrashed(crashed *standin.Endpoint) {
+	c.crashes.Go(func() {
+		if !sleepContext(c.ctx, crashDowntime) {
+			return
+		}
+		c.replacing.Lock()
+		defer c.replacing.Unlock()
+		if index := slices.Index(c.endpointList.Endpoints(), crashed); index >= 0 {
+			c.replaceEndpointLocked(index)
+		}
+	})
+}
+
 // replaceEndpoint stops an endpoint and starts an empty one with a new ID in its place.
 func (c *platformCluster) replaceEndpoint(index int) {
 	c.replacing.Lock()
 	defer c.replacing.Unlock()
+	c.replaceEndpointLocked(index)
+}
+
+func (c *platformCluster) replaceEndpointLocked(index int) {
 	current := c.endpointList.Endpoints()
 	old := current[index]
 	old.Close()
@@ -322,11 +351,12 @@
 			v.process.kill()
 		}
 	}
+	c.cancel()
+	c.crashes.Wait()
 	for _, e := range c.endpoints() {
 		e.Close()
 	}
 	c.endpointList.Close()
-	c.cancel()
 	c.network.wg.Wait()
 	if c.t.Failed() {
 		c.t.Logf("logs: %s", c.dir)
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -38,6 +38,8 @@
 	vms      []string
 	duration time.Duration
 	endpoint int
+	// limit is the limit that an endpoint names, in requests a second.
+	limit float64
 }
 
 func (f fault) String() string {
@@ -84,7 +86,7 @@
 }
 
 // endpointFaults are the kinds of faults that affect an endpoint and no VM.
-var endpointFaults = []string{"endpoint crash", "endpoint failure", "late order replies", "lost order replies", "endpoint pauses", "endpoint leaves"}
+var endpointFaults = []string{"endpoint crash", "endpoint failure", "late order replies", "lost order replies", "endpoint pauses", "endpoint leaves", "endpoint limit", "deadly part"}
 
 // randomNotices draws faults in which an endpoint announces something about itself: that it is about to stop, and that it wants no
 // requests for a while. Each run has at least one of each.
@@ -103,6 +105,15 @@
 	return faults
 }
 
+// randomTroubles draws an endpoint that names a limit for long enough to be judged, and a time in which requests with a deadly part come.
+func randomTroubles(r *rand.Rand, shape clusterShape) []fault {
+	at := func() time.Duration { return time.Duration(r.Int64N(int64(injectionWindow))) }
+	return []fault{
+		{at: at(), kind: "endpoint limit", endpoint: r.IntN(shape.endpoints()), limit: 1 + 4*r.Float64(), duration: contactTime + 2*limitWindow},
+		{at: at(), kind: "deadly part", duration: 2 * contactTime},
+	}
+}
+
 // lostDisks draws the loss of as many stewards' disks at the same time as the cluster tolerates, if that is more than one.
 func lostDisks(r *rand.Rand, shape clusterShape) []fault {
 	if shape.tolerance < 2 {
@@ -210,6 +221,12 @@
 	case "endpoint failure":
 		e.SetFailing(true)
 		defer e.SetFailing(false)
+	case "endpoint limit":
+		e.SetLimit(f.limit)
+		defer e.SetLimit(0)
+	case "deadly part":
+		c.deadly.Store(true)
+		defer c.deadly.Store(false)
 	case "late order replies":
 		e.DisruptOrders(f.duration/3, 0)
 		defer e.DisruptOrders(0, 0)
@@ -420,7 +437,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			faults := slices.Concat(randomFaults(rand.New(rand.NewPCG(seed, 1)), shape), randomNotices(rand.New(rand.NewPCG(seed, 2)), shape),
-				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape))
+				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape))
 			for name, broken := range runFaults(t, shape, binary, seed, faults) {
 				t.Errorf("%s: %d violations, the first ones: %s", name, len(broken), strings.Join(broken[:min(3, len(broken))], "; "))
 			}
@@ -477,7 +494,9 @@
 		faults = append(faults, fault{at: time.Duration(6*n) * time.Second, kind: "kill", vm: "steward-" + strconv.Itoa(n), duration: 4 * time.Second})
 	}
 	faults = append(faults, fault{at: time.Second, kind: "endpoint leaves", endpoint: smallShape.engines, duration: 4 * time.Second},
-		fault{at: 2 * time.Second, kind: "endpoint pauses", endpoint: smallShape.engines + 1, duration: 3 * time.Second})
+		fault{at: 2 * time.Second, kind: "endpoint pauses", endpoint: smallShape.engines + 1, duration: 3 * time.Second},
+		fault{at: 20 * time.Second, kind: "endpoint limit", endpoint: smallShape.engines, limit: 1, duration: contactTime + 2*limitWindow},
+		fault{at: 20 * time.Second, kind: "deadly part", duration: 4 * contactTime})
 	for _, check := range checks {
 		t.Run(check.name, func(t *testing.T) {
 			t.Parallel()
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -73,8 +73,15 @@
 	l.workers.Wait()
 }
 
-// randomRequest returns a random request.
-func randomRequest(r *rand.Rand, id string) standin.Request {
+// Every deadlyShare-th request to an engine has the deadly part while the cluster's callers send it. Prompts share one of
+// sharedParts other parts.
+const (
+	deadlyShare = 8
+	sharedParts = 4
+)
+
+// randomRequest returns a random request; deadly allows the deadly part in its prompt.
+func randomRequest(r *rand.Rand, id string, deadly bool) standin.Request {
 	request := standin.Request{ID: id, Host: "one.example", Body: []byte("body of " + id), Timeout: 1500 * time.Millisecond}
 	switch n := r.IntN(10); {
 	case n < 2:
@@ -87,6 +94,11 @@
 		if r.IntN(3) == 0 {
 			request.Model += "/a" + strconv.Itoa(1+r.IntN(6))
 		}
+		request.Parts = fmt.Sprintf("%x:50,", 1+r.IntN(sharedParts))
+		if r.IntN(deadlyShare) == 0 && deadly {
+			request.Parts += deadlyPart + ":50,"
+		}
+		request.Parts += "own" + id + ":100"
 	}
 	return request
 }
@@ -96,7 +108,7 @@
 func (l *platformLoad) runCaller(caller *standin.Caller, r *rand.Rand, name string) {
 	defer caller.Close()
 	for n := 0; sleepContext(l.ctx, platformRequestInterval); n++ {
-		request := randomRequest(r, name+"-"+strconv.Itoa(n))
+		request := randomRequest(r, name+"-"+strconv.Itoa(n), l.cluster.deadly.Load())
 		o := l.record(caller.Do(l.cluster.ctx, request))
 		if o.NotRun && o.RetryAfter <= request.Timeout/3 && sleepContext(l.ctx, o.RetryAfter) {
 			request.ID += "-again"
--- /dev/null
+++ b/e2e/platform_trouble_test.go
@@ -0,0 +1,117 @@
+package e2e
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"burdocksaddle/platform/standin"
+)
+
+// Once maxCrashes endpoints have crashed under requests that share a part, maxLaterDeadly such requests may reach endpoints later than
+// contactTime after that.
+const (
+	maxCrashes     = 5
+	maxLaterDeadly = 3
+)
+
+// checkCrashes checks that requests that share a deadly part stop reaching endpoints.
+func checkCrashes(o observations) (judged int, broken []string) {
+	type deadlyRun struct {
+		standin.Run
+		endpoint, gateway string
+	}
+	var runs []deadlyRun
+	for _, e := range o.endpoints {
+		gatewayOf := map[string]string{}
+		for _, call := range e.Calls() {
+			gatewayOf[call.ID] = call.From
+		}
+		for _, run := range e.Runs() {
+			if run.Deadly {
+				runs = append(runs, deadlyRun{run, e.ID, gatewayOf[run.ID]})
+			}
+		}
+	}
+	if len(runs) < maxCrashes {
+		return 0, nil
+	}
+	slices.SortFunc(runs, func(a, b deadlyRun) int { return a.Start.Compare(b.Start) })
+	fifth, late := runs[maxCrashes-1].Start, 0
+	for _, run := range runs {
+		if run.Start.Sub(fifth) > contactTime && !o.outOfTouch(run.gateway, run.Start) {
+			late++
+		}
+	}
+	for _, outcome := range o.outcomes {
+		if strings.Contains(outcome.Parts, deadlyPart) && outcome.Sent.Sub(fifth) > contactTime {
+			judged++
+		}
+	}
+	if late > maxLaterDeadly {
+		broken = append(broken, fmt.Sprintf("%d requests with the deadly part reached endpoints %v after the fifth crash", late, contactTime))
+	}
+	return judged, broken
+}
+
+// outOfTouch reports whether a fault affected a gateway or any steward shortly before the given time.
+func (o observations) outOfTouch(gateway string, at time.Time) bool {
+	return o.disturbed(gateway, at.Add(-contactTime), at) ||
+		slices.ContainsFunc(o.stewards, func(steward string) bool { return o.disturbed(steward, at.Add(-contactTime), at) })
+}
+
+// Of an endpoint's limit, limitSlack times and limitExtra requests more are allowed in limitWindow.
+const (
+	limitSlack  = 1.5
+	limitExtra  = 5
+	limitWindow = 4 * time.Second
+	// toldAfter is how long after a gateway has passed on a response with a limit its requests count.
+	toldAfter = 500 * time.Millisecond
+)
+
+// checkTurns checks that an endpoint that named a limit gets no more requests from the gateways that it told, all together.
+func checkTurns(o observations) (judged int, broken []string) {
+	byID := map[string]standin.Outcome{}
+	for _, outcome := range o.outcomes {
+		byID[outcome.ID] = outcome
+	}
+	for _, e := range o.endpoints {
+		calls := slices.DeleteFunc(e.Calls(), func(call standin.Call) bool {
+			return call.ID == "" || call.Limit == 0 || !slices.Contains(o.gateways, call.From)
+		})
+		if len(calls) == 0 {
+			continue
+		}
+		first, toldAt := calls[0].At, map[string]time.Time{}
+		var counted []time.Time
+		for _, call := range calls {
+			told := toldAt[call.From]
+			if !told.IsZero() && call.At.Sub(told) >= toldAfter && call.At.Sub(first) >= contactTime && !o.disturbed(call.From, told, call.At) {
+				counted = append(counted, call.At)
+			}
+			outcome := byID[call.ID]
+			passedOn := outcome.Complete && strings.HasPrefix(outcome.Stamp, e.ID+".")
+			if passedOn && (told.IsZero() || outcome.Done.Before(told)) {
+				toldAt[call.From] = outcome.Done
+			}
+		}
+		limit := slices.MaxFunc(calls, func(a, b standin.Call) int { return cmp.Compare(a.Limit, b.Limit) }).Limit
+		allowed, most := limitSlack*limit*limitWindow.Seconds()+limitExtra, 0
+		for i, from := range counted {
+			n := 0
+			for n < len(counted)-i && counted[i+n].Sub(from) <= limitWindow {
+				n++
+			}
+			most = max(most, n)
+		}
+		if len(toldAt) > 0 {
+			judged++
+		}
+		if float64(most) > allowed {
+			broken = append(broken, fmt.Sprintf("%s with a limit of %.1f a second got %d requests in %v, %.0f are allowed", e.ID, limit, most, limitWindow, allowed))
+		}
+	}
+	return judged, broken
+}
