--- a/e2e/platform_trouble_test.go
+++ b/e2e/platform_trouble_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,32 @@
 	"burdocksaddle/platform/standin"
 )
 
+// randomNotices draws faults in which an endpoint announces something about itself: that it is about to stop, and that it wants no
+// requests for a while. Each run has at least one of each.
+func randomNotices(r *rand.Rand, shape clusterShape) []fault {
+	var faults []fault
+	for _, kind := range []string{"endpoint leaves", "endpoint pauses", "endpoint pauses", "endpoint leaves"}[:2+r.IntN(3)] {
+		f := fault{
+			at: time.Duration(r.Int64N(int64(injectionWindow))), kind: kind, endpoint: r.IntN(shape.endpoints()),
+			duration: time.Second + time.Duration(r.Int64N(int64(4*time.Second))),
+		}
+		if kind == "endpoint leaves" {
+			f.duration += 2 * platformDrain
+		}
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// randomTroubles draws an endpoint that names a limit for long enough to be judged, and a time in which requests with a deadly part come.
+func randomTroubles(r *rand.Rand, shape clusterShape) []fault {
+	at := func() time.Duration { return time.Duration(r.Int64N(int64(injectionWindow))) }
+	return []fault{
+		{at: at(), kind: "endpoint limit", endpoint: r.IntN(shape.endpoints()), limit: 1 + 4*r.Float64(), duration: contactTime + 2*limitWindow},
+		{at: at(), kind: "deadly part", duration: 2 * contactTime},
+	}
+}
+
 // Once maxCrashes endpoints have crashed under requests that share a part, maxLaterDeadly such requests may reach endpoints later than
 // contactTime after that.
 const (
