--- a/steward/quarantine_test.go
+++ b/steward/quarantine_test.go
@@ -12,6 +12,21 @@
 	"burdocksaddle/wirepb"
 )
 
+// startLeading commits a table and waits until the steward's leader loop runs, since reports count from then on.
+func startLeading(ctx context.Context, t *testing.T, s *Steward) {
+	t.Helper()
+	commitTable(ctx, t, s, []byte("version 1:"), 1)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		leading := s.leading
+		s.mu.Unlock()
+		if leading {
+			return
+		}
+	}
+	t.Fatal("the steward does not lead")
+}
+
 // reportCrashes reports consecutive crashes of endpoints under requests with a part, as a gateway does.
 func reportCrashes(s *Steward, count int, part uint64) {
 	report := &wirepb.DemandReport{}
@@ -43,7 +58,7 @@
 	dir, entry := t.TempDir(), quarantine.Entry{Parts: []uint64{7}, Blames: 1, Active: true}
 	t.Run("first run", func(t *testing.T) {
 		s, ctx := startSteward(t, dir)
-		commitTable(ctx, t, s, []byte("version 1:"), 1)
+		startLeading(ctx, t, s)
 		reportCrashes(s, 3, 7)
 		waitForQuarantine(t, s, entry)
 		snapshot, _ := s.nextSnapshot(&sentView{})
@@ -60,7 +75,7 @@
 // TestSuspectsArePublished checks that gateways are asked about a part before it is quarantined, and that an answer prevents that.
 func TestSuspectsArePublished(t *testing.T) {
 	s, ctx := startSteward(t, "")
-	commitTable(ctx, t, s, []byte("version 1:"), 1)
+	startLeading(ctx, t, s)
 	reportCrashes(s, 3, 7)
 	s.recordDemand("other", &wirepb.DemandReport{Answers: []*wirepb.PartAnswer{{Part: 7, AgeMs: 500}}})
 	reportCrashes(s, 5, 8)
@@ -124,7 +139,7 @@
 	if reply := s.handleTurn(context.Background(), request).GetTurnReply(); reply.GetGranted() || reply.GetError() == "" {
 		t.Errorf("%v", reply)
 	}
-	commitTable(ctx, t, s, []byte("version 1:"), 1)
+	startLeading(ctx, t, s)
 	granted := 0
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if reply := s.handleTurn(ctx, request).GetTurnReply(); reply.GetGranted() {
