Forget a limit that the leader has not shown for 30 s

A gateway reported a limit that it had heard, and that had ended by another gateway's news, to the leader for as long as the endpoint was listed; a new leader would have applied it again. TestHeardLimits failed with the limit still kept.

--- a/endpoint/limit_test.go
+++ b/endpoint/limit_test.go
@@ -125,8 +125,12 @@
 	if heard := n.HeardLimits(states); len(heard) > 0 {
 		t.Errorf("reported although the leader shows it: %v", heard)
 	}
-	n.Update(states, start.Add(limitTTL))
-	if _, kept := n.byID["w3"]; kept || len(n.byID) != 1 {
+	n.Update(states, start.Add(limitRetention))
+	if _, kept := n.byID["w1"]; !kept || len(n.byID) != 1 {
 		t.Errorf("kept %v", n.byID)
 	}
+	states["w1"] = State{ID: "w1"}
+	if n.Update(states, start.Add(limitRetention)); len(n.byID) > 0 {
+		t.Errorf("kept a limit that the leader has not shown for long: %v", n.byID)
+	}
 }
--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -14,6 +14,8 @@
 	noticeRetention = 5 * time.Minute
 	// limitTTL is how long what an endpoint said about its limit overrides the leader, which learns it within a fraction of that.
 	limitTTL = 3 * time.Second
+	// limitRetention is how long a limit is kept that the leader doesn't show, to be reported to a new leader.
+	limitRetention = 30 * time.Second
 )
 
 // Use is whether an endpoint may be used for a request, by what it said about itself.
@@ -194,7 +196,8 @@
 			known.lastListed = now
 			n.byID[id] = known
 		}
-		limited := known.limit.Named || now.Sub(known.limitHeardAt) < limitTTL || now.Before(known.noTurnUntil)
+		limited := known.limit.Named && (state.Limit.Named || now.Sub(known.limitHeardAt) < limitRetention) ||
+			now.Sub(known.limitHeardAt) < limitTTL || now.Before(known.noTurnUntil)
 		idle := known.leavingSince.IsZero() && !now.Before(known.pausedUntil) && !limited
 		if idle || now.Sub(known.lastListed) > noticeRetention {
 			delete(n.byID, id)
--- a/steward/turn.go
+++ b/steward/turn.go
@@ -40,9 +40,10 @@
 // handleTurn decides whether a gateway may send a request to an endpoint with a limit.
 func (s *Steward) handleTurn(_ context.Context, request *wirepb.TurnRequest) *wirepb.Frame {
 	reply := &wirepb.TurnReply{}
+	_, self := s.quorumLog.Leader()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, self := s.quorumLog.Leader(); !self || !s.leading {
+	if !self || !s.leading {
 		reply.Error = "this steward does not lead"
 	} else {
 		granted, wait := s.turns.Take(endpoint.Incarnation{ID: request.GetEndpoint(), StartMS: request.GetBornMs()}, request.GetPerSecond(), time.Now())
