Count quarantined requests among the refusals, and prune the crash record less often

A quarantined request was missing from requests_total and refusals_total, with a counter of its own; the answers to parts were scanned for old ones in each report to the leader, also in those that a crash triggers.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -27,6 +27,7 @@
 	stopCheckTTL   = 200 * time.Millisecond
 	// answerInterval is the minimum time between two reports of answers to one part.
 	answerInterval = time.Second
+	pruneInterval  = 5 * time.Second
 	// quarantinedReason is the reason of refusals because of a quarantine.
 	quarantinedReason = "a part of its prompt has crashed several endpoints"
 )
@@ -41,6 +42,8 @@
 	// sightings are the crashes seen, oldest first; the leader has been told of the first reported ones.
 	sightings []quarantine.Crash
 	reported  int
+	// prunedAt is when the record was last pruned.
+	prunedAt time.Time
 	// cancels end the transactions whose prompts have shared parts and that have not begun to answer.
 	cancels map[*transaction]context.CancelFunc
 }
@@ -68,8 +71,12 @@
 	r.sightings = append(r.sightings, c)
 }
 
-// prune drops what is too old to matter.
+// prune drops what is too old to matter, every pruneInterval.
 func (r *crashRecord) prune(now time.Time) {
+	if now.Sub(r.prunedAt) < pruneInterval {
+		return
+	}
+	r.prunedAt = now
 	for part, at := range r.answeredAt {
 		if now.Sub(at) > quarantine.AnswerTTL {
 			delete(r.answeredAt, part)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,7 +32,6 @@
 	metricHasLeader         = "burdocksaddle_gateway_has_leader"
 	metricCrashes           = "burdocksaddle_gateway_endpoint_crashes_total"
 	metricDroppedCrashes    = "burdocksaddle_gateway_dropped_crashes_total"
-	metricQuarantined       = "burdocksaddle_gateway_quarantined_requests_total"
 	metricLimits            = "burdocksaddle_gateway_endpoint_limits_total"
 	metricInvalidLimits     = "burdocksaddle_gateway_invalid_limits_total"
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -123,8 +123,8 @@
 	defer cancel()
 	defer context.AfterFunc(g.activeCtx, cancel)()
 	if !t.register(cancel) {
-		g.count(metricQuarantined)
 		t.refuse(quarantine.Duration, quarantinedReason)
+		t.recordOutcome()
 		return
 	}
 	defer t.unregister()
