Strengthen tests of quarantines and limits

Taking single conditions out of the code showed eight that no test noticed: streams spared by a quarantine, the order and the end of waiting for turns, the planner's treatment of limited endpoints, limits in the leader's view and after reading the platform's list. Each has a test now that fails without its condition.

--- a/endpoint/view_test.go
+++ b/endpoint/view_test.go
@@ -30,7 +30,7 @@
 	i := r.IntN(len(states))
 	state := states[i]
 	load := *state.Load
-	switch r.IntN(8) {
+	switch r.IntN(9) {
 	case 0, 1, 2:
 		load.Running = r.IntN(32)
 	case 3:
@@ -42,6 +42,8 @@
 	case 6:
 		state.Holder, state.Loading = fmt.Sprintf("h%d", r.IntN(3)), fmt.Sprintf("m%d", r.IntN(3))
 	case 7:
+		state.Limit = Limit{Named: r.IntN(2) == 0, PerSecond: float64(r.IntN(3))}
+	case 8:
 		if len(states) > 3 {
 			return slices.Delete(slices.Clone(states), i, i+1)
 		}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -62,11 +62,14 @@
 // TestQuarantineSparesBegunStream checks that a stream with events goes on, since its prompt hasn't crashed the endpoint.
 func TestQuarantineSparesBegunStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newTestGateway(t, func(context.Context, Call) (*Response, error) {
+		b := newTestGateway(t, func(ctx context.Context, _ Call) (*Response, error) {
 			response := streamResponse(4, io.EOF)
 			next := response.Next
 			response.Next = func() ([]byte, string, error) {
 				time.Sleep(100 * time.Millisecond)
+				if ctx.Err() != nil {
+					return nil, "", ErrIncompleteResponse{Endpoint: "w1", Cause: ctx.Err()}
+				}
 				return next()
 			}
 			return response, nil
--- a/gateway/list_test.go
+++ b/gateway/list_test.go
@@ -43,3 +43,16 @@
 		}
 	})
 }
+
+// TestListKeepsWhatOnlyTheLeaderKnows checks that endpoints from the platform's list keep their holders and limits.
+func TestListKeepsWhatOnlyTheLeaderKnows(t *testing.T) {
+	known, listed := limitedEndpoint("w1", 2), engineEndpoint("w1", testModel)
+	known.Holder = "steward"
+	b := newTestGateway(t, nil, known)
+	b.endpointsUpdatedAt = time.Now().Add(-2 * maxEndpointsAge)
+	b.listEndpoints = func(context.Context) ([]endpoint.State, int, error) { return []endpoint.State{listed}, 0, nil }
+	b.fetchEndpointList(t.Context())
+	if got := b.endpoints["w1"]; got.Holder != known.Holder || got.Limit != known.Limit {
+		t.Errorf("%+v", got)
+	}
+}
--- a/gateway/turn_test.go
+++ b/gateway/turn_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -101,6 +102,42 @@
 	}
 }
 
+// TestTurnsGoToTheOldestRequest checks that requests wait for a turn in the order in which they arrived, and that one that has its turn does
+// not hold up the others while it runs.
+func TestTurnsGoToTheOldestRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 12
+		b := newTestGateway(t, func(_ context.Context, call Call) (*Response, error) {
+			response := streamResponse(2, io.EOF)
+			next := response.Next
+			response.Next = func() ([]byte, string, error) {
+				time.Sleep(time.Second)
+				return next()
+			}
+			response.Limit = endpoint.Limit{Named: true, PerSecond: 10}
+			return response, nil
+		}, limitedEndpoint("w1", 10))
+		b.grantTurns()
+		began := time.Now()
+		var clients sync.WaitGroup
+		for n := range requests {
+			clients.Go(func() { b.doRequest(t.Context(), "/live/a", testModel, 8*time.Second, uint64(n)) })
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		var order []uint64
+		b.mu.Lock()
+		for _, call := range b.calls {
+			order = append(order, call.Request.SharedParts[0])
+		}
+		b.mu.Unlock()
+		if len(order) != requests || !slices.IsSorted(order) {
+			t.Errorf("sent in the order %v within %v", order, time.Since(began))
+		}
+		clients.Wait()
+	})
+}
+
 // TestNoTurnWithoutLeader checks that a gateway sends nothing to an endpoint with a limit while no leader grants turns.
 func TestNoTurnWithoutLeader(t *testing.T) {
 	tests := map[string]struct {
--- a/scaling/limit_test.go
+++ b/scaling/limit_test.go
@@ -26,11 +26,9 @@
 			w.addModel(0, modelName(0))
 			w.addDiskCopy(1, modelName(0))
 			w.run(time.Second, func(time.Duration) {})
-			w.planner.RecordLimit(endpoint.Incarnation{ID: "w00"}, test.limit, time.Now())
-			w.running[modelName(0)] = 3
-			w.run(5*time.Second, func(time.Duration) {
-				w.planner.RecordDemand([]Demand{{Service: simService, Model: modelName(0), Arrivals: 1, Running: 3}}, w.now)
-			})
+			w.planner.RecordLimit(endpoint.Incarnation{ID: "w00"}, test.limit, w.now)
+			w.running[modelName(0)] = 1
+			w.run(5*time.Second, func(time.Duration) { w.arrivals[modelName(0)], w.missed[modelName(0)] = 1, 1 })
 			if got := w.simEndpoints[1].state.Holds(modelName(0)); got != test.want {
 				t.Errorf("loaded elsewhere: %t", got)
 			}
@@ -38,6 +36,36 @@
 	}
 }
 
+// TestLimitedEndpointGetsNoModel checks that a model is loaded on an endpoint without a limit, although another one would load it faster.
+func TestLimitedEndpointGetsNoModel(t *testing.T) {
+	w := newSimulation(t, 2, 4)
+	w.run(time.Second, func(time.Duration) {})
+	w.planner.RecordLimit(endpoint.Incarnation{ID: "w00"}, endpoint.Limit{Named: true, PerSecond: 100}, w.now)
+	w.addDiskCopy(0, modelName(0))
+	w.run(10*time.Second, func(time.Duration) {
+		w.arrivals[modelName(0)], w.missed[modelName(0)], w.waiting[modelName(0)] = 1, 1, 9
+	})
+	if w.simEndpoints[0].state.Holds(modelName(0)) || !w.simEndpoints[1].state.Holds(modelName(0)) {
+		t.Errorf("loaded on the limited endpoint: %t, on the other one: %t", w.simEndpoints[0].state.Holds(modelName(0)), w.simEndpoints[1].state.Holds(modelName(0)))
+	}
+}
+
+// TestIdleLimitedEndpointIsNoSpareCapacity checks that a model whose only unlimited endpoint is saturated gets another replica, although one
+// with a limit is idle.
+func TestIdleLimitedEndpointIsNoSpareCapacity(t *testing.T) {
+	w := newSimulation(t, 3, 4)
+	w.addModel(0, modelName(0))
+	w.addModel(1, modelName(0))
+	w.addDiskCopy(2, modelName(0))
+	w.run(time.Second, func(time.Duration) {})
+	w.planner.RecordLimit(endpoint.Incarnation{ID: "w00"}, endpoint.Limit{Named: true, PerSecond: 0.1}, w.now)
+	w.running[modelName(0)], w.simEndpoints[1].state.Load.Running = 5, 31
+	w.run(5*time.Second, func(time.Duration) { w.arrivals[modelName(0)] = 1 })
+	if !w.simEndpoints[2].state.Holds(modelName(0)) {
+		t.Error("no further replica")
+	}
+}
+
 // TestRecordLimit checks that the newest news of a limit count, and those of a former run don't.
 func TestRecordLimit(t *testing.T) {
 	w := newSimulation(t, 1, 1)
