--- a/scaling/limit_test.go
+++ b/scaling/limit_test.go
@@ -57,7 +57,7 @@
 	w.addModel(0, modelName(0))
 	w.addModel(1, modelName(0))
 	w.addDiskCopy(2, modelName(0))
-	w.run(time.Second, func(time.Duration) {})
+	w.run(20*time.Second, func(time.Duration) { w.arrivals[modelName(0)] = 1 }) // the assumed demand of a new leader is forgotten
 	w.planner.RecordLimit(endpoint.Incarnation{ID: "w00"}, endpoint.Limit{Named: true, PerSecond: 0.1}, w.now)
 	w.running[modelName(0)], w.simEndpoints[1].state.Load.Running = 5, 31
 	w.run(5*time.Second, func(time.Duration) { w.arrivals[modelName(0)] = 1 })
