--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -136,10 +136,19 @@
 		b.applySnapshot("steward", &wirepb.Snapshot{Leads: true, HasSuspects: true, Suspects: []uint64{7, 8}})
 		time.Sleep(time.Second)
 		report := &wirepb.DemandReport{}
-		b.crashes.fillReport(report, time.Now())
+		b.crashes.fillReport(report, time.Now())()
 		if answers := report.GetAnswers(); len(answers) != 1 || answers[0].GetPart() != 7 || answers[0].GetAgeMs() != 1000 {
 			t.Errorf("%v", answers)
 		}
+		report = &wirepb.DemandReport{}
+		if b.crashes.fillReport(report, time.Now()); len(report.GetAnswers()) > 0 {
+			t.Errorf("reported twice to the same leader: %v", report)
+		}
+		b.crashes.forgetLeader()
+		b.applySnapshot("other", &wirepb.Snapshot{Leads: true, HasSuspects: true, Suspects: []uint64{7}})
+		if b.crashes.fillReport(report, time.Now()); len(report.GetAnswers()) != 1 {
+			t.Errorf("a new leader is told %v", report)
+		}
 		time.Sleep(quarantine.AnswerTTL)
 		report = &wirepb.DemandReport{}
 		if b.crashes.fillReport(report, time.Now()); len(report.GetAnswers()) > 0 {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// TestOldCrashesDoNotCount checks that crashes hours apart are not taken for consecutive ones, and that they are not kept.
+func TestOldCrashesDoNotCount(t *testing.T) {
+	e, now := New(), testStart
+	for n := range 2 * maxCrashes {
+		c := testCrash(n, time.Duration(n)*time.Hour, time.Duration(n)*time.Hour+time.Second, true, 7)
+		now = c.At
+		e.RecordCrash(c, now)
+		if _, changed := e.Next(Table{}, now.Add(time.Second)); changed {
+			t.Fatalf("blamed after %d crashes", n+1)
+		}
+	}
+	if e.Next(Table{}, now.Add(crashTTL+time.Second)); !e.Idle() || len(e.suspectSince) > 0 {
+		t.Errorf("kept %d crashes and %d suspects", len(e.crashes), len(e.suspectSince))
+	}
+}
+
 // TestQuarantineEndsAndReturns checks that a quarantine ends after its time, and that one crash is then enough to renew it for twice as long.
 func TestQuarantineEndsAndReturns(t *testing.T) {
 	e, now, table := New(), testStart.Add(10*time.Second), Table{}
