Estimate the wait for a turn by the gateways that want one

A request was refused at once if its turn would have come too late with all gateways waiting for the same endpoint. Where a single one of ten gateways had requests, it refused what the endpoint could have taken: with a limit of 2 a second and two requests a second, all that had to wait. The leader now tells how many gateways asked lately. TestOneOfManyGatewaysUsesTheWholeLimit failed before.

--- a/endpoint/limit_test.go
+++ b/endpoint/limit_test.go
@@ -29,12 +29,12 @@
 			for _, limit := range test.limits {
 				granted := 0
 				for range 400 { // every 10 ms
-					ok, wait := turns.Take(i, limit, now)
-					if ok {
+					turn := turns.Take(i, "gateway", limit, now)
+					if turn.Granted {
 						granted++
 					}
-					if ok != (wait == 0) || wait > maxTurnWait {
-						t.Errorf("granted %t, wait %v", ok, wait)
+					if turn.Granted != (turn.Wait == 0) || turn.Wait > maxTurnWait || turn.Processes != 1 {
+						t.Errorf("%+v", turn)
 					}
 					now = now.Add(10 * time.Millisecond)
 				}
@@ -52,11 +52,11 @@
 // TestTurnsDoNotAddUpWhileUnused checks that an endpoint with a limit gets no burst after a time without requests.
 func TestTurnsDoNotAddUpWhileUnused(t *testing.T) {
 	turns, now, i := NewTurns(), time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC), Incarnation{ID: "w1"}
-	turns.Take(i, 2, now)
+	turns.Take(i, "gateway", 2, now)
 	now = now.Add(turnRetention / 2)
 	granted := 0
 	for range 10 {
-		if ok, _ := turns.Take(i, 2, now); ok {
+		if turns.Take(i, "gateway", 2, now).Granted {
 			granted++
 		}
 	}
@@ -65,6 +65,22 @@
 	}
 }
 
+// TestTurnsCountProcesses checks that only processes that asked lately count as waiting.
+func TestTurnsCountProcesses(t *testing.T) {
+	turns, now, i := NewTurns(), time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC), Incarnation{ID: "w1"}
+	var got []int
+	for _, step := range []struct {
+		process string
+		wait    time.Duration
+	}{{"a", 0}, {"b", time.Second}, {"a", time.Second}, {"c", 0}, {"c", askingTTL + time.Second}} {
+		now = now.Add(step.wait)
+		got = append(got, turns.Take(i, step.process, 2, now).Processes)
+	}
+	if diff := cmp.Diff([]int{1, 2, 2, 3, 1}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestLimitOf checks which limit a gateway applies, by what the endpoint told it and what the leader shows.
 func TestLimitOf(t *testing.T) {
 	start := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,12 +83,12 @@
 	currentLeader       string
 	// leaderSince is when currentLeader became known.
 	leaderSince time.Time
-	// gateways is the number of gateways, as a steward reported it; 0 if unknown.
-	gateways int
 	// turnQueues are the requests that wait for turns at endpoints with a limit, in the order of their arrival.
 	turnQueues map[turnQueue][]*transaction
-	active     int
-	crashes    crashRecord
+	// turnGateways is how many gateways wait for turns at the same endpoints, as far as the leader said so.
+	turnGateways map[turnQueue]int
+	active       int
+	crashes      crashRecord
 }
 
 // modelLocation identifies a model, or one of its adapters, at an endpoint.
@@ -141,7 +141,7 @@
 	g := &Gateway{
 		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absentUntil: map[modelLocation]time.Time{}, stewardViews: map[string]*endpoint.SubscriberView{}, leaderView: &endpoint.SubscriberView{},
 		notices: endpoint.NewNotices(config.DrainTime),
-		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, meanStreamDurations: map[string]time.Duration{},
+		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, turnGateways: map[turnQueue]int{}, meanStreamDurations: map[string]time.Duration{},
 		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
 		hasStopped: func(context.Context, string) bool { return false },
 	}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -158,8 +158,7 @@
 	defer g.mu.Unlock()
 	g.announcedVersion = max(g.announcedVersion, s.GetVersion())
 	if s.GetProven() && s.GetGateways() > 0 {
-		g.gateways = int(s.GetGateways())
-		g.setRetryBurst(g.gateways)
+		g.setRetryBurst(int(s.GetGateways()))
 	}
 	if s.GetLeads() && g.currentLeader != steward {
 		g.log.Info("leader changed", "leader", steward)
--- a/gateway/turn.go
+++ b/gateway/turn.go
@@ -60,7 +60,7 @@
 	var reply *wirepb.TurnReply
 	wait, err := noTurnBackoff, error(nil)
 	if leader != "" {
-		reply, err = t.askTurn(ctx, leader, &wirepb.TurnRequest{Endpoint: c.state.ID, BornMs: c.state.StartMS, PerSecond: c.limit.PerSecond})
+		reply, err = t.askTurn(ctx, leader, &wirepb.TurnRequest{Endpoint: c.state.ID, BornMs: c.state.StartMS, PerSecond: c.limit.PerSecond, Gateway: t.config.Node})
 	}
 	switch {
 	case reply.GetGranted():
@@ -74,6 +74,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.notices.RecordNoTurn(c.state.Incarnation(), wait, time.Now())
+	if gateways := reply.GetGateways(); gateways > 0 {
+		t.turnGateways[t.turnQueue()] = int(gateways)
+	}
 	if !reply.GetGranted() {
 		return false
 	}
@@ -114,12 +117,13 @@
 	t.turnQueues[key] = slices.Delete(t.turnQueues[key], at, at+1)
 	if len(t.turnQueues[key]) == 0 {
 		delete(t.turnQueues, key)
+		delete(t.turnGateways, key)
 	}
 	t.notifyWaitersLocked()
 }
 
-// turnWaitLocked estimates how long the request waits for its turn, if all gateways have as many waiting.
+// turnWaitLocked estimates how long the request waits for its turn, if the other gateways that asked for turns have as many requests waiting.
 func (t *transaction) turnWaitLocked(perSecond float64) time.Duration {
-	waiting := float64(t.joinTurnQueueLocked() * max(t.gateways, 1))
+	waiting := float64(t.joinTurnQueueLocked() * max(t.turnGateways[t.turnQueue()], 1))
 	return time.Duration(min(waiting/perSecond, maxTurnEstimate.Seconds()) * float64(time.Second))
 }
--- a/gateway/turn_test.go
+++ b/gateway/turn_test.go
@@ -32,8 +32,8 @@
 		mu.Lock()
 		defer mu.Unlock()
 		*asked++
-		granted, wait := turns.Take(endpoint.Incarnation{ID: request.GetEndpoint()}, request.GetPerSecond(), time.Now())
-		return &wirepb.TurnReply{Granted: granted, WaitMs: uint32(wait.Milliseconds())}, nil
+		turn := turns.Take(endpoint.Incarnation{ID: request.GetEndpoint()}, request.GetGateway(), request.GetPerSecond(), time.Now())
+		return &wirepb.TurnReply{Granted: turn.Granted, WaitMs: uint32(turn.Wait.Milliseconds()), Gateways: uint32(turn.Processes)}, nil
 	}
 	return asked
 }
@@ -102,6 +102,31 @@
 	}
 }
 
+// TestOneOfManyGatewaysUsesTheWholeLimit sends requests within the limit of the only endpoint through one of ten gateways, in pairs. The
+// others send none, so that each request can wait for its turn.
+func TestOneOfManyGatewaysUsesTheWholeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestGateway(t, func(context.Context, Call) (*Response, error) {
+			response := streamResponse(2, io.EOF)
+			response.Limit = endpoint.Limit{Named: true, PerSecond: 2}
+			return response, nil
+		}, limitedEndpoint("w1", 2))
+		b.grantTurns()
+		var clients sync.WaitGroup
+		for n := range 20 {
+			clients.Go(func() {
+				if result := b.doRequest(t.Context(), "/live/a", testModel, 8*time.Second); result.Status != 200 {
+					t.Errorf("request %d: %+v", n, result)
+				}
+			})
+			if n%2 == 1 {
+				time.Sleep(time.Second)
+			}
+		}
+		clients.Wait()
+	})
+}
+
 // TestTurnsGoToTheOldestRequest checks that requests wait for a turn in the order in which they arrived, and that one that has its turn does
 // not hold up the others while it runs.
 func TestTurnsGoToTheOldestRequest(t *testing.T) {
--- a/steward/turn.go
+++ b/steward/turn.go
@@ -46,8 +46,9 @@
 	if !self || !s.leading {
 		reply.Error = "this steward does not lead"
 	} else {
-		granted, wait := s.turns.Take(endpoint.Incarnation{ID: request.GetEndpoint(), StartMS: request.GetBornMs()}, request.GetPerSecond(), time.Now())
-		reply.Granted, reply.WaitMs = granted, uint32(wait.Milliseconds())
+		i := endpoint.Incarnation{ID: request.GetEndpoint(), StartMS: request.GetBornMs()}
+		turn := s.turns.Take(i, request.GetGateway(), request.GetPerSecond(), time.Now())
+		reply.Granted, reply.WaitMs, reply.Gateways = turn.Granted, uint32(turn.Wait.Milliseconds()), uint32(turn.Processes)
 	}
 	return &wirepb.Frame{Body: &wirepb.Frame_TurnReply{TurnReply: reply}}
 }
