--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -227,7 +227,7 @@
 		t.release(c, err)
 	}
 	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "model", t.request.Model, "send", t.sends,
-		"ran", t.executions, "begun", t.begun, "attemptEvents", t.attemptEvents, "events", t.events, "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
+		"ran", t.executions, "begun", t.begun, "attemptEvents", t.attemptEvents, "events", t.events, "key", formatKey(t.request.Key), "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
 	if t.clientDisconnected() {
 		t.outcome = outcomeClientLeft
@@ -265,7 +265,7 @@
 // refuse tells the client that the request was not executed and when to retry.
 func (t *transaction) refuse(after time.Duration, reason string) {
 	t.outcome, t.reason = outcomeRefused, reason
-	t.log.Info("request refused", "id", t.request.ID, "route", t.route.Name, "model", t.request.Model, "reason", reason,
+	t.log.Info("request refused", "id", t.request.ID, "key", formatKey(t.request.Key), "route", t.route.Name, "model", t.request.Model, "reason", reason,
 		"after", after.Milliseconds(), "sends", t.sends, "ms", time.Since(t.arrivedAt).Milliseconds(), "version", t.table.Version)
 	t.responder.Refuse(Refusal{Status: http.StatusServiceUnavailable, RetryAfter: after, Reason: reason})
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -274,6 +274,9 @@
 	delete(t.crashes.cancels, t)
 }
 
+// formatKey returns a request's key in hexadecimal.
+func formatKey(key uint64) string { return strconv.FormatUint(key, 16) }
+
 // formatParts returns the IDs of a prompt's parts as clients write them, separated by commas.
 func formatParts(parts []uint64) string {
 	var text []string
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -19,6 +19,8 @@
 	PromptPrefix uint64
 	// SharedParts are the IDs of the prompt's parts that other requests may have, too.
 	SharedParts []uint64
+	// Key is the same for all requests with the same method, path, caller and body.
+	Key uint64
 	// PromptTokens and MaxTokens are the sizes declared by the client.
 	PromptTokens int
 	MaxTokens    int
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -130,7 +130,7 @@
 	defer t.unregister()
 	t.run(ctx)
 	t.recordOutcome()
-	g.log.Info("request ended", "id", request.ID, "route", matched.Name, "model", request.Model, "adapter", request.Adapter,
+	g.log.Info("request ended", "id", request.ID, "key", formatKey(request.Key), "route", matched.Name, "model", request.Model, "adapter", request.Adapter,
 		"outcome", t.outcome, "endpoint", t.endpoint, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
 		"firstMs", t.firstEventAfter.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "ms", time.Since(t.arrivedAt).Milliseconds(), "version", table.Version)
 }
