Reproduce a repeated request that crashes endpoint after endpoint

The stand-in crashes under requests that have a given path, caller and body; callers of the fault test send such a request for 9 s of each run, and the new check Repeats allows three of them later than 3 s after the third crash.

--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -72,6 +72,7 @@
 	{"Leaving", checkLeaving, false},
 	{"Pauses", checkPauses, false},
 	{"Crashes", checkCrashes, false},
+	{"Repeats", checkRepeats, false},
 	{"Turns", checkTurns, false},
 }
 
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -78,9 +78,10 @@
 	subnet       int
 	env          []string
 	replacements int
-	// deadly is set while callers send requests with deadlyPart. crashes are the restarts of endpoints that crashed.
-	deadly  atomic.Bool
-	crashes sync.WaitGroup
+	// deadly is set while callers send requests with deadlyPart, repeating while they send deadlyRequest. crashes are the restarts of
+	// endpoints that crashed.
+	deadly, repeating atomic.Bool
+	crashes           sync.WaitGroup
 	// replacing is held while an endpoint is replaced, since several faults may do so at the same time.
 	replacing sync.Mutex
 
@@ -204,8 +205,9 @@
 		ID: name, Service: service, DataCentre: "here", Address: c.ip(kind+100, n) + ":8000", ListedAddress: c.ip(kind, n) + ":8000",
 		Slots: 8, Events: streamEvents, EventInterval: 40 * time.Millisecond, RequestTime: 20 * time.Millisecond, KVTokens: 10_000,
 	}
+	config.DeadlyRequests, config.OnCrash = []standin.DeadlyRequest{deadlyRequest}, c.restartCrashed
 	if service == "engine" {
-		config.DeadlyParts, config.OnCrash = []string{deadlyPart}, c.restartCrashed
+		config.DeadlyParts = []string{deadlyPart}
 		config.MemoryMB, config.AdapterSlots, config.Models = 65_000, 3, map[string]standin.Model{}
 		config.StoreLoadTime, config.DiskLoadTime = 1500*time.Millisecond, 200*time.Millisecond
 		for m := range platformModels {
@@ -243,6 +245,9 @@
 	crashDowntime = time.Second
 )
 
+// deadlyRequest is a request that crashes plain endpoints.
+var deadlyRequest = standin.DeadlyRequest{Path: "/read/deadly", Caller: "Bearer deadly", Body: "the same each time"}
+
 // restartCrashed replaces an endpoint that crashed, unless a fault has replaced it already.
 func (c *platformCluster) restartCrashed(crashed *standin.Endpoint) {
 	c.crashes.Go(func() {
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -86,7 +86,7 @@
 }
 
 // endpointFaults are the kinds of faults that affect an endpoint and no VM.
-var endpointFaults = []string{"endpoint crash", "endpoint failure", "late order replies", "lost order replies", "endpoint pauses", "endpoint leaves", "endpoint limit", "deadly part"}
+var endpointFaults = []string{"endpoint crash", "endpoint failure", "late order replies", "lost order replies", "endpoint pauses", "endpoint leaves", "endpoint limit", "deadly part", "deadly request"}
 
 // lostDisks draws the loss of as many stewards' disks at the same time as the cluster tolerates, if that is more than one.
 func lostDisks(r *rand.Rand, shape clusterShape) []fault {
@@ -201,6 +201,9 @@
 	case "deadly part":
 		c.deadly.Store(true)
 		defer c.deadly.Store(false)
+	case "deadly request":
+		c.repeating.Store(true)
+		defer c.repeating.Store(false)
 	case "late order replies":
 		e.DisruptOrders(f.duration/3, 0)
 		defer e.DisruptOrders(0, 0)
@@ -470,7 +473,7 @@
 	faults = append(faults, fault{at: time.Second, kind: "endpoint leaves", endpoint: smallShape.engines, duration: 4 * time.Second},
 		fault{at: 2 * time.Second, kind: "endpoint pauses", endpoint: smallShape.engines + 1, duration: 3 * time.Second},
 		fault{at: 20 * time.Second, kind: "endpoint limit", endpoint: smallShape.engines, limit: 1, duration: contactTime + 2*limitWindow},
-		fault{at: 20 * time.Second, kind: "deadly part", duration: 4 * contactTime})
+		fault{at: 20 * time.Second, kind: "deadly part", duration: 4 * contactTime}, fault{at: 20 * time.Second, kind: "deadly request", duration: 4 * contactTime})
 	for _, check := range checks {
 		t.Run(check.name, func(t *testing.T) {
 			t.Parallel()
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -57,7 +57,8 @@
 		address := c.vms["gateway-"+strconv.Itoa(g)].client
 		for n := range callersPerGateway {
 			r := rand.New(rand.NewPCG(seed, uint64(1000+g*callersPerGateway+n)))
-			l.workers.Go(func() { l.runCaller(standin.NewCaller(address, n%2 == 1), r, fmt.Sprintf("g%dc%d", g, n)) })
+			repeats := rand.New(rand.NewPCG(seed, uint64(2000+g*callersPerGateway+n)))
+			l.workers.Go(func() { l.runCaller(standin.NewCaller(address, n%2 == 1), r, repeats, fmt.Sprintf("g%dc%d", g, n)) })
 		}
 	}
 	for g := range c.shape.gateways {
@@ -73,13 +74,19 @@
 	l.workers.Wait()
 }
 
-// Every deadlyShare-th request to an engine has the deadly part while the cluster's callers send it. Prompts share one of
+// Every deadlyShare-th request to an engine has the deadly part while the cluster's callers send it, and every deadlyShare-th request is the
+// repeated one while they send that. Prompts share one of
 // sharedParts other parts.
 const (
 	deadlyShare = 8
 	sharedParts = 4
 )
 
+// repeatedRequest returns the request that crashes plain endpoints.
+func repeatedRequest(id string) standin.Request {
+	return standin.Request{ID: id, Host: "one.example", Path: deadlyRequest.Path, Caller: deadlyRequest.Caller, Body: []byte(deadlyRequest.Body), Timeout: 1500 * time.Millisecond}
+}
+
 // randomRequest returns a random request; deadly allows the deadly part in its prompt.
 func randomRequest(r *rand.Rand, id string, deadly bool) standin.Request {
 	request := standin.Request{ID: id, Host: "one.example", Body: []byte("body of " + id), Timeout: 1500 * time.Millisecond}
@@ -104,11 +111,14 @@
 }
 
 // runCaller sends requests one after the other. A request that was refused as not run is sent once more, under a new ID, after
-// its Retry-After time, unless that is more than a third of the timeout.
-func (l *platformLoad) runCaller(caller *standin.Caller, r *rand.Rand, name string) {
+// its Retry-After time, unless that is more than a third of the timeout. repeats draws which requests are the repeated one.
+func (l *platformLoad) runCaller(caller *standin.Caller, r, repeats *rand.Rand, name string) {
 	defer caller.Close()
 	for n := 0; sleepContext(l.ctx, platformRequestInterval); n++ {
 		request := randomRequest(r, name+"-"+strconv.Itoa(n), l.cluster.deadly.Load())
+		if l.cluster.repeating.Load() && repeats.IntN(deadlyShare) == 0 {
+			request = repeatedRequest(request.ID)
+		}
 		o := l.record(caller.Do(l.cluster.ctx, request))
 		if o.NotRun && o.RetryAfter <= request.Timeout/3 && sleepContext(l.ctx, o.RetryAfter) {
 			request.ID += "-again"
--- a/e2e/platform_trouble_test.go
+++ b/e2e/platform_trouble_test.go
@@ -28,27 +28,42 @@
 	return faults
 }
 
-// randomTroubles draws an endpoint that names a limit for long enough to be judged, and a time in which requests with a deadly part come.
+// randomTroubles draws an endpoint that names a limit for long enough to be judged, and the times in which requests with a deadly part and a
+// deadly request come.
 func randomTroubles(r *rand.Rand, shape clusterShape) []fault {
 	at := func() time.Duration { return time.Duration(r.Int64N(int64(injectionWindow))) }
 	return []fault{
 		{at: at(), kind: "endpoint limit", endpoint: r.IntN(shape.endpoints()), limit: 1 + 4*r.Float64(), duration: contactTime + 2*limitWindow},
 		{at: at(), kind: "deadly part", duration: 2 * contactTime},
+		{at: at(), kind: "deadly request", duration: 3 * contactTime},
 	}
 }
 
-// Once maxCrashes endpoints have crashed under requests that share a part, maxLaterDeadly such requests may reach endpoints later than
-// contactTime after that.
+// Once maxCrashes endpoints have crashed under requests that share a part, or maxRepeatCrashes under the same request, maxLaterDeadly such
+// requests may reach endpoints later than contactTime after that.
 const (
-	maxCrashes     = 5
-	maxLaterDeadly = 3
+	maxCrashes       = 5
+	maxRepeatCrashes = 3
+	maxLaterDeadly   = 3
 )
 
 // checkCrashes checks that requests that share a deadly part stop reaching endpoints.
 func checkCrashes(o observations) (judged int, broken []string) {
+	return o.checkDeadly(maxCrashes, func(run standin.Run) bool { return run.Deadly },
+		func(outcome standin.Outcome) bool { return strings.Contains(outcome.Parts, deadlyPart) })
+}
+
+// checkRepeats checks that a deadly request stops reaching endpoints.
+func checkRepeats(o observations) (judged int, broken []string) {
+	return o.checkDeadly(maxRepeatCrashes, func(run standin.Run) bool { return run.DeadlyRequest },
+		func(outcome standin.Outcome) bool { return outcome.Path == deadlyRequest.Path })
+}
+
+// checkDeadly checks that deadly requests stop reaching endpoints after some crashes. isDeadly selects their runs, isSent what callers sent.
+func (o observations) checkDeadly(crashes int, isDeadly func(standin.Run) bool, isSent func(standin.Outcome) bool) (judged int, broken []string) {
 	type deadlyRun struct {
 		standin.Run
-		endpoint, gateway string
+		gateway string
 	}
 	var runs []deadlyRun
 	for _, e := range o.endpoints {
@@ -57,28 +72,28 @@
 			gatewayOf[call.ID] = call.From
 		}
 		for _, run := range e.Runs() {
-			if run.Deadly {
-				runs = append(runs, deadlyRun{run, e.ID, gatewayOf[run.ID]})
+			if isDeadly(run) {
+				runs = append(runs, deadlyRun{run, gatewayOf[run.ID]})
 			}
 		}
 	}
-	if len(runs) < maxCrashes {
+	if len(runs) < crashes {
 		return 0, nil
 	}
 	slices.SortFunc(runs, func(a, b deadlyRun) int { return a.Start.Compare(b.Start) })
-	fifth, late := runs[maxCrashes-1].Start, 0
+	last, late := runs[crashes-1].Start, 0
 	for _, run := range runs {
-		if run.Start.Sub(fifth) > contactTime && !o.outOfTouch(run.gateway, run.Start) {
+		if run.Start.Sub(last) > contactTime && !o.outOfTouch(run.gateway, run.Start) {
 			late++
 		}
 	}
 	for _, outcome := range o.outcomes {
-		if strings.Contains(outcome.Parts, deadlyPart) && outcome.Sent.Sub(fifth) > contactTime {
+		if isSent(outcome) && outcome.Sent.Sub(last) > contactTime {
 			judged++
 		}
 	}
 	if late > maxLaterDeadly {
-		broken = append(broken, fmt.Sprintf("%d requests with the deadly part reached endpoints %v after the fifth crash", late, contactTime))
+		broken = append(broken, fmt.Sprintf("%d deadly requests reached endpoints later than %v after %d crashes", late, contactTime, crashes))
 	}
 	return judged, broken
 }
