Quarantine requests that crash endpoint after endpoint

The quarantine knew a request by the parts of its prompt only; a crash under a request without a model was not even looked at.

Crashes and answers now carry the key of their request (method, host, path, query, caller, body). A part is no longer blamed for crashes that a single request explains, and crashes of other services no longer speak for it.

Ruled out by the reproduction: overload (3 crashes remain under the same load) and retries alone (the crashes went on without them).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"burdocksaddle/endpoint"
-	"burdocksaddle/quarantine"
 	"burdocksaddle/route"
 )
 
@@ -152,7 +151,7 @@
 	if response.Status < http.StatusInternalServerError {
 		t.recordSuccess(c)
 	}
-	if response.Status/100 == 2 {
+	if response.Signed && response.Status < http.StatusInternalServerError {
 		t.recordAnswer()
 	}
 	if !t.route.Repeatable() && promisesNotRun(response.Status) {
@@ -257,7 +256,11 @@
 		return
 	}
 	if t.quarantined.Load() {
-		after, reason = quarantine.Duration, quarantinedReason
+		t.mu.Lock()
+		if r, a := t.quarantineRefusalLocked(); r != "" {
+			reason, after = r, a
+		}
+		t.mu.Unlock()
 	}
 	t.refuse(after, reason)
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -21,6 +21,8 @@
 	maxSightings      = 128
 	// sightingTTL is how long a crash is kept, to be reported to a new leader.
 	sightingTTL = time.Minute
+	// maxAnswers limits the answers that are remembered.
+	maxAnswers = 16384
 	// stopCheckDelay is the time between the two attempts to find out whether an endpoint has stopped, stopCheckTTL how long a negative
 	// result counts.
 	stopCheckDelay = 30 * time.Millisecond
@@ -28,8 +30,9 @@
 	// answerInterval is the minimum time between two reports of answers to one part.
 	answerInterval = time.Second
 	pruneInterval  = 5 * time.Second
-	// quarantinedReason is the reason of refusals because of a quarantine.
-	quarantinedReason = "a part of its prompt has crashed several endpoints"
+	// quarantinedReason and quarantinedRequestReason are the reasons of refusals because of a quarantine.
+	quarantinedReason        = "a part of its prompt has crashed several endpoints"
+	quarantinedRequestReason = "the same request has crashed several endpoints"
 )
 
 // crashRecord is what a gateway knows of requests that crash endpoints. It is guarded by the gateway's mutex.
@@ -37,14 +40,14 @@
 	table quarantine.Table
 	// suspects are the parts that the leader asks about.
 	suspects []uint64
-	// answeredAt is when a request with a part was last answered, reportedAt when the leader was last told so.
+	// answeredAt is when a request with a part, or with a key, was last answered, reportedAt when the leader was last told so.
 	answeredAt, reportedAt map[uint64]time.Time
 	// sightings are the crashes seen, oldest first; the leader has been told of the first reported ones.
 	sightings []quarantine.Crash
 	reported  int
 	// prunedAt is when the record was last pruned.
 	prunedAt time.Time
-	// cancels end the transactions whose prompts have shared parts and that have not begun to answer.
+	// cancels end the transactions that have not begun to answer.
 	cancels map[*transaction]context.CancelFunc
 }
 
@@ -104,7 +107,7 @@
 	for _, c := range r.sightings[r.reported:] {
 		report.Crashes = append(report.Crashes, &wirepb.EndpointCrash{
 			Endpoint: c.Endpoint.ID, BornMs: c.Endpoint.StartMS, Request: c.Request, Parts: c.Parts, Began: c.Began,
-			AgeMs: milliseconds(now.Sub(c.At)), RanMs: milliseconds(c.At.Sub(c.SentAt)),
+			AgeMs: milliseconds(now.Sub(c.At)), RanMs: milliseconds(c.At.Sub(c.SentAt)), Key: c.Key, Service: c.Service,
 		})
 	}
 	answers := r.dueAnswers(now)
@@ -129,35 +132,41 @@
 	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
 }
 
-// recordAnswer records that the request was answered, which speaks for the parts of its prompt.
+// recordAnswer records that the request was answered, which speaks for it and for the parts of its prompt.
 func (t *transaction) recordAnswer() {
-	if len(t.request.SharedParts) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := time.Now()
 	for _, part := range t.request.SharedParts {
-		t.crashes.answeredAt[part] = time.Now()
+		t.crashes.answeredAt[part] = now
 	}
-	if len(t.crashes.dueAnswers(time.Now())) > 0 {
+	t.crashes.recordKeyAnswer(t.request.Key, now)
+	if len(t.crashes.dueAnswers(now)) > 0 {
 		t.wakeReport()
 	}
 }
 
+// recordKeyAnswer records that a request with the key was answered. While there are too many, only those that the leader asks about are.
+func (r *crashRecord) recordKeyAnswer(key uint64, now time.Time) {
+	if _, known := r.answeredAt[key]; known || len(r.answeredAt) < maxAnswers || slices.Contains(r.suspects, key) {
+		r.answeredAt[key] = now
+	}
+}
+
 // recordBreak hands an attempt that its endpoint broke off to runCrashChecks.
 func (t *transaction) recordBreak(c choice) {
-	if t.request.Model == "" {
-		return
-	}
 	t.mu.Lock()
 	parts := t.crashes.unanswered(t.request.SharedParts, time.Now())
 	t.mu.Unlock()
 	pending := pendingCrash{
 		Crash: quarantine.Crash{
-			Endpoint: c.state.Incarnation(), Request: t.request.ID, Parts: parts, SentAt: t.sentAt, At: time.Now(), Began: t.begun && t.attemptEvents == 0,
+			Endpoint: c.state.Incarnation(), Service: c.state.Service, Request: t.request.ID, Parts: parts, SentAt: t.sentAt, At: time.Now(), Began: t.begun && t.attemptEvents == 0,
 		},
 		address: c.state.Address,
 	}
+	if t.attemptEvents == 0 {
+		pending.Key = t.request.Key
+	}
 	select {
 	case t.pendingCrashes <- pending:
 	default:
@@ -186,8 +195,8 @@
 						running[i] = time.Now()
 					}
 				}
-				// Of the requests without parts, one is enough to report the crash.
-				if _, crashed := stopped[i]; crashed && (len(pending.Parts) > 0 || !known) {
+				// Of the requests that cannot be blamed, one is enough to report the crash.
+				if _, crashed := stopped[i]; crashed && (len(pending.Parts) > 0 || pending.Key != 0 || !known) {
 					g.recordCrash(pending.Crash)
 				}
 				forgetBefore(stopped, time.Now().Add(-sightingTTL))
@@ -221,7 +230,7 @@
 
 func (g *Gateway) recordCrash(c quarantine.Crash) {
 	g.count(metricCrashes)
-	g.log.Info("endpoint crashed during a request", "id", c.Request, "endpoint", c.Endpoint.ID, "startMs", c.Endpoint.StartMS, "begun", c.Began,
+	g.log.Info("endpoint crashed during a request", "id", c.Request, "key", formatKey(c.Key), "endpoint", c.Endpoint.ID, "startMs", c.Endpoint.StartMS, "begun", c.Began,
 		"unansweredParts", formatParts(c.Parts), "ms", c.At.Sub(c.SentAt).Milliseconds())
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -255,9 +264,9 @@
 		return
 	}
 	g.crashes.table = table
-	g.log.Info("quarantine in force", "revision", table.Revision, "active", table.Active(), "entries", len(table.Entries))
+	g.log.Info("quarantine in force", "revision", table.Revision, "active", table.Active(), "entries", len(table.Entries), "requests", len(table.Requests))
 	for t, cancel := range g.crashes.cancels {
-		if table.Blocks(t.request.SharedParts) {
+		if table.Blocks(t.request.SharedParts) || table.BlocksRequest(t.request.Key) {
 			t.quarantined.Store(true)
 			cancel()
 		}
@@ -266,14 +275,22 @@
 
 // protectFromQuarantine lets a stream that has begun go on: its prompt has not crashed the endpoint.
 func (t *transaction) protectFromQuarantine() {
-	if len(t.request.SharedParts) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.crashes.cancels, t)
 }
 
+// quarantineRefusalLocked returns why the quarantine does not let the request through and when its client may return, or "".
+func (t *transaction) quarantineRefusalLocked() (reason string, after time.Duration) {
+	switch {
+	case t.crashes.table.BlocksRequest(t.request.Key):
+		return quarantinedRequestReason, quarantine.Duration
+	case t.crashes.table.Blocks(t.request.SharedParts):
+		return quarantinedReason, quarantine.Duration
+	}
+	return "", 0
+}
+
 // formatKey returns a request's key in hexadecimal.
 func formatKey(key uint64) string { return strconv.FormatUint(key, 16) }
 
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -19,6 +19,87 @@
 	b.applySnapshot("steward", &wirepb.Snapshot{Leads: true, Proven: true, Quarantine: table.ToWire()})
 }
 
+// quarantineRequest makes a gateway refuse requests with the key that tests use, as a leader's snapshot does.
+func (b *testGateway) quarantineRequest() {
+	table := quarantine.Table{Revision: b.crashes.table.Revision}.WithBlamedRequest(testKey)
+	b.applySnapshot("steward", &wirepb.Snapshot{Leads: true, Proven: true, Quarantine: table.ToWire()})
+}
+
+// TestRepeatedRequestIsRefusedAtOnce checks that a quarantined request reaches no endpoint of a plain service, whatever state it is in.
+func TestRepeatedRequestIsRefusedAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		path string
+		// after is when the request is quarantined, after it has arrived; 0 means before.
+		after  time.Duration
+		calls  int
+		status int
+	}{
+		"on arrival": {"/read/a", 0, 0, 503},
+		"while the endpoint runs what may be repeated": {"/read/a", 100 * time.Millisecond, 1, 502},
+		"while the endpoint runs what may not":         {"/book/a", 100 * time.Millisecond, 1, 502},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestGateway(t, func(ctx context.Context, _ Call) (*Response, error) {
+					<-ctx.Done()
+					return nil, ErrIncompleteResponse{Endpoint: "w1", Cause: ctx.Err()}
+				}, plainEndpoint("w1"))
+				if test.after == 0 {
+					b.quarantineRequest()
+				} else {
+					time.AfterFunc(test.after, b.quarantineRequest)
+				}
+				got := b.doRequest(t.Context(), test.path, "", time.Second)
+				if got.Status != test.status || got.Took != test.after || len(b.calls) != test.calls || got.Status == 503 && got.After == 0 {
+					t.Errorf("%d calls, %+v", len(b.calls), got)
+				}
+			})
+		})
+	}
+}
+
+// TestCrashOfPlainEndpointIsReported checks that the leader learns which request was at a plain service's endpoint when that crashed.
+func TestCrashOfPlainEndpointIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestGateway(t, func(_ context.Context, call Call) (*Response, error) {
+			return nil, ErrIncompleteResponse{Endpoint: call.Endpoint, Cause: io.ErrUnexpectedEOF}
+		}, plainEndpoint("w1"), plainEndpoint("w2"))
+		b.hasStopped = func(context.Context, string) bool { return true }
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := b.runCrashChecks(ctx)
+		b.doRequest(t.Context(), "/read/a", "", time.Second)
+		synctest.Wait()
+		cancel()
+		<-ended
+		report := &wirepb.DemandReport{}
+		b.crashes.fillReport(report, time.Now())()
+		var keys []uint64
+		endpoints := map[string]bool{}
+		for _, c := range report.GetCrashes() {
+			keys = append(keys, c.GetKey())
+			endpoints[c.GetService()+" "+c.GetEndpoint()] = true
+		}
+		if diff := cmp.Diff([]uint64{testKey, testKey}, keys); diff != "" || !endpoints["desk w1"] || !endpoints["desk w2"] {
+			t.Error(diff, endpoints)
+		}
+	})
+}
+
+// TestRememberedAnswersAreBounded checks that answers to many different requests don't take ever more memory, and that those the leader asks about
+// are remembered all the same.
+func TestRememberedAnswersAreBounded(t *testing.T) {
+	r, now := newCrashRecord(), time.Now()
+	r.suspects = []uint64{1}
+	for key := range uint64(2 * maxAnswers) {
+		r.recordKeyAnswer(key+10, now)
+	}
+	r.recordKeyAnswer(1, now)
+	if _, known := r.answeredAt[1]; !known || len(r.answeredAt) != maxAnswers+1 {
+		t.Errorf("%d answers, the one asked for is known: %t", len(r.answeredAt), known)
+	}
+}
+
 // TestQuarantinedRequestIsRefusedAtOnce checks that a request with a quarantined part reaches no endpoint, whatever state it is in.
 func TestQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
 	hanging := func(ctx context.Context, _ Call) (*Response, error) {
@@ -90,10 +171,10 @@
 		parts   []uint64
 		want    []*wirepb.EndpointCrash
 	}{
-		"crashed before the first event": {0, true, []uint64{5, 7}, []*wirepb.EndpointCrash{{Endpoint: "w1", Request: "r1", Parts: []uint64{7}, Began: true}}},
-		"crashed after events":           {2, true, []uint64{5, 7}, []*wirepb.EndpointCrash{{Endpoint: "w1", Request: "r1", Parts: []uint64{7}}}},
+		"crashed before the first event": {0, true, []uint64{5, 7}, []*wirepb.EndpointCrash{{Endpoint: "w1", Request: "r1", Parts: []uint64{7}, Began: true, Service: "engines", Key: testKey}}},
+		"crashed after events":           {2, true, []uint64{5, 7}, []*wirepb.EndpointCrash{{Endpoint: "w1", Request: "r1", Parts: []uint64{7}, Service: "engines"}}},
 		"still listens":                  {0, false, []uint64{5, 7}, nil},
-		"all parts were answered":        {0, true, []uint64{5}, []*wirepb.EndpointCrash{{Endpoint: "w1", Request: "r1", Began: true}}},
+		"all parts were answered":        {0, true, []uint64{5}, []*wirepb.EndpointCrash{{Endpoint: "w1", Request: "r1", Began: true, Service: "engines", Key: testKey}}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -24,6 +24,8 @@
 const (
 	testHost  = "one.example"
 	testModel = "rare"
+	// testKey is the key of all requests that tests send.
+	testKey = 42
 )
 
 // newTestTable returns a table with a resumable and a non-resumable stream route, an idempotent route and a once-only
@@ -106,7 +108,7 @@
 		panic(err)
 	}
 	model, adapter, _ := strings.Cut(model, "/")
-	request := &Request{ID: "r1", Host: testHost, Path: path, Model: model, Adapter: adapter, ClientTimeout: clientTimeout, Arrived: began, HTTPRequest: httpRequest, SharedParts: sharedParts}
+	request := &Request{ID: "r1", Host: testHost, Path: path, Model: model, Adapter: adapter, ClientTimeout: clientTimeout, Arrived: began, HTTPRequest: httpRequest, SharedParts: sharedParts, Key: testKey}
 	b.Serve(ctx, request, Responder{
 		Respond: func(status int, _ http.Header, _ []byte) error { result.Status = status; return nil },
 		Begin:   func(status int, _ http.Header) error { result.Status, result.Started = status, true; return nil },
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"burdocksaddle/endpoint"
-	"burdocksaddle/quarantine"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 )
@@ -90,7 +89,7 @@
 	sentAt time.Time
 	// stalled is set once the gateway has broken the current attempt off because the endpoint stopped responding.
 	stalled atomic.Bool
-	// quarantined is set once a part of the prompt has been quarantined, which ends the transaction.
+	// quarantined is set once the request or a part of its prompt has been quarantined, which ends the transaction.
 	quarantined atomic.Bool
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
 	demandReportRequested bool
@@ -122,8 +121,8 @@
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.activeCtx, cancel)()
-	if !t.register(cancel) {
-		t.refuse(quarantine.Duration, quarantinedReason)
+	if reason, after := t.register(cancel); reason != "" {
+		t.refuse(after, reason)
 		t.recordOutcome()
 		return
 	}
@@ -172,17 +171,16 @@
 	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
 }
 
-// register adds the transaction to the active ones, unless a part of its prompt is quarantined. cancel ends it.
-func (t *transaction) register(cancel context.CancelFunc) bool {
+// register adds the transaction to the active ones, or returns why the quarantine does not let it through and when its client may return.
+// cancel ends the transaction.
+func (t *transaction) register(cancel context.CancelFunc) (reason string, after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashes.table.Blocks(t.request.SharedParts) {
-		return false
+	if reason, after := t.quarantineRefusalLocked(); reason != "" {
+		return reason, after
 	}
 	t.active++
-	if len(t.request.SharedParts) > 0 {
-		t.crashes.cancels[t] = cancel
-	}
+	t.crashes.cancels[t] = cancel
 	budget := t.budgets[t.service]
 	if budget == nil {
 		budget = routing.NewBudget(t.config.RetryRatio*retryRatioShare, routing.WithMaxTokens(t.retryBurst))
@@ -199,7 +197,7 @@
 		d.arrivals++
 		d.waiting++
 	}
-	return true
+	return "", 0
 }
 
 func (t *transaction) unregister() {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -27,7 +27,7 @@
 	foreignCrashes = 3
 	// settleTime is how long a part must have been a suspect, so that all gateways can report answers to it.
 	settleTime = 400 * time.Millisecond
-	// crashTTL and maxCrashes limit the crashes that are kept, maxSuspects the parts that gateways are asked about.
+	// crashTTL and maxCrashes limit the crashes that are kept, maxSuspects the parts and requests that gateways are asked about.
 	crashTTL    = time.Hour
 	maxCrashes  = 1024
 	maxSuspects = 256
@@ -36,7 +36,10 @@
 // Crash is the crash of an endpoint as seen by one request that it had not finished.
 type Crash struct {
 	Endpoint endpoint.Incarnation
+	Service  string
 	Request  string
+	// Key is the same for requests with the same path, caller and body. It is 0 if the endpoint had sent a part of the response.
+	Key uint64
 	// Parts are the shared parts of the request's prompt that the reporting gateway had seen no answer to.
 	Parts []uint64
 	// SentAt is when the endpoint was sent the request, At when it crashed.
@@ -49,15 +52,19 @@
 type Evidence struct {
 	// crashes are ordered by when they became known.
 	crashes []Crash
-	// answeredAt is when a part was last in a request that was answered, suspectSince when a part was first in a crash.
+	// answeredAt is when a part was last in a request that was answered, suspectSince when a part was first in a crash. Both hold the keys of
+	// requests, too.
 	answeredAt, suspectSince map[uint64]time.Time
-	// activeSince is when this leader first saw each active entry, by its key.
-	activeSince map[string]time.Time
+	// activeSince is when this leader first saw each active entry, by its key, requestSince when it first saw each request.
+	activeSince  map[string]time.Time
+	requestSince map[uint64]time.Time
 }
 
 // New returns Evidence without any crash.
 func New() *Evidence {
-	return &Evidence{answeredAt: map[uint64]time.Time{}, suspectSince: map[uint64]time.Time{}, activeSince: map[string]time.Time{}}
+	return &Evidence{
+		answeredAt: map[uint64]time.Time{}, suspectSince: map[uint64]time.Time{}, activeSince: map[string]time.Time{}, requestSince: map[uint64]time.Time{},
+	}
 }
 
 // RecordCrash adds a crash. Gateways report crashes again to a new leader, so a known one is ignored.
@@ -70,21 +77,30 @@
 		e.crashes = slices.Clone(e.crashes[1:])
 	}
 	e.crashes = append(e.crashes, c)
-	for _, part := range c.Parts {
-		if _, known := e.suspectSince[part]; !known {
-			e.suspectSince[part] = now
+	for _, id := range c.suspects() {
+		if _, known := e.suspectSince[id]; !known {
+			e.suspectSince[id] = now
 		}
 	}
 }
 
-// RecordAnswer records that a request whose prompt has the part was answered.
-func (e *Evidence) RecordAnswer(part uint64, at time.Time) {
-	if at.After(e.answeredAt[part]) {
-		e.answeredAt[part] = at
+// suspects returns the parts and the key of the request.
+func (c Crash) suspects() []uint64 {
+	if c.Key == 0 {
+		return c.Parts
+	}
+	return append(slices.Clone(c.Parts), c.Key)
+}
+
+// RecordAnswer records that a request with the key, or whose prompt has the part, was answered.
+func (e *Evidence) RecordAnswer(id uint64, at time.Time) {
+	if at.After(e.answeredAt[id]) {
+		e.answeredAt[id] = at
 	}
 }
 
-// Suspects returns the parts for which an answer would make a difference, sorted.
+// Suspects returns the parts and the keys of requests for which an answer would make a difference, sorted. If there are too many, those in
+// the most crashes are preferred.
 func (e *Evidence) Suspects(current Table) []uint64 {
 	suspects := map[uint64]bool{}
 	for _, entry := range current.Entries {
@@ -92,13 +108,25 @@
 			suspects[part] = true
 		}
 	}
+	for _, r := range current.Requests {
+		suspects[r.Key] = true
+	}
+	var newestFirst []uint64
+	crashes := map[uint64]int{}
 	for _, c := range slices.Backward(e.crashes) {
-		for _, part := range c.Parts {
-			if len(suspects) < maxSuspects && e.counts(c, part) {
-				suspects[part] = true
+		for _, id := range c.suspects() {
+			if id != c.Key && !e.counts(c, id) {
+				continue
+			}
+			if crashes[id]++; crashes[id] == 1 {
+				newestFirst = append(newestFirst, id)
 			}
 		}
 	}
+	slices.SortStableFunc(newestFirst, func(a, b uint64) int { return crashes[b] - crashes[a] })
+	for _, id := range newestFirst[:min(len(newestFirst), maxSuspects)] {
+		suspects[id] = true
+	}
 	return slices.Sorted(maps.Keys(suspects))
 }
 
@@ -110,8 +138,11 @@
 // Next returns the table that follows from the evidence, and whether it differs from the current one.
 func (e *Evidence) Next(current Table, now time.Time) (Table, bool) {
 	e.prune(now)
-	next := e.clear(current)
+	next := e.clearRequests(e.clear(current), now)
 	next = e.suspend(next, now)
+	for _, key := range e.blamedRequests(next, now) {
+		next = next.WithBlamedRequest(key)
+	}
 	crashes := e.unexplained(next)
 	for {
 		set := e.blamed(crashes, next, now)
@@ -137,8 +168,8 @@
 	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return now.Sub(c.At) > crashTTL })
 	inCrash := map[uint64]bool{}
 	for _, c := range e.crashes {
-		for _, part := range c.Parts {
-			inCrash[part] = true
+		for _, id := range c.suspects() {
+			inCrash[id] = true
 		}
 	}
 	maps.DeleteFunc(e.suspectSince, func(part uint64, _ time.Time) bool { return !inCrash[part] })
@@ -204,6 +235,11 @@
 		}
 	}
 	e.activeSince = active
+	since := map[uint64]time.Time{}
+	for _, r := range t.Requests {
+		since[r.Key] = cmp.Or(e.requestSince[r.Key], now)
+	}
+	e.requestSince = since
 }
 
 // unexplained returns the crashes of endpoints at which no request with a quarantined set was running.
@@ -238,6 +274,8 @@
 		switch {
 		case suspended >= 0:
 			c.set = t.Entries[suspended].Parts
+		case e.sameRequest(byPart[part], t):
+			continue
 		case now.Sub(e.suspectSince[part]) < settleTime || c.began < beganCrashes && c.other < otherCrashes:
 			continue
 		default:
@@ -253,12 +291,12 @@
 	return best.set
 }
 
-// foreignTo returns how many other endpoints crashed since the first of some crashes.
+// foreignTo returns how many other endpoints of the same service crashed since the first of some crashes.
 func foreignTo(some, all []Crash) int {
-	first := slices.MinFunc(some, func(a, b Crash) int { return a.At.Compare(b.At) }).At
+	first := slices.MinFunc(some, func(a, b Crash) int { return a.At.Compare(b.At) })
 	foreign := map[endpoint.Incarnation]bool{}
 	for _, c := range all {
-		if !c.At.Before(first) {
+		if !c.At.Before(first.At) && c.Service == first.Service {
 			foreign[c.Endpoint] = true
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -197,13 +197,16 @@
 	requests  int
 	crashes   int
 	refused   map[uint64]int
-	// answeredAt is when the gateways last saw an answer to a part.
+	// answeredAt is when the gateways last saw an answer to a part or to a request with a key.
 	answeredAt map[uint64]time.Duration
+	// speed divides how long requests wait and run.
+	speed time.Duration
 }
 
 type simulatedRun struct {
 	endpoint    int
 	id          string
+	key         uint64
 	parts       []uint64
 	sent, begin time.Duration
 	end         time.Duration
@@ -217,13 +220,18 @@
 
 func newSimulatedFleet(seed uint64, endpoints int) *simulatedFleet {
 	return &simulatedFleet{
-		r: rand.New(rand.NewPCG(seed, 1)), evidence: New(), downUntil: make([]time.Duration, endpoints), refused: map[uint64]int{}, answeredAt: map[uint64]time.Duration{},
+		r: rand.New(rand.NewPCG(seed, 1)), evidence: New(), downUntil: make([]time.Duration, endpoints), refused: map[uint64]int{}, answeredAt: map[uint64]time.Duration{}, speed: 1,
 	}
 }
 
 // send sends a request to a random endpoint that is not down.
 func (f *simulatedFleet) send(deadly bool, parts ...uint64) {
-	if f.table.Blocks(parts) {
+	f.sendKeyed(deadly, 0, parts...)
+}
+
+// sendKeyed sends a request with a key.
+func (f *simulatedFleet) sendKeyed(deadly bool, key uint64, parts ...uint64) {
+	if f.table.Blocks(parts) || f.table.BlocksRequest(key) {
 		for _, part := range parts {
 			f.refused[part]++
 		}
@@ -234,12 +242,12 @@
 		return
 	}
 	f.requests++
-	begin := f.now + time.Duration(f.r.IntN(400))*time.Millisecond
-	end := begin + 300*time.Millisecond + time.Duration(f.r.IntN(2500))*time.Millisecond
+	begin := f.now + time.Duration(f.r.IntN(400))*time.Millisecond/f.speed
+	end := begin + (300*time.Millisecond+time.Duration(f.r.IntN(2500))*time.Millisecond)/f.speed
 	if deadly {
 		end = begin + 60*time.Millisecond
 	}
-	f.runs = append(f.runs, &simulatedRun{target, strconv.Itoa(f.requests), parts, f.now, begin, end, deadly})
+	f.runs = append(f.runs, &simulatedRun{target, strconv.Itoa(f.requests), key, parts, f.now, begin, end, deadly})
 }
 
 // crash crashes an endpoint, which each request there reports.
@@ -254,9 +262,9 @@
 			at, answered := f.answeredAt[part]
 			return answered && f.now-at < AnswerTTL
 		})
-		if len(unanswered) > 0 || !f.reported(target) {
+		if len(unanswered) > 0 || run.key != 0 || !f.reported(target) {
 			f.evidence.RecordCrash(Crash{
-				Endpoint: endpoint.Incarnation{ID: fmt.Sprintf("w%d-%d", target, f.crashes)}, Request: run.id, Parts: unanswered,
+				Endpoint: endpoint.Incarnation{ID: fmt.Sprintf("w%d-%d", target, f.crashes)}, Request: run.id, Key: run.key, Parts: unanswered,
 				SentAt: testStart.Add(run.sent), At: testStart.Add(f.now), Began: run.begin <= f.now && f.now-run.begin < 100*time.Millisecond,
 			}, testStart.Add(f.now))
 		}
@@ -285,8 +293,8 @@
 			continue
 		}
 		f.runs = slices.DeleteFunc(f.runs, func(other *simulatedRun) bool { return other == run })
-		for _, part := range run.parts {
-			f.answeredAt[part] = f.now
+		for _, id := range append(run.parts, run.key) {
+			f.answeredAt[id] = f.now
 		}
 	}
 	if f.now%(5*simulatedStep) != 0 {
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -33,7 +33,7 @@
 		}
 		at := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
 		r.crashes = append(r.crashes, quarantine.Crash{
-			Endpoint: endpoint.Incarnation{ID: c.GetEndpoint(), StartMS: c.GetBornMs()}, Request: c.GetRequest(), Parts: c.GetParts(),
+			Endpoint: endpoint.Incarnation{ID: c.GetEndpoint(), StartMS: c.GetBornMs()}, Service: c.GetService(), Request: c.GetRequest(), Key: c.GetKey(), Parts: c.GetParts(),
 			SentAt: at.Add(-time.Duration(c.GetRanMs()) * time.Millisecond), At: at, Began: c.GetBegan(),
 		})
 	}
@@ -60,7 +60,7 @@
 	reports, current := l.crashReports, l.quarantine
 	l.crashReports = crashReports{}
 	l.mu.Unlock()
-	if l.evidence.Idle() && len(reports.crashes) == 0 && len(current.Entries) == 0 {
+	if l.evidence.Idle() && len(reports.crashes) == 0 && len(current.Entries)+len(current.Requests) == 0 {
 		return
 	}
 	for part, at := range reports.answers {
@@ -106,6 +106,6 @@
 		return
 	}
 	s.quarantine = next
-	s.log.Info("quarantine committed", "revision", next.Revision, "active", next.Active(), "entries", next.String())
+	s.log.Info("quarantine committed", "revision", next.Revision, "active", next.Active(), "requests", len(next.Requests), "entries", next.String())
 	s.notifySubscribersLocked()
 }
