Try quarantined requests again, one attempt at a time

A sound request that was running at three crashes which it did not cause, such as those of a rack without power, was refused for as long as its quarantine lasted. Now the leader grants a single attempt to one gateway 10 s after the quarantine and another one a minute later, and commits each before it may be sent, so that neither a change of the leader nor a second gateway adds one. An answer ends the quarantine. With two trials a request that goes on crashing endpoints stays below the three that may reach them after its third crash.

Weighed and left: letting all gateways try after a time, as for parts of prompts. Each gateway would send one before it hears of the crash.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -81,7 +81,7 @@
 // firstResponseTimeout returns how long an endpoint may take to start responding before a retryable request is sent
 // to another one.
 func (t *transaction) firstResponseTimeout() time.Duration {
-	if !t.route.Repeatable() || t.executions+1 >= t.route.MaxAttempts {
+	if !t.route.Repeatable() || t.executions+1 >= t.maxAttempts() {
 		return time.Until(t.deadline)
 	}
 	if t.route.Kind == route.KindStream {
@@ -186,7 +186,7 @@
 
 // canRetry reports whether the request may be executed by one more endpoint.
 func (t *transaction) canRetry() bool {
-	return t.route.Repeatable() && t.executions < t.route.MaxAttempts
+	return t.route.Repeatable() && t.executions < t.maxAttempts()
 }
 
 // handleNotRun handles an endpoint's response that it did not execute the request.
@@ -341,7 +341,7 @@
 			t.outcome = outcomeClientLeft
 			return true
 		}
-		if t.route.Repeatable() && t.executions < t.route.MaxAttempts {
+		if t.route.Repeatable() && t.executions < t.maxAttempts() {
 			idleTimer.Reset(max(minIdleTimeout, idleTimeoutFactor*t.route.MaxEventGap))
 		} else {
 			idleTimer.Reset(max(time.Until(t.deadline), time.Millisecond))
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/logging"
 	"burdocksaddle/quarantine"
 	"burdocksaddle/wirepb"
 )
@@ -21,6 +22,10 @@
 	maxSightings      = 128
 	// sightingTTL is how long a crash is kept, to be reported to a new leader.
 	sightingTTL = time.Minute
+	// trialBackoff is how long after a gateway asked for a trial it asks for the same request again, trialRetryAfter the shortest time after
+	// which the client of a quarantined request is told to return.
+	trialBackoff    = 2 * time.Second
+	trialRetryAfter = time.Second
 	// maxAnswers limits the answers that are remembered.
 	maxAnswers = 16384
 	// stopCheckDelay is the time between the two attempts to find out whether an endpoint has stopped, stopCheckTTL how long a negative
@@ -37,7 +42,8 @@
 
 // crashRecord is what a gateway knows of requests that crash endpoints. It is guarded by the gateway's mutex.
 type crashRecord struct {
-	table quarantine.Table
+	table  quarantine.Table
+	trials quarantine.Trials
 	// suspects are the parts that the leader asks about.
 	suspects []uint64
 	// answeredAt is when a request with a part, or with a key, was last answered, reportedAt when the leader was last told so.
@@ -264,6 +270,7 @@
 		return
 	}
 	g.crashes.table = table
+	g.crashes.trials.Update(table, time.Now())
 	g.log.Info("quarantine in force", "revision", table.Revision, "active", table.Active(), "entries", len(table.Entries), "requests", len(table.Requests))
 	for t, cancel := range g.crashes.cancels {
 		if table.Blocks(t.request.SharedParts) || table.BlocksRequest(t.request.Key) {
@@ -280,11 +287,45 @@
 	delete(t.crashes.cancels, t)
 }
 
+// takeTrial asks the leader whether this attempt may find out if a quarantined request still crashes endpoints, once that is due.
+func (t *transaction) takeTrial(ctx context.Context) bool {
+	now, key := time.Now(), t.request.Key
+	t.mu.Lock()
+	leader, due := t.currentLeader, t.crashes.table.BlocksRequest(key) && t.crashes.trials.Wait(key, now) == 0
+	if due {
+		t.crashes.trials.Postpone(key, now.Add(trialBackoff))
+	}
+	t.mu.Unlock()
+	if !due || leader == "" {
+		return false
+	}
+	reply, err := t.askTrial(ctx, leader, &wirepb.TrialRequest{Key: key})
+	t.log.Info("trial of a quarantined request", "id", t.request.ID, "key", formatKey(key), "granted", reply.GetGranted(), "answer", reply.GetError(), "error", logging.ErrorText(err))
+	if reply.GetGranted() {
+		t.count(metricTrials)
+	}
+	return reply.GetGranted()
+}
+
+// callForTrial asks a steward for a trial.
+func (g *Gateway) callForTrial(ctx context.Context, leader string, request *wirepb.TrialRequest) (*wirepb.TurnReply, error) {
+	reply, err := g.pool.Call(ctx, leader, &wirepb.Frame{Body: &wirepb.Frame_TrialRequest{TrialRequest: request}}, turnTimeout)
+	return reply.GetTurnReply(), err
+}
+
+// maxAttempts returns how many endpoints may run the request.
+func (t *transaction) maxAttempts() int {
+	if t.trial {
+		return 1
+	}
+	return t.route.MaxAttempts
+}
+
 // quarantineRefusalLocked returns why the quarantine does not let the request through and when its client may return, or "".
 func (t *transaction) quarantineRefusalLocked() (reason string, after time.Duration) {
 	switch {
-	case t.crashes.table.BlocksRequest(t.request.Key):
-		return quarantinedRequestReason, quarantine.Duration
+	case !t.trial && t.crashes.table.BlocksRequest(t.request.Key):
+		return quarantinedRequestReason, max(t.crashes.trials.Wait(t.request.Key, time.Now()), trialRetryAfter)
 	case t.crashes.table.Blocks(t.request.SharedParts):
 		return quarantinedReason, quarantine.Duration
 	}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -252,3 +252,40 @@
 		t.Error("not taken back by the leader")
 	}
 }
+
+// TestQuarantinedRequestIsTriedOnce checks that a gateway sends one attempt of a quarantined request if the leader allows that, and no other one.
+func TestQuarantinedRequestIsTriedOnce(t *testing.T) {
+	tests := map[string]struct {
+		granted bool
+		calls   int
+		status  int
+	}{
+		"granted": {true, 1, 502},
+		"denied":  {false, 0, 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestGateway(t, func(_ context.Context, call Call) (*Response, error) {
+					return nil, ErrIncompleteResponse{Endpoint: call.Endpoint, Cause: io.ErrUnexpectedEOF}
+				}, plainEndpoint("w1"), plainEndpoint("w2"))
+				asked := 0
+				b.askTrial = func(_ context.Context, leader string, request *wirepb.TrialRequest) (*wirepb.TurnReply, error) {
+					asked++
+					return &wirepb.TurnReply{Granted: test.granted && leader == "steward" && request.GetKey() == testKey}, nil
+				}
+				b.quarantineRequest()
+				if got := b.doRequest(t.Context(), "/read/a", "", time.Second); got.Status != 503 || got.After < 5*time.Second || asked > 0 {
+					t.Errorf("before a trial is due: asked %d times, %+v", asked, got)
+				}
+				time.Sleep(time.Minute)
+				if got := b.doRequest(t.Context(), "/read/a", "", time.Second); got.Status != test.status || len(b.calls) != test.calls {
+					t.Errorf("%d calls, %+v", len(b.calls), got)
+				}
+				if got := b.doRequest(t.Context(), "/read/a", "", time.Second); got.Status != 503 || asked != 1 {
+					t.Errorf("right after that: asked %d times, %+v", asked, got)
+				}
+			})
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	listEndpoints func(context.Context) ([]endpoint.State, int, error)
 	hasStopped    func(ctx context.Context, address string) bool
 	askTurn       func(ctx context.Context, leader string, request *wirepb.TurnRequest) (*wirepb.TurnReply, error)
+	askTrial      func(ctx context.Context, leader string, request *wirepb.TrialRequest) (*wirepb.TurnReply, error)
 	// pendingCrashes are broken attempts for runCrashChecks.
 	pendingCrashes chan pendingCrash
 
@@ -145,7 +146,7 @@
 		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
 		hasStopped: func(context.Context, string) bool { return false },
 	}
-	g.askTurn = g.callForTurn
+	g.askTurn, g.askTrial = g.callForTurn, g.callForTrial
 	g.setRetryBurst(assumedGateways)
 	g.pendingCtx, g.cancelPending = context.WithCancel(context.Background())
 	g.activeCtx, g.cancelActive = context.WithCancel(context.Background())
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	metricLimits            = "burdocksaddle_gateway_endpoint_limits_total"
 	metricInvalidLimits     = "burdocksaddle_gateway_invalid_limits_total"
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
+	metricTrials            = "burdocksaddle_gateway_quarantine_trials_total"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
 )
 
@@ -54,7 +55,7 @@
 	g.metrics.NewGauge(metricEndpoints, g.withLock(func() float64 { return float64(len(g.endpoints)) }))
 	g.metrics.NewGauge(metricEndpointsAge, g.withLock(func() float64 { return time.Since(g.endpointsUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricTableAge, g.withLock(func() float64 { return time.Since(g.tableUpdatedAt).Seconds() }))
-	g.metrics.NewGauge(metricQuarantineEntries, g.withLock(func() float64 { return float64(g.crashes.table.Active()) }))
+	g.metrics.NewGauge(metricQuarantineEntries, g.withLock(func() float64 { return float64(g.crashes.table.Active() + len(g.crashes.table.Requests)) }))
 	g.metrics.NewGauge(metricHasLeader, g.withLock(func() float64 {
 		if g.currentLeader == "" {
 			return 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -91,6 +91,8 @@
 	stalled atomic.Bool
 	// quarantined is set once the request or a part of its prompt has been quarantined, which ends the transaction.
 	quarantined atomic.Bool
+	// trial is set if the leader allowed one attempt although the request is quarantined.
+	trial bool
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
 	demandReportRequested bool
 	events                int
@@ -121,6 +123,7 @@
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.activeCtx, cancel)()
+	t.trial = t.takeTrial(ctx)
 	if reason, after := t.register(cancel); reason != "" {
 		t.refuse(after, reason)
 		t.recordOutcome()
@@ -180,7 +183,9 @@
 		return reason, after
 	}
 	t.active++
-	t.crashes.cancels[t] = cancel
+	if !t.trial {
+		t.crashes.cancels[t] = cancel
+	}
 	budget := t.budgets[t.service]
 	if budget == nil {
 		budget = routing.NewBudget(t.config.RetryRatio*retryRatioShare, routing.WithMaxTokens(t.retryBurst))
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -51,7 +51,8 @@
 
 // BlocksRequest reports whether requests with the key must be refused.
 func (t Table) BlocksRequest(key uint64) bool {
-	return slices.ContainsFunc(t.Requests, func(r Request) bool { return r.Key == key })
+	_, found := t.TrialsOf(key)
+	return found
 }
 
 // WithBlamedRequest returns the next table, in which a request is quarantined. If there are too many, the oldest one of those that were tried
@@ -67,6 +68,26 @@
 	return next
 }
 
+// WithTrial returns the next table, in which a request counts as tried once more.
+func (t Table) WithTrial(key uint64) Table {
+	next := t.next()
+	for i, r := range next.Requests {
+		if r.Key == key {
+			next.Requests[i].Trials++
+		}
+	}
+	return next
+}
+
+// TrialsOf returns how often a quarantined request was tried, and whether it is quarantined.
+func (t Table) TrialsOf(key uint64) (trials int, found bool) {
+	i := slices.IndexFunc(t.Requests, func(r Request) bool { return r.Key == key })
+	if i < 0 {
+		return 0, false
+	}
+	return t.Requests[i].Trials, true
+}
+
 // WithoutRequests returns the next table without the requests that isCleared reports as harmless, or the same table if there are none.
 func (t Table) WithoutRequests(isCleared func(Request) bool) Table {
 	if !slices.ContainsFunc(t.Requests, isCleared) {
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"burdocksaddle/endpoint"
@@ -106,6 +107,44 @@
 		return
 	}
 	s.quarantine = next
+	s.trials.Update(next, time.Now())
 	s.log.Info("quarantine committed", "revision", next.Revision, "active", next.Active(), "requests", len(next.Requests), "entries", next.String())
 	s.notifySubscribersLocked()
 }
+
+// handleTrial decides whether a gateway may send one attempt of a quarantined request, and commits the trial before it allows that.
+func (s *Steward) handleTrial(ctx context.Context, request *wirepb.TrialRequest) *wirepb.Frame {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	reply, key := &wirepb.TurnReply{}, request.GetKey()
+	_, self := s.quorumLog.Leader()
+	s.mu.Lock()
+	leading, next, wait := self && s.leading, s.quarantine.WithTrial(key), time.Duration(0)
+	if leading {
+		wait = s.trials.Take(key, time.Now())
+	}
+	s.mu.Unlock()
+	switch {
+	case !leading:
+		reply.Error = "this steward does not lead"
+	case wait > 0:
+		reply.WaitMs = uint32(wait.Milliseconds())
+	default:
+		if err := s.propose(ctx, &wirepb.StewardChange{Quarantine: next.ToWire()}); err != nil {
+			reply.Error = err.Error()
+		} else if reply.Granted = s.hasTrial(next, key); !reply.Granted {
+			reply.Error = "the quarantine has changed meanwhile"
+		}
+		s.log.Info("trial of a quarantined request", "key", strconv.FormatUint(key, 16), "granted", reply.GetGranted(), "error", reply.GetError())
+	}
+	return &wirepb.Frame{Body: &wirepb.Frame_TurnReply{TurnReply: reply}}
+}
+
+// hasTrial reports whether the committed quarantine has the trial of a request that a table has.
+func (s *Steward) hasTrial(t quarantine.Table, key uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want, _ := t.TrialsOf(key)
+	committed, found := s.quarantine.TrialsOf(key)
+	return found && committed == want
+}
--- a/steward/quarantine_test.go
+++ b/steward/quarantine_test.go
@@ -150,3 +150,32 @@
 		t.Errorf("%d turns in a second", granted)
 	}
 }
+
+// TestTrialIsCommitted checks that a leader allows a trial of a quarantined request only when it is due, to one gateway, and commits it.
+func TestTrialIsCommitted(t *testing.T) {
+	s, ctx := startSteward(t, "")
+	startLeading(ctx, t, s)
+	request := &wirepb.TrialRequest{Key: 7}
+	if err := s.propose(ctx, &wirepb.StewardChange{Quarantine: s.quarantine.WithBlamedRequest(7).ToWire()}); err != nil {
+		t.Fatal(err)
+	}
+	if reply := s.handleTrial(ctx, request).GetTurnReply(); reply.GetGranted() || reply.GetWaitMs() == 0 {
+		t.Errorf("before it is due: %v", reply)
+	}
+	s.mu.Lock()
+	s.trials = quarantine.Trials{}
+	s.trials.Update(s.quarantine, time.Now().Add(-time.Minute))
+	s.mu.Unlock()
+	replies := make(chan *wirepb.TurnReply)
+	for range 2 {
+		go func() { replies <- s.handleTrial(ctx, request).GetTurnReply() }()
+	}
+	if first, second := <-replies, <-replies; first.GetGranted() == second.GetGranted() {
+		t.Errorf("two gateways: %v, %v", first, second)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if trials, found := s.quarantine.TrialsOf(7); trials != 1 || !found {
+		t.Errorf("%d trials committed: %v", trials, s.quarantine)
+	}
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -88,9 +88,10 @@
 	lastReportAt map[string]time.Time
 	// readyFences are the fencing tokens under which holders may issue orders, by endpoint address.
 	readyFences map[string]uint64
-	// quarantine is the committed list of parts of prompts that crash endpoints. crashReports is what gateways reported for it, suspects are
-	// the parts that they are asked about.
+	// quarantine is the committed list of requests and parts of prompts that crash endpoints, trials when these requests may be tried.
+	// crashReports is what gateways reported for it, suspects are the parts and requests that they are asked about.
 	quarantine   quarantine.Table
+	trials       quarantine.Trials
 	crashReports crashReports
 	suspects     []uint64
 	// turns paces the requests to endpoints with a limit while this steward leads.
@@ -201,7 +202,7 @@
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
 		Peer: s.quorumLog.Handle, Subscribe: s.handleSubscribe, TableQuery: s.handleTableQuery, TableChange: s.handleTableChange,
-		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn,
+		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn, Trial: s.handleTrial,
 	}
 }
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -37,6 +37,7 @@
 	Order        func(context.Context, *wirepb.EndpointOrder) *wirepb.Frame
 	HolderReport func(context.Context, *wirepb.HolderReport) *wirepb.Frame
 	Turn         func(context.Context, *wirepb.TurnRequest) *wirepb.Frame
+	Trial        func(context.Context, *wirepb.TrialRequest) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends. The returned channel receives one value: the error that stopped it, or nil.
@@ -159,6 +160,8 @@
 		return callHandler(ctx, handlers.Order, body.EndpointOrder)
 	case *wirepb.Frame_TurnRequest:
 		return callHandler(ctx, handlers.Turn, body.TurnRequest)
+	case *wirepb.Frame_TrialRequest:
+		return callHandler(ctx, handlers.Trial, body.TrialRequest)
 	case *wirepb.Frame_AdapterCall:
 		return callHandler(ctx, handlers.Adapter, body.AdapterCall)
 	case *wirepb.Frame_HolderReport:
