Log the software version of endpoints, and what a request resumes

The version comes from the platform's list and is sent to gateways with the endpoint's state. After a restart under the same ID it is unknown until the list shows that run. Nothing decides by it yet.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -15,9 +15,11 @@
 // State is the last known state of an endpoint.
 type State struct {
 	// ID usually identifies one run of an endpoint. StartMS, its start time, distinguishes runs that have the same ID.
-	ID         string
-	StartMS    int64
-	Service    string
+	ID      string
+	StartMS int64
+	Service string
+	// Software is the version of the endpoint's software, empty if unknown. Versions have no order.
+	Software   string
 	Address    string
 	DataCentre string
 	Slots      int
--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -145,7 +145,7 @@
 	if (s.Load == nil) != (other.Load == nil) || s.Load != nil && s.Load.Busy != other.Load.Busy {
 		return false
 	}
-	equal := s.StartMS == other.StartMS && s.Service == other.Service && s.Address == other.Address && s.DataCentre == other.DataCentre && s.Slots == other.Slots
+	equal := s.StartMS == other.StartMS && s.Service == other.Service && s.Software == other.Software && s.Address == other.Address && s.DataCentre == other.DataCentre && s.Slots == other.Slots
 	return equal && s.Draining == other.Draining && s.Loading == other.Loading && s.Holder == other.Holder && s.Limit == other.Limit &&
 		slices.EqualFunc(s.Models, other.Models, func(a, b Model) bool { return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters) })
 }
--- a/endpoint/view_test.go
+++ b/endpoint/view_test.go
@@ -40,6 +40,7 @@
 	case 5:
 		state.Models = []Model{{Name: fmt.Sprintf("m%d", r.IntN(9)), Adapters: []string{fmt.Sprintf("a%d", r.IntN(9))}}}
 	case 6:
+		state.Software = fmt.Sprintf("v%d", r.IntN(3))
 		state.Holder, state.Loading = fmt.Sprintf("h%d", r.IntN(3)), fmt.Sprintf("m%d", r.IntN(3))
 	case 7:
 		state.Limit = Limit{Named: r.IntN(2) == 0, PerSecond: float64(r.IntN(3))}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,6 +22,7 @@
 	if t.sends == 1 {
 		t.firstSentAfter = time.Since(t.arrivedAt)
 	}
+	t.software = c.state.Software
 	t.endpoint, t.begun, t.attemptEvents, t.sentAt = c.state.ID, false, 0, time.Now()
 	t.stalled.Store(false)
 	stream := t.route.Kind == route.KindStream
@@ -225,7 +226,7 @@
 	} else {
 		t.release(c, err)
 	}
-	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "model", t.request.Model, "send", t.sends,
+	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "software", c.state.Software, "model", t.request.Model, "send", t.sends,
 		"ran", t.executions, "begun", t.begun, "attemptEvents", t.attemptEvents, "events", t.events, "key", formatKey(t.request.Key), "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
 	if t.clientDisconnected() {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,8 @@
 	ClientTimeout time.Duration
 	// LastEvent is the id of the last stream event that the client received, empty for none.
 	LastEvent string
+	// Resumes is the ID of the client's request that brought the first event of the stream that this one takes up, empty for none.
+	Resumes string
 	// Arrived is when the request had been read completely.
 	Arrived time.Time
 	// HTTPRequest is the original HTTP request, which the sender forwards.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -96,8 +96,8 @@
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
 	demandReportRequested bool
 	events                int
-	// outcome and reason describe the result in logs and metrics; endpoint is the last endpoint tried.
-	outcome, reason, endpoint string
+	// outcome and reason describe the result in logs and metrics; endpoint is the last endpoint tried, software the version of its software.
+	outcome, reason, endpoint, software string
 	// firstSentAfter is the time from arrival to the first attempt, firstEventAfter that to the first event.
 	firstSentAfter, firstEventAfter time.Duration
 	// longestGap is the longest time between two events from the same endpoint.
@@ -133,7 +133,7 @@
 	t.run(ctx)
 	t.recordOutcome()
 	g.log.Info("request ended", "id", request.ID, "key", formatKey(request.Key), "route", matched.Name, "model", request.Model, "adapter", request.Adapter,
-		"outcome", t.outcome, "endpoint", t.endpoint, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
+		"outcome", t.outcome, "endpoint", t.endpoint, "software", t.software, "resumes", request.Resumes, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
 		"firstMs", t.firstEventAfter.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "ms", time.Since(t.arrivedAt).Milliseconds(), "version", table.Version)
 }
 
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -166,6 +166,9 @@
 		}
 		t.state.Draining = t.state.Draining || platformState.Draining
 		t.state.Remaining = platformState.Remaining
+		if platformState.StartMS == t.state.StartMS || platformState.StartMS == 0 {
+			t.state.Software = platformState.Software
+		}
 		if t.reportedAt.IsZero() {
 			t.state.Models = platformState.Models
 		}
@@ -217,6 +220,7 @@
 	if r.StartMS != 0 && t.state.StartMS != 0 && r.StartMS != t.state.StartMS {
 		*t = trackedEndpoint{state: t.state, unheld: t.unheld}
 		t.state.Limit = endpoint.Limit{}
+		t.state.Software = "" // the list may still show the version before the restart
 	}
 	if r.StartMS != 0 {
 		t.state.StartMS = r.StartMS
