--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -30,7 +30,9 @@
 
 const (
 	platformModels = 6
-	streamEvents   = 6
+	// softwareVersions is the number of versions of the engines' software that serve side by side.
+	softwareVersions = 2
+	streamEvents     = 6
 )
 
 // clusterShape is the size of a cluster; tolerance is how many stewards may lose their disks at the same time.
@@ -207,6 +209,7 @@
 	}
 	config.DeadlyRequests, config.OnCrash = []standin.DeadlyRequest{deadlyRequest}, c.restartCrashed
 	if service == "engine" {
+		config.Software = "v" + strconv.Itoa(n%softwareVersions)
 		config.DeadlyParts = []string{deadlyPart}
 		config.MemoryMB, config.AdapterSlots, config.Models = 65_000, 3, map[string]standin.Model{}
 		config.StoreLoadTime, config.DiskLoadTime = 1500*time.Millisecond, 200*time.Millisecond
--- a/e2e/platform_trouble_test.go
+++ b/e2e/platform_trouble_test.go
@@ -157,3 +157,46 @@
 	}
 	return judged, broken
 }
+
+// maxWrongStreams is how many streams may go on at another software version than the one that began them, at connected gateways or not.
+const maxWrongStreams = 2
+
+// checkVersions checks that streams go on at the software version that began them, within a response and where a caller takes them up.
+func checkVersions(o observations) (judged int, broken []string) {
+	type versionRun struct {
+		standin.Run
+		software string
+	}
+	runs := map[string][]versionRun{}
+	for _, e := range o.endpoints {
+		for _, run := range e.Runs() {
+			if run.Model != "" && run.Sent > 0 {
+				runs[run.ID] = append(runs[run.ID], versionRun{run, e.Software})
+			}
+		}
+	}
+	wrong := 0
+	for _, outcome := range o.outcomes {
+		origin := cmp.Or(outcome.Resumes, outcome.ID)
+		var first versionRun
+		for _, run := range runs[origin] {
+			// A later run from the start shows that the caller had received nothing.
+			if run.ResumedAfter == 0 && run.Start.After(first.Start) {
+				first = run
+			}
+		}
+		for _, run := range runs[outcome.ID] {
+			if run.ResumedAfter == 0 || first.ID == "" {
+				continue
+			}
+			judged++
+			if run.software != first.software {
+				wrong++
+			}
+		}
+	}
+	if wrong > maxWrongStreams {
+		broken = append(broken, fmt.Sprintf("%d streams went on at another software version", wrong))
+	}
+	return judged, broken
+}
