Resume a stream within a response at the software version that began it

An endpoint that broke off a stream was replaced by any other one that holds the model, whatever version of the software it runs; callers got events of two versions in one answer. The version of the endpoint that brought the first event now restricts the choice. If none of that version is left, the response is cut at once instead of waiting for one until the deadline (7.9 s in the test), so that the client can come back.

TestBrokenStreamGoesOnAtItsSoftwareVersion failed before in the cases without another endpoint of the version. Streams that clients take up are not mended yet: TestStreamsTakenUpStayAtTheirSoftwareVersion.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
+	"burdocksaddle/stream"
 )
 
 // attempt sends the request to an endpoint and reports whether the request is finished.
@@ -117,7 +118,7 @@
 	if !time.Now().Before(t.deadline) {
 		return true
 	}
-	other, _, ok := t.chooseLocked(t.request, t.service, append([]string{current}, t.stalledEndpoints...), time.Now())
+	other, _, ok := t.chooseLocked(t.request, t.service, t.origin, append([]string{current}, t.stalledEndpoints...), time.Now())
 	if !ok || other.endpoint.Name == current || other.limit.Named || hasBacklog(t.endpoints[current]) && hasBacklog(other.state) || !t.budgets[t.service].TakeRetry() {
 		return false
 	}
@@ -291,6 +292,15 @@
 	}
 }
 
+// recordOrigin records the software version that has begun the stream.
+func (t *transaction) recordOrigin(c choice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origin == nil {
+		t.origin = &stream.Origin{Service: t.service, Software: c.state.Software}
+	}
+}
+
 // relayStream forwards a stream's events as they arrive, and resumes at another endpoint where the route allows it.
 func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
 	var previousAt, steadyAt time.Time
@@ -314,6 +324,7 @@
 		if !t.streamStarted {
 			t.streamStarted = true
 			t.recordFirstEvent()
+			t.recordOrigin(c)
 			t.protectFromQuarantine()
 			if t.responder.Begin(response.Status, response.Header) != nil {
 				t.release(c, nil)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -12,6 +12,7 @@
 	"burdocksaddle/logging"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
+	"burdocksaddle/stream"
 	"burdocksaddle/wirepb"
 )
 
@@ -37,6 +38,8 @@
 
 // availability is what the endpoints of a request's service offer, whether or not one can execute it now.
 type availability struct {
+	// softwareServes is set if an endpoint runs the software version at which the request's stream began.
+	softwareServes bool
 	// modelHeld is set if an endpoint holds the request's model and may be used.
 	modelHeld bool
 	// pausedUntil is when the first endpoint with the request's model takes requests again, if all asked for a pause or are at their
@@ -46,9 +49,10 @@
 	limitedRate float64
 }
 
-// chooseLocked selects an endpoint that can execute a request now. Endpoints that are leaving are used only if no other can.
-func (g *Gateway) chooseLocked(q *Request, service string, avoid []string, now time.Time) (c choice, found availability, ok bool) {
-	byUse, found := g.candidatesLocked(q, service, now)
+// chooseLocked selects an endpoint of a service that can execute a request now; origin is where its stream began, nil for a new one. Endpoints
+// that are leaving are used only if no other can.
+func (g *Gateway) chooseLocked(q *Request, service string, origin *stream.Origin, avoid []string, now time.Time) (c choice, found availability, ok bool) {
+	byUse, found := g.candidatesLocked(q, service, origin, now)
 	for _, use := range []endpoint.Use{endpoint.UseNormal, endpoint.UseLimited, endpoint.UseLast} {
 		if c, ok = g.chooseAmongLocked(q, byUse[use], avoid, now); ok {
 			return c, found, true
@@ -61,11 +65,12 @@
 type candidates struct{ ready, withoutAdapter []routing.Endpoint }
 
 // candidatesLocked returns the endpoints that may be used for a request, by their Use.
-func (g *Gateway) candidatesLocked(q *Request, service string, now time.Time) (byUse [endpoint.UseNever]candidates, found availability) {
+func (g *Gateway) candidatesLocked(q *Request, service string, origin *stream.Origin, now time.Time) (byUse [endpoint.UseNever]candidates, found availability) {
 	for _, state := range g.endpoints {
-		if state.Service != service || state.Draining {
+		if state.Service != service || state.Draining || origin != nil && state.Software != origin.Software {
 			continue
 		}
+		found.softwareServes = true
 		if q.Model != "" && !state.Holds(q.Model) {
 			continue
 		}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -132,7 +132,7 @@
 				if diff := cmp.Diff(test.want, got); diff != "" || len(b.calls) != test.calls {
 					t.Error(len(b.calls), diff)
 				}
-				if _, _, ok := b.chooseLocked(&Request{Model: testModel}, "engines", nil, time.Now()); !ok {
+				if _, _, ok := b.chooseLocked(&Request{Model: testModel}, "engines", nil, nil, time.Now()); !ok {
 					t.Error("the endpoint is avoided for a request that the gateway itself ended")
 				}
 			})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
+	"burdocksaddle/stream"
 )
 
 const (
@@ -44,6 +45,8 @@
 	// after a power loss of all stewards a leader is elected within 2 s.
 	maxTableWait   = 3 * time.Second
 	tableWaitShare = 0.4
+	// versionRetryAfter is the Retry-After value where no endpoint runs a stream's software version; a crashed one is back after some seconds.
+	versionRetryAfter = 2 * time.Second
 	// otherGatewayRetryAfter is the Retry-After value where another gateway can serve the request.
 	otherGatewayRetryAfter = 50 * time.Millisecond
 	// lowestUrgency is the largest urgency value that endpoints support; larger values are less urgent.
@@ -82,6 +85,8 @@
 	avoid            []string
 	lastEvent        string
 	streamStarted    bool
+	// origin is where the stream began, nil for one that hasn't; it is guarded by the gateway's mutex.
+	origin *stream.Origin
 	// begun is set once the current attempt's endpoint has begun a response, attemptEvents counts that response's events.
 	begun         bool
 	attemptEvents int
@@ -290,7 +295,7 @@
 	for {
 		t.mu.Lock()
 		now := time.Now()
-		chosen, found, ok := t.chooseLocked(t.request, t.service, t.avoid, now)
+		chosen, found, ok := t.chooseLocked(t.request, t.service, t.origin, t.avoid, now)
 		behind := ok && chosen.limit.Named && t.joinTurnQueueLocked() > 1
 		ok = ok && !behind
 		if ok && t.needsRetryToken && !t.retryTokenTaken && !t.budgets[t.service].TakeRetry() {
@@ -348,6 +353,8 @@
 	left := t.firstResponseDue().Sub(now)
 	paused := found.pausedUntil.Sub(now)
 	switch {
+	case t.origin != nil && !found.softwareServes:
+		return "no endpoint runs the software version that began its stream", withJitter(versionRetryAfter)
 	case !found.modelHeld && !found.pausedUntil.IsZero() && paused > left && (loadTime == 0 || loadTime > left):
 		return "every endpoint that could serve it wants no requests", withJitter(paused)
 	case turnWait > max(left, 0) && (loadTime == 0 || loadTime > left):
