Let taken-up streams go on at the software version that began them

Clients that took a stream up got events of another version about as often as new streams begin there: the gateway did not read Resumes, and one that had not begun the stream could not know where it began.

A gateway remembers for a minute where streams began that clients may take up, and while a service runs several versions it tells all stewards; these keep it in memory. A gateway that does not know a stream asks them all. If nobody does, the stream goes on only where no other version has served, and is refused at once otherwise. The version and service that began it restrict the choice from then on. Nothing is sent while every service runs one version.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,7 +11,6 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
-	"burdocksaddle/stream"
 )
 
 // attempt sends the request to an endpoint and reports whether the request is finished.
@@ -119,7 +118,7 @@
 		return true
 	}
 	other, _, ok := t.chooseLocked(t.request, t.service, t.origin, append([]string{current}, t.stalledEndpoints...), time.Now())
-	if !ok || other.endpoint.Name == current || other.limit.Named || hasBacklog(t.endpoints[current]) && hasBacklog(other.state) || !t.budgets[t.service].TakeRetry() {
+	if !ok || other.endpoint.Name == current || other.limit.Named || hasBacklog(t.endpoints[current]) && hasBacklog(other.state) || !t.budgetLocked().TakeRetry() {
 		return false
 	}
 	t.retryTokenTaken = true
@@ -140,7 +139,7 @@
 	}
 	if response.Status >= http.StatusInternalServerError && t.canRetry() {
 		t.mu.Lock()
-		retryGranted := t.budgets[t.service].TakeRetry()
+		retryGranted := t.budgetLocked().TakeRetry()
 		t.mu.Unlock()
 		if retryGranted {
 			t.release(c, nil)
@@ -292,15 +291,6 @@
 	}
 }
 
-// recordOrigin records the software version that has begun the stream.
-func (t *transaction) recordOrigin(c choice) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.origin == nil {
-		t.origin = &stream.Origin{Service: t.service, Software: c.state.Software}
-	}
-}
-
 // relayStream forwards a stream's events as they arrive, and resumes at another endpoint where the route allows it.
 func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
 	var previousAt, steadyAt time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	hasStopped    func(ctx context.Context, address string) bool
 	askTurn       func(ctx context.Context, leader string, request *wirepb.TurnRequest) (*wirepb.TurnReply, error)
 	askTrial      func(ctx context.Context, leader string, request *wirepb.TrialRequest) (*wirepb.TurnReply, error)
+	askOrigin     func(ctx context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error)
+	tellStarts    func(steward string, starts *wirepb.StreamStarts) bool
 	// pendingCrashes are broken attempts for runCrashChecks.
 	pendingCrashes chan pendingCrash
 
@@ -90,6 +92,7 @@
 	turnGateways map[turnQueue]int
 	active       int
 	crashes      crashRecord
+	resumption   resumption
 }
 
 // modelLocation identifies a model, or one of its adapters, at an endpoint.
@@ -143,10 +146,10 @@
 		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absentUntil: map[modelLocation]time.Time{}, stewardViews: map[string]*endpoint.SubscriberView{}, leaderView: &endpoint.SubscriberView{},
 		notices: endpoint.NewNotices(config.DrainTime),
 		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, turnGateways: map[turnQueue]int{}, meanStreamDurations: map[string]time.Duration{},
-		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
+		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), resumption: newResumption(), pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
 		hasStopped: func(context.Context, string) bool { return false },
 	}
-	g.askTurn, g.askTrial = g.callForTurn, g.callForTrial
+	g.askTurn, g.askTrial, g.askOrigin, g.tellStarts = g.callForTurn, g.callForTrial, g.callForOrigin, g.sendStarts
 	g.setRetryBurst(assumedGateways)
 	g.pendingCtx, g.cancelPending = context.WithCancel(context.Background())
 	g.activeCtx, g.cancelActive = context.WithCancel(context.Background())
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -101,15 +101,24 @@
 
 // doRequest sends one request through the gateway and returns the client's view of the response.
 func (b *testGateway) doRequest(ctx context.Context, path, model string, clientTimeout time.Duration, sharedParts ...uint64) clientResult {
+	return b.do(ctx, path, model, Request{ID: "r1", ClientTimeout: clientTimeout, SharedParts: sharedParts})
+}
+
+// takeUp takes up a stream after its first event.
+func (b *testGateway) takeUp(ctx context.Context, id string) clientResult {
+	return b.do(ctx, "/live/a", testModel, Request{ID: "again", Resumes: id, LastEvent: "1", ClientTimeout: 8 * time.Second})
+}
+
+func (b *testGateway) do(ctx context.Context, path, model string, request Request) clientResult {
 	var result clientResult
 	began := time.Now()
 	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+testHost+path, http.NoBody)
 	if err != nil {
 		panic(err)
 	}
-	model, adapter, _ := strings.Cut(model, "/")
-	request := &Request{ID: "r1", Host: testHost, Path: path, Model: model, Adapter: adapter, ClientTimeout: clientTimeout, Arrived: began, HTTPRequest: httpRequest, SharedParts: sharedParts, Key: testKey}
-	b.Serve(ctx, request, Responder{
+	request.Host, request.Path, request.Arrived, request.HTTPRequest, request.Key = testHost, path, began, httpRequest, testKey
+	request.Model, request.Adapter, _ = strings.Cut(model, "/")
+	b.Serve(ctx, &request, Responder{
 		Respond: func(status int, _ http.Header, _ []byte) error { result.Status = status; return nil },
 		Begin:   func(status int, _ http.Header) error { result.Status, result.Started = status, true; return nil },
 		Event:   func([]byte) error { result.Events++; return nil },
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -9,6 +9,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/routing"
+	"burdocksaddle/stream"
 	"burdocksaddle/uplink"
 	"burdocksaddle/wirepb"
 )
@@ -51,6 +52,7 @@
 		case <-listed:
 			listing = false
 		case now := <-ticker.C:
+			g.reportStarts()
 			if now.After(nextDemand) {
 				nextDemand = now.Add(demandInterval)
 				g.reportDemand()
@@ -96,6 +98,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.stewardViews, steward)
+	delete(g.resumption.sent, steward)
 	if g.currentLeader == steward {
 		g.currentLeader = ""
 		g.crashes.forgetLeader()
@@ -157,6 +160,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.announcedVersion = max(g.announcedVersion, s.GetVersion())
+	if _, connected := g.resumption.sent[steward]; !connected {
+		g.resumption.sent[steward] = 0
+	}
 	if s.GetProven() && s.GetGateways() > 0 {
 		g.setRetryBurst(int(s.GetGateways()))
 	}
@@ -209,6 +215,7 @@
 	known := make(map[string]endpoint.State, len(endpoints))
 	for _, state := range endpoints {
 		known[state.ID] = state
+		g.resumption.versions.Record(stream.Origin{Service: state.Service, Software: state.Software}, now)
 		if state.Load != nil {
 			g.router.RecordReport(state.ID, routing.Report{Running: state.Load.Running, Waiting: state.Load.Waiting, Slots: state.Slots}, now)
 		}
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"strconv"
@@ -9,7 +10,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+
 	"burdocksaddle/endpoint"
+	"burdocksaddle/stream"
+	"burdocksaddle/wirepb"
 )
 
 // softwareEndpoint returns an endpoint with a version of its software.
@@ -66,3 +72,113 @@
 		})
 	}
 }
+
+// TestTakenUpStreamGoesOnAtItsSoftwareVersion checks where a stream goes on that a client takes up, by what is known of its start.
+func TestTakenUpStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
+	known := func(service, software string) *wirepb.OriginReply {
+		return &wirepb.OriginReply{Known: true, Service: service, Software: software, Used: true}
+	}
+	both, one := []string{"v1", "v2"}, []string{"v1", "v1"}
+	tests := map[string]struct {
+		// versions are those of the endpoints, local where this gateway began the stream, "" for nowhere.
+		versions []string
+		local    string
+		// replies are the stewards' answers, nil for none; age is how long the gateway has been running, stale how old its view is.
+		replies    []*wirepb.OriginReply
+		age, stale time.Duration
+		// want is the version at which it goes on, "" if the request must be refused.
+		want  string
+		asked bool
+	}{
+		"begun here":                           {both, "v2", nil, 0, 0, "v2", false},
+		"begun elsewhere":                      {both, "", []*wirepb.OriginReply{{Used: true}, known("engines", "v2")}, 0, 0, "v2", true},
+		"one steward does not answer":          {both, "", []*wirepb.OriginReply{nil, known("engines", "v1")}, 0, 0, "v1", true},
+		"no steward knows it":                  {both, "", []*wirepb.OriginReply{{Used: true}, {Used: true}}, 0, 0, "", true},
+		"no steward knows any":                 {both, "", []*wirepb.OriginReply{{}, {}}, 0, 0, "", true},
+		"no steward answers":                   {both, "", []*wirepb.OriginReply{nil, nil}, 0, 0, "", true},
+		"its version is gone":                  {one, "v2", nil, 0, 0, "", false},
+		"its service is not in the route":      {both, "", []*wirepb.OriginReply{known("desk", "v1")}, 0, 0, "", true},
+		"only one version, none other told":    {one, "", []*wirepb.OriginReply{{}, {}}, 0, 0, "v1", true},
+		"only one version left":                {one, "", []*wirepb.OriginReply{{Used: true}, {}}, 0, 0, "", true},
+		"only one version, no answer":          {one, "", []*wirepb.OriginReply{nil}, 0, 0, "", true},
+		"only one version for long":            {one, "", nil, 2 * stream.TTL, 0, "v1", false},
+		"only one version by an outdated view": {one, "", []*wirepb.OriginReply{{}}, 2 * stream.TTL, time.Minute, "", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				software := map[string]string{}
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil })
+				asked := false
+				b.askOrigin = func(_ context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
+					asked = true
+					n, _ := strconv.Atoi(steward)
+					if reply := test.replies[n]; reply != nil && query.GetService() == "engines" && query.GetStream() == xxhash.Sum64String("r0") {
+						return reply, nil
+					}
+					return nil, errors.New("no answer")
+				}
+				for n := range test.replies {
+					b.applySnapshot(strconv.Itoa(n), &wirepb.Snapshot{})
+				}
+				if test.local != "" {
+					b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: test.local}}, time.Now())
+				}
+				time.Sleep(test.age)
+				var states []endpoint.State
+				for n, version := range test.versions {
+					id := "w" + strconv.Itoa(n)
+					states, software[id] = append(states, softwareEndpoint(id, version)), version
+				}
+				b.setEndpoints(states...)
+				time.Sleep(test.stale)
+				got := b.takeUp(t.Context(), "r0")
+				if asked != test.asked {
+					t.Errorf("asked %t", asked)
+				}
+				if test.want == "" {
+					if got.Status != 503 || got.After == 0 || got.Took != 0 || len(b.calls) > 0 {
+						t.Errorf("%d calls, %+v", len(b.calls), got)
+					}
+					return
+				}
+				if got.Status != 200 || len(b.calls) != 1 || software[b.calls[0].Endpoint] != test.want {
+					t.Errorf("%v, %+v", b.calls, got)
+				}
+			})
+		})
+	}
+}
+
+// TestStartsAreToldWhileVersionsDiffer checks which starts stewards are told of, and that one which reconnects is told of all.
+func TestStartsAreToldWhileVersionsDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil }, softwareEndpoint("w1", "v1"))
+		var told []int
+		b.tellStarts = func(_ string, message *wirepb.StreamStarts) bool {
+			for _, group := range message.GetGroups() {
+				told = append(told, len(group.GetStreams()))
+			}
+			return true
+		}
+		report := func(want ...int) {
+			t.Helper()
+			told = nil
+			b.reportStarts()
+			if diff := cmp.Diff(want, told); diff != "" {
+				t.Error(diff)
+			}
+		}
+		b.applySnapshot("steward", &wirepb.Snapshot{})
+		b.doRequest(t.Context(), "/live/a", testModel, 8*time.Second)
+		report()
+		b.setEndpoints(softwareEndpoint("w1", "v1"), softwareEndpoint("w2", "v2"))
+		report(1)
+		report()
+		b.onStewardLost("steward")
+		b.applySnapshot("steward", &wirepb.Snapshot{})
+		report(1)
+		b.doRequest(t.Context(), "/draft/a", testModel, 8*time.Second)
+		report()
+	})
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -191,11 +191,7 @@
 	if !t.trial {
 		t.crashes.cancels[t] = cancel
 	}
-	budget := t.budgets[t.service]
-	if budget == nil {
-		budget = routing.NewBudget(t.config.RetryRatio*retryRatioShare, routing.WithMaxTokens(t.retryBurst))
-		t.budgets[t.service] = budget
-	}
+	budget := t.budgetLocked()
 	budget.SetMaxTokens(t.retryBurst)
 	budget.AddRequest()
 	if t.request.Model != "" {
@@ -210,6 +206,16 @@
 	return "", 0
 }
 
+// budgetLocked returns the retry budget of the request's service.
+func (t *transaction) budgetLocked() *routing.Budget {
+	budget := t.budgets[t.service]
+	if budget == nil {
+		budget = routing.NewBudget(t.config.RetryRatio*retryRatioShare, routing.WithMaxTokens(t.retryBurst))
+		t.budgets[t.service] = budget
+	}
+	return budget
+}
+
 func (t *transaction) unregister() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -247,6 +253,9 @@
 
 // run attempts the request until it has been answered, refused or ended.
 func (t *transaction) run(ctx context.Context) {
+	if t.request.LastEvent != "" && t.route.Resumable && !t.findOrigin(ctx) {
+		return
+	}
 	for {
 		chosen, ok := t.acquireEndpoint(ctx)
 		if !ok {
@@ -298,7 +307,7 @@
 		chosen, found, ok := t.chooseLocked(t.request, t.service, t.origin, t.avoid, now)
 		behind := ok && chosen.limit.Named && t.joinTurnQueueLocked() > 1
 		ok = ok && !behind
-		if ok && t.needsRetryToken && !t.retryTokenTaken && !t.budgets[t.service].TakeRetry() {
+		if ok && t.needsRetryToken && !t.retryTokenTaken && !t.budgetLocked().TakeRetry() {
 			t.mu.Unlock()
 			t.giveUp("the retry budget is used up", defaultRetryAfter)
 			return choice{}, false
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -190,6 +191,11 @@
 	return s, ok
 }
 
+// Serves reports whether the route sends requests to a service.
+func (r Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // PickService selects a service by weight. The point is a number from 0 to 1.
 func (r Route) PickService(point float64) string {
 	total := 0.0
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -18,6 +18,7 @@
 	"burdocksaddle/quorum"
 	"burdocksaddle/route"
 	"burdocksaddle/scaling"
+	"burdocksaddle/stream"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -94,6 +95,8 @@
 	trials       quarantine.Trials
 	crashReports crashReports
 	suspects     []uint64
+	// starts are where streams began, as gateways told this steward.
+	starts *stream.Starts
 	// turns paces the requests to endpoints with a limit while this steward leads.
 	turns *endpoint.Turns
 	// adaptersInUse are the adapters that gateways use, by endpoint address.
@@ -157,7 +160,7 @@
 	s := &Steward{
 		config: config, log: logr.Discard(), pool: pool, metrics: metrics.NewSet(), planner: scaling.New(), changed: make(chan struct{}),
 		demands: map[string]demandReport{}, reports: map[string]endpointReport{}, lastReportAt: map[string]time.Time{}, readyFences: map[string]uint64{},
-		held: map[string]*heldEndpoint{}, endpointView: &endpoint.View{}, turns: endpoint.NewTurns(), tables: tableHistory{encodeDelta: delta.Encode}, leaderWake: make(chan struct{}, 1), holderWake: make(chan struct{}, 1), quorumCheck: make(chan struct{}, 1),
+		held: map[string]*heldEndpoint{}, endpointView: &endpoint.View{}, turns: endpoint.NewTurns(), starts: stream.NewStarts(maxStarts), tables: tableHistory{encodeDelta: delta.Encode}, leaderWake: make(chan struct{}, 1), holderWake: make(chan struct{}, 1), quorumCheck: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(s)
@@ -202,7 +205,7 @@
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
 		Peer: s.quorumLog.Handle, Subscribe: s.handleSubscribe, TableQuery: s.handleTableQuery, TableChange: s.handleTableChange,
-		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn, Trial: s.handleTrial,
+		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn, Trial: s.handleTrial, Origin: s.handleOrigin,
 	}
 }
 
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -56,6 +56,9 @@
 		if d := frame.GetDemandReport(); d != nil {
 			s.recordDemand(node, d)
 		}
+		if starts := frame.GetStreamStarts(); starts != nil {
+			s.recordStarts(starts)
+		}
 	}
 }
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -38,6 +38,7 @@
 	HolderReport func(context.Context, *wirepb.HolderReport) *wirepb.Frame
 	Turn         func(context.Context, *wirepb.TurnRequest) *wirepb.Frame
 	Trial        func(context.Context, *wirepb.TrialRequest) *wirepb.Frame
+	Origin       func(context.Context, *wirepb.OriginQuery) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends. The returned channel receives one value: the error that stopped it, or nil.
@@ -162,6 +163,8 @@
 		return callHandler(ctx, handlers.Turn, body.TurnRequest)
 	case *wirepb.Frame_TrialRequest:
 		return callHandler(ctx, handlers.Trial, body.TrialRequest)
+	case *wirepb.Frame_OriginQuery:
+		return callHandler(ctx, handlers.Origin, body.OriginQuery)
 	case *wirepb.Frame_AdapterCall:
 		return callHandler(ctx, handlers.Adapter, body.AdapterCall)
 	case *wirepb.Frame_HolderReport:
