Ask stewards about a stream also while links to them are down

The stewards' addresses are known all the time, and a call opens a connection of its own.

TestTakenUpStreamGoesOnAtItsSoftwareVersion, in which no steward has sent anything yet, failed before in ten cases.

--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -97,13 +97,12 @@
 	now := time.Now()
 	origin, known := t.resumption.starts.Find(id, now)
 	versions := t.resumption.versions.Of(t.service, now)
-	stewards := slices.Sorted(maps.Keys(t.resumption.sent))
 	// A gateway with an old view may not have heard of another version.
 	onlyVersion := len(versions) == 1 && now.Sub(t.endpointsUpdatedAt) <= 2*maxEndpointsAge
 	allSeen := now.Sub(t.resumption.since) > stream.TTL
 	t.mu.Unlock()
 	if !known && (!onlyVersion || !allSeen) {
-		origin, known, allSeen = t.askOrigins(ctx, stewards, id)
+		origin, known, allSeen = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
 	}
 	if !known && onlyVersion && allSeen {
 		origin, known = stream.Origin{Service: t.service, Software: versions[0]}, true
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -118,9 +118,12 @@
 					}
 					return nil, errors.New("no answer")
 				}
+				// Nothing has come from the stewards yet: their connections may have been reset together with the client's.
+				var stewards []string
 				for n := range test.replies {
-					b.applySnapshot(strconv.Itoa(n), &wirepb.Snapshot{})
+					stewards = append(stewards, strconv.Itoa(n))
 				}
+				b.SetStewards(stewards)
 				if test.local != "" {
 					b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: test.local}}, time.Now())
 				}
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -88,6 +88,15 @@
 	u.configured = stewards
 }
 
+// Stewards returns the addresses of the stewards, connected or not.
+func (u *Uplink) Stewards() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	stewards := slices.Concat(u.configured, u.discovered)
+	slices.Sort(stewards)
+	return slices.Compact(stewards)
+}
+
 // Send queues a frame for a steward and reports whether it did; it fails if there is no stream to the steward or its queue is
 // full.
 func (u *Uplink) Send(steward string, frame *wirepb.Frame) bool {
