Check in the fault test that taken-up streams go on

Refusing every stream that callers take up passed the check Versions. TakenUp wants at least half of the share that new streams have.

--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -48,6 +48,8 @@
 	stewards     []string
 	gateways     []string
 	disturbances map[string][]period
+	// senders are the addresses from which gateways send, by those to which callers send.
+	senders map[string]string
 	// recoveredBy is the deadline for recovery after the last fault.
 	recoveredBy time.Time
 }
@@ -75,6 +77,7 @@
 	{"Repeats", checkRepeats, false},
 	{"Turns", checkTurns, false},
 	{"Versions", checkVersions, false},
+	{"TakenUp", checkTakenUp, false},
 }
 
 // runChecks returns the violations found and the number of cases judged, by check name.
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -276,12 +276,14 @@
 	resumedAt := l.cluster.resumedAt
 	l.cluster.mu.Unlock()
 	var gateways, stewards []string
+	senders := map[string]string{}
 	for _, name := range l.cluster.names {
 		if v := l.cluster.vms[name]; v.role == "gateway" {
 			gateways = append(gateways, v.bindAddress)
+			senders[v.client] = v.bindAddress
 		} else {
 			stewards = append(stewards, v.bindAddress)
 		}
 	}
-	return observations{stewards: stewards, gateways: gateways, probes: l.probes, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, resumedAt: resumedAt, recoveredBy: recoveredBy}
+	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, resumedAt: resumedAt, recoveredBy: recoveredBy}
 }
--- a/e2e/platform_trouble_test.go
+++ b/e2e/platform_trouble_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -200,3 +201,32 @@
 	}
 	return judged, broken
 }
+
+// minTakenUp is how many streams callers must have taken up for these to be judged.
+const minTakenUp = 12
+
+// checkTakenUp checks that of the streams that callers take up at connected gateways at least half as many go on as new streams begin.
+func checkTakenUp(o observations) (judged int, broken []string) {
+	type count struct{ sent, served int }
+	var begun, takenUp count
+	for _, outcome := range o.outcomes {
+		if !strings.HasPrefix(outcome.Path, livePath) || o.outOfTouch(o.senders[outcome.Gateway], outcome.Sent) {
+			continue
+		}
+		counted := &begun
+		if outcome.Resumes != "" {
+			counted = &takenUp
+		}
+		counted.sent++
+		if outcome.Status == http.StatusOK {
+			counted.served++
+		}
+	}
+	if takenUp.sent < minTakenUp || begun.sent == 0 {
+		return 0, nil
+	}
+	if 2*takenUp.served*begun.sent < takenUp.sent*begun.served {
+		broken = append(broken, fmt.Sprintf("%d of %d streams that were taken up went on, %d of %d new ones began", takenUp.served, takenUp.sent, begun.served, begun.sent))
+	}
+	return takenUp.sent, broken
+}
