Cut a broken stream at once if its client would leave before it goes on

The time that is left now runs from the last event, as it did from the arrival before the first one.

TestBrokenStreamDoesNotWaitForItsClientToLeave failed before (cut after 6 s).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -328,6 +328,7 @@
 		t.events++
 		t.attemptEvents++
 		now := time.Now()
+		t.lastEventAt = now
 		if steadyAt.IsZero() {
 			steadyAt = now.Add(steadyStreamTime)
 		} else if now.After(steadyAt) {
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -185,3 +185,20 @@
 		report()
 	})
 }
+
+// TestBrokenStreamDoesNotWaitForItsClientToLeave checks that a stream is cut at once if its model cannot be loaded before its client leaves.
+func TestBrokenStreamDoesNotWaitForItsClientToLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b *testGateway
+		b = newTestGateway(t, func(context.Context, Call) (*Response, error) {
+			without := engineEndpoint("w1")
+			without.Software = "v1"
+			b.setEndpoints(without)
+			return streamResponse(2, errCrash), nil
+		}, softwareEndpoint("w0", "v1"))
+		b.applySnapshot("steward", &wirepb.Snapshot{Leads: true})
+		if got := b.doRequest(t.Context(), "/live/a", testModel, 12*time.Second); !got.Cut || got.Took > time.Second {
+			t.Errorf("%+v", got) // its client would leave after 2 s, and the load takes 6 s
+		}
+	})
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -87,6 +87,8 @@
 	streamStarted    bool
 	// origin is where the stream began, nil for one that hasn't; it is guarded by the gateway's mutex.
 	origin *stream.Origin
+	// lastEventAt is when the client was sent the last event.
+	lastEventAt time.Time
 	// begun is set once the current attempt's endpoint has begun a response, attemptEvents counts that response's events.
 	begun         bool
 	attemptEvents int
@@ -312,7 +314,7 @@
 			t.giveUp("the retry budget is used up", defaultRetryAfter)
 			return choice{}, false
 		}
-		if wait := t.queueWaitLocked(chosen.state); ok && t.sends == 0 && wait > queueWaitMargin*time.Until(t.firstResponseDue()) {
+		if wait := t.queueWaitLocked(chosen.state); ok && t.sends == 0 && wait > queueWaitMargin*time.Until(t.nextResponseDue()) {
 			t.mu.Unlock()
 			t.giveUp("every endpoint that holds its model has too long a queue", withJitter(wait))
 			return choice{}, false
@@ -359,7 +361,7 @@
 // "". loadTime is the time until its model is loaded, 0 if that is unknown or an endpoint holds it; turnWait is the time until an endpoint
 // with a limit can take the request, 0 if it need not wait for that.
 func (t *transaction) hopeless(found availability, loadTime, turnWait time.Duration, now time.Time) (reason string, after time.Duration) {
-	left := t.firstResponseDue().Sub(now)
+	left := t.nextResponseDue().Sub(now)
 	paused := found.pausedUntil.Sub(now)
 	switch {
 	case t.origin != nil && !found.softwareServes:
@@ -376,12 +378,16 @@
 	return "", 0
 }
 
-// firstResponseDue returns when the client disconnects unless the response, or a stream's first event, has arrived.
-func (t *transaction) firstResponseDue() time.Time {
-	if t.route.Kind != route.KindStream || t.streamStarted {
+// nextResponseDue returns when the client disconnects unless the response, or a stream's next event, has arrived.
+func (t *transaction) nextResponseDue() time.Time {
+	if t.route.Kind != route.KindStream {
 		return t.deadline
 	}
-	disconnectsAt := t.arrivedAt.Add(max(minClientStreamTimeout, clientTimeoutObjectives*t.route.LatencyObjective, clientTimeoutGaps*t.route.MaxEventGap))
+	last := t.arrivedAt
+	if t.streamStarted {
+		last = t.lastEventAt
+	}
+	disconnectsAt := last.Add(max(minClientStreamTimeout, clientTimeoutObjectives*t.route.LatencyObjective, clientTimeoutGaps*t.route.MaxEventGap))
 	if disconnectsAt.Before(t.deadline) {
 		return disconnectsAt
 	}
