Send the events before a simulated engine's reset

Its cause: events that were written faster than they were flushed were in the server's buffer when the fault aborted the handler, which discards the buffer; the client got 0 to 2 of 3 events. The fault now flushes what it lets through.

--- a/cmd/demo_test.go
+++ b/cmd/demo_test.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"strings"
@@ -14,8 +15,9 @@
 	defer cancel()
 	reader, writer := io.Pipe()
 	code := make(chan int, 1)
+	var problems bytes.Buffer
 	go func() {
-		code <- Main(ctx, []string{programName, "demo"}, writer, io.Discard)
+		code <- Main(ctx, []string{programName, "demo"}, writer, &problems)
 		_ = writer.Close()
 	}()
 	buffer, text := make([]byte, 4096), ""
@@ -30,7 +32,7 @@
 	select {
 	case got := <-code:
 		if got != exitOK {
-			t.Errorf("exit code %d, want %d", got, exitOK)
+			t.Errorf("exit code %d, want %d: %s", got, exitOK, problems.String())
 		}
 	case <-time.After(time.Minute):
 		t.Error("the demo is still running a minute after it was canceled")
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -123,7 +123,12 @@
 		w.hang()
 	}
 	fault := w.injector.Fault()
-	if fault.LoseAnswer || fault.ResetAfter > 0 && w.writes >= fault.ResetAfter {
+	if fault.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if fault.ResetAfter > 0 && w.writes >= fault.ResetAfter {
+		// An aborted handler discards what the server has buffered, such as events that were written faster than they were flushed.
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	w.writes++
