--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -99,12 +99,12 @@
 	versions := t.resumption.versions.Of(t.service, now)
 	// A gateway with an old view may not have heard of another version.
 	onlyVersion := len(versions) == 1 && now.Sub(t.endpointsUpdatedAt) <= 2*maxEndpointsAge
-	allSeen := now.Sub(t.resumption.since) > stream.TTL
+	noOther := now.Sub(t.resumption.since) > stream.TTL
 	t.mu.Unlock()
-	if !known && (!onlyVersion || !allSeen) {
-		origin, known, allSeen = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
+	if !known && (!onlyVersion || !noOther) {
+		origin, known, noOther = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
 	}
-	if !known && onlyVersion && allSeen {
+	if !known && onlyVersion && noOther {
 		origin, known = stream.Origin{Service: t.service, Software: versions[0]}, true
 	}
 	switch {
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,23 +74,26 @@
 	}
 }
 
+// takenUpTest is a case in which a client takes a stream up.
+type takenUpTest struct {
+	// versions are those of the endpoints, local where this gateway began the stream, "" for nowhere.
+	versions []string
+	local    string
+	// replies are the stewards' answers, nil for none; age is how long the gateway has been running, stale how old its view is.
+	replies    []*wirepb.OriginReply
+	age, stale time.Duration
+	// want is the version at which it goes on, "" if the request must be refused.
+	want  string
+	asked bool
+}
+
 // TestTakenUpStreamGoesOnAtItsSoftwareVersion checks where a stream goes on that a client takes up, by what is known of its start.
 func TestTakenUpStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
 	known := func(service, software string) *wirepb.OriginReply {
 		return &wirepb.OriginReply{Known: true, Service: service, Software: software, Used: true}
 	}
 	both, one := []string{"v1", "v2"}, []string{"v1", "v1"}
-	tests := map[string]struct {
-		// versions are those of the endpoints, local where this gateway began the stream, "" for nowhere.
-		versions []string
-		local    string
-		// replies are the stewards' answers, nil for none; age is how long the gateway has been running, stale how old its view is.
-		replies    []*wirepb.OriginReply
-		age, stale time.Duration
-		// want is the version at which it goes on, "" if the request must be refused.
-		want  string
-		asked bool
-	}{
+	tests := map[string]takenUpTest{
 		"begun here":                           {both, "v2", nil, 0, 0, "v2", false},
 		"begun elsewhere":                      {both, "", []*wirepb.OriginReply{{Used: true}, known("engines", "v2")}, 0, 0, "v2", true},
 		"one steward does not answer":          {both, "", []*wirepb.OriginReply{nil, known("engines", "v1")}, 0, 0, "v1", true},
@@ -105,51 +109,51 @@
 		"only one version by an outdated view": {one, "", []*wirepb.OriginReply{{}}, 2 * stream.TTL, time.Minute, "", true},
 	}
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				software := map[string]string{}
-				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil })
-				asked := false
-				b.askOrigin = func(_ context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
-					asked = true
-					n, _ := strconv.Atoi(steward)
-					if reply := test.replies[n]; reply != nil && query.GetService() == "engines" && query.GetStream() == xxhash.Sum64String("r0") {
-						return reply, nil
-					}
-					return nil, errors.New("no answer")
-				}
-				// Nothing has come from the stewards yet: their connections may have been reset together with the client's.
-				var stewards []string
-				for n := range test.replies {
-					stewards = append(stewards, strconv.Itoa(n))
-				}
-				b.SetStewards(stewards)
-				if test.local != "" {
-					b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: test.local}}, time.Now())
-				}
-				time.Sleep(test.age)
-				var states []endpoint.State
-				for n, version := range test.versions {
-					id := "w" + strconv.Itoa(n)
-					states, software[id] = append(states, softwareEndpoint(id, version)), version
-				}
-				b.setEndpoints(states...)
-				time.Sleep(test.stale)
-				got := b.takeUp(t.Context(), "r0")
-				if asked != test.asked {
-					t.Errorf("asked %t", asked)
-				}
-				if test.want == "" {
-					if got.Status != 503 || got.After == 0 || got.Took != 0 || len(b.calls) > 0 {
-						t.Errorf("%d calls, %+v", len(b.calls), got)
-					}
-					return
-				}
-				if got.Status != 200 || len(b.calls) != 1 || software[b.calls[0].Endpoint] != test.want {
-					t.Errorf("%v, %+v", b.calls, got)
-				}
-			})
-		})
+		t.Run(name, func(t *testing.T) { synctest.Test(t, test.run) })
+	}
+}
+
+// run takes the stream up. Nothing has come from the stewards before: their connections may have been reset together with the client's.
+func (test takenUpTest) run(t *testing.T) {
+	software := map[string]string{}
+	b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil })
+	var asked atomic.Bool
+	b.askOrigin = func(_ context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
+		asked.Store(true)
+		n, _ := strconv.Atoi(steward)
+		if reply := test.replies[n]; reply != nil && query.GetService() == "engines" && query.GetStream() == xxhash.Sum64String("r0") {
+			return reply, nil
+		}
+		return nil, errors.New("no answer")
+	}
+	var stewards []string
+	for n := range test.replies {
+		stewards = append(stewards, strconv.Itoa(n))
+	}
+	b.SetStewards(stewards)
+	if test.local != "" {
+		b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: test.local}}, time.Now())
+	}
+	time.Sleep(test.age)
+	var states []endpoint.State
+	for n, version := range test.versions {
+		id := "w" + strconv.Itoa(n)
+		states, software[id] = append(states, softwareEndpoint(id, version)), version
+	}
+	b.setEndpoints(states...)
+	time.Sleep(test.stale)
+	got := b.takeUp(t.Context(), "r0")
+	if asked.Load() != test.asked {
+		t.Errorf("asked %t", asked.Load())
+	}
+	if test.want == "" {
+		if got.Status != 503 || got.After == 0 || got.Took != 0 || len(b.calls) > 0 {
+			t.Errorf("%d calls, %+v", len(b.calls), got)
+		}
+		return
+	}
+	if got.Status != 200 || len(b.calls) != 1 || software[b.calls[0].Endpoint] != test.want {
+		t.Errorf("%v, %+v", b.calls, got)
 	}
 }
 
