Add teams with API keys, and messages for caps, versions and pace

Cause: requests of teams need an API key, a name at the endpoint and a cap, none of which the code knows. Change: package team finds a team by API key over a salted hash; a table may hold teams; the protobuf messages of this milestone (caps, committed software versions, pace of endpoints) are added at once so that its parts can be built side by side. Nothing uses them yet.

--- a/route/table.go
+++ b/route/table.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"burdocksaddle/team"
 )
 
 // Kind defines how requests are answered on a route and whether they may be retried.
@@ -43,6 +45,8 @@
 	// MaxAttempts is the maximum number of endpoints that one request may be sent to.
 	MaxAttempts int
 	Resumable   bool
+	// Public routes need no API key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -107,18 +111,29 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Teams finds the team of an API key; it is nil if requests need none.
+	Teams *team.Directory
 
 	// hosts holds the routes by host name in lower case.
 	hosts    map[string][]Route
 	services map[string]Service
 }
 
+// Option sets one property of a Table.
+type Option func(*Table)
+
+// WithTeams sets the teams whose API keys requests need.
+func WithTeams(teams *team.Directory) Option { return func(t *Table) { t.Teams = teams } }
+
 // New validates and indexes a configuration. It returns ErrInvalid if a part is invalid.
-func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
+func New(version uint64, routes []Route, services []Service, limits Limits, options ...Option) (*Table, error) {
 	t := &Table{
 		Version: version, Routes: routes, Services: services, Limits: limits,
 		hosts: make(map[string][]Route, len(routes)), services: make(map[string]Service, len(services)),
 	}
+	for _, option := range options {
+		option(t)
+	}
 	for _, s := range services {
 		if _, duplicate := t.services[s.Name]; duplicate || s.Name == "" {
 			return nil, ErrInvalid{PartType: "service", Name: s.Name, Reason: "its name is empty or used twice"}
--- a/wire/server.go
+++ b/wire/server.go
@@ -39,6 +39,7 @@
 	Turn         func(context.Context, *wirepb.TurnRequest) *wirepb.Frame
 	Trial        func(context.Context, *wirepb.TrialRequest) *wirepb.Frame
 	Origin       func(context.Context, *wirepb.OriginQuery) *wirepb.Frame
+	Quota        func(context.Context, *wirepb.QuotaRequest) *wirepb.Frame
 }
 
 // Serve accepts sessions until the context ends. The returned channel receives one value: the error that stopped it, or nil.
@@ -165,6 +166,8 @@
 		return callHandler(ctx, handlers.Trial, body.TrialRequest)
 	case *wirepb.Frame_OriginQuery:
 		return callHandler(ctx, handlers.Origin, body.OriginQuery)
+	case *wirepb.Frame_QuotaRequest:
+		return callHandler(ctx, handlers.Quota, body.QuotaRequest)
 	case *wirepb.Frame_AdapterCall:
 		return callHandler(ctx, handlers.Adapter, body.AdapterCall)
 	case *wirepb.Frame_HolderReport:
