Commit the software versions of services and continue unknown streams only by them

Cause: which versions a service runs was known only in the memory of gateways and stewards. After that was lost, a gateway that saw one version joined an unknown stream to it. Starts reached the stewards up to 0.1 s late, so that a kill of all gateways lost the latest ones. Change: the leader commits the versions of the last minute (SoftwareTable) before it publishes an endpoint that runs a new one. Stewards name them with their quorum proof in OriginReply. A stream of unknown start continues only if a proven steward names exactly one version, no other steward names a further one, and the gateway sees just that one. While several versions count, a start is written to the connections of all stewards before the first event is forwarded (at most 20 ms, batched per steward). A steward that does not read delays the starts to no other. Streams that began at an endpoint whose version was not known are not continued while several versions count. Tests replaced by stricter ones: "only one version for long" continued without a steward's answer, which joins versions if a new one has just been published; it now needs a proven answer. "only one version, none other told" needs the same. TestOriginQuery also compares versions and proof.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -314,7 +314,9 @@
 		if !t.streamStarted {
 			t.streamStarted = true
 			t.recordFirstEvent()
-			t.recordOrigin(c)
+			if t.recordOrigin(c) {
+				t.flushStarts(ctx)
+			}
 			t.protectFromQuarantine()
 			if t.responder.Begin(response.Status, response.Header) != nil {
 				t.release(c, nil)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -52,6 +52,11 @@
 // chooseLocked selects an endpoint of a service that can execute a request now; origin is where its stream began, nil for a new one. Endpoints
 // that are leaving are used only if no other can.
 func (g *Gateway) chooseLocked(q *Request, service string, origin *stream.Origin, avoid []string, now time.Time) (c choice, found availability, ok bool) {
+	several := g.severalVersionsLocked(service, now)
+	if several && origin != nil && origin.Software == "" {
+		// The stream began at an endpoint whose version was not known yet, which is no reason to take two such endpoints for the same.
+		return choice{}, availability{}, false
+	}
 	byUse, found := g.candidatesLocked(q, service, origin, now)
 	for _, use := range []endpoint.Use{endpoint.UseNormal, endpoint.UseLimited, endpoint.UseLast} {
 		if c, ok = g.chooseAmongLocked(q, byUse[use], avoid, now); ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,7 @@
 	askTurn       func(ctx context.Context, leader string, request *wirepb.TurnRequest) (*wirepb.TurnReply, error)
 	askTrial      func(ctx context.Context, leader string, request *wirepb.TrialRequest) (*wirepb.TurnReply, error)
 	askOrigin     func(ctx context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error)
-	tellStarts    func(steward string, starts *wirepb.StreamStarts) bool
+	tellStarts    func(steward string, starts *wirepb.StreamStarts) (written <-chan struct{}, sent bool)
 	// pendingCrashes are broken attempts for runCrashChecks.
 	pendingCrashes chan pendingCrash
 
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -98,7 +98,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.stewardViews, steward)
-	delete(g.resumption.sent, steward)
+	delete(g.resumption.receivers, steward)
+	delete(g.resumption.committed, steward)
 	if g.currentLeader == steward {
 		g.currentLeader = ""
 		g.crashes.forgetLeader()
@@ -160,8 +161,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.announcedVersion = max(g.announcedVersion, s.GetVersion())
-	if _, connected := g.resumption.sent[steward]; !connected {
-		g.resumption.sent[steward] = 0
+	if g.resumption.receivers[steward] == nil {
+		g.resumption.receivers[steward] = newStartReceiver()
+	}
+	if s.GetSoftware() != nil {
+		g.resumption.committed[steward] = stream.SoftwareFromWire(s.GetSoftware())
 	}
 	if s.GetProven() && s.GetGateways() > 0 {
 		g.setRetryBurst(int(s.GetGateways()))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	metricLimits            = "burdocksaddle_gateway_endpoint_limits_total"
 	metricInvalidLimits     = "burdocksaddle_gateway_invalid_limits_total"
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
+	metricLateStarts        = "burdocksaddle_gateway_late_stream_starts_total"
 	metricTrials            = "burdocksaddle_gateway_quarantine_trials_total"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
 )
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -16,10 +16,12 @@
 	// maxStarts limits the streams whose start a gateway remembers, maxStartsPerFrame those that it tells a steward at a time.
 	maxStarts         = 8192
 	maxStartsPerFrame = 1024
+	// startWriteTimeout limits how long the first event of a stream is held back until its start has been written to the connections of
+	// all stewards. It is far below the time to a first event; a steward that does not read may use it up.
+	startWriteTimeout = 20 * time.Millisecond
 	// originTimeout bounds the stewards' answers to where a stream began.
 	originTimeout = 300 * time.Millisecond
-	// originRetryAfter is the Retry-After value if it isn't known where a stream began; the gateway that began it may not have told the
-	// stewards yet.
+	// originRetryAfter is the Retry-After value if a steward did not say where a stream began; it may be about to answer again.
 	originRetryAfter = 250 * time.Millisecond
 )
 
@@ -27,61 +29,172 @@
 type resumption struct {
 	starts   *stream.Starts
 	versions stream.Versions
-	// sent is the number of the next start to tell each connected steward.
-	sent map[string]uint64
-	// since is when this gateway began to record versions.
-	since time.Time
+	// committed are the services with several committed software versions, by the connected steward that said so.
+	committed map[string]stream.Software
+	// reported are the services whose starts are reported to stewards.
+	reported map[string]bool
+	// receivers are the connected stewards.
+	receivers map[string]*startReceiver
+}
+
+// startReceiver is a steward that is told of starts.
+type startReceiver struct {
+	// next is the number of the next start to tell it.
+	next uint64
+	// written is closed once the last message to it has been written to its connection.
+	written <-chan struct{}
+	// flush is a semaphore that admits one write at a time, so that the starts that wait for it are written together.
+	flush chan struct{}
+}
+
+func newStartReceiver() *startReceiver {
+	written := make(chan struct{})
+	close(written)
+	return &startReceiver{written: written, flush: make(chan struct{}, 1)}
 }
 
 func newResumption() resumption {
-	return resumption{starts: stream.NewStarts(maxStarts), sent: map[string]uint64{}, since: time.Now()}
+	return resumption{
+		starts: stream.NewStarts(maxStarts), committed: map[string]stream.Software{}, reported: map[string]bool{}, receivers: map[string]*startReceiver{},
+	}
 }
 
-// recordOrigin records where the stream began. Others need to know only if a client may take it up.
-func (t *transaction) recordOrigin(c choice) {
+// severalVersionsLocked reports whether a service runs several software versions, or has run them within the last minute, by this gateway's
+// view or by the stewards' log.
+func (g *Gateway) severalVersionsLocked(service string, now time.Time) bool {
+	if len(g.resumption.versions.Of(service, now)) > 1 {
+		return true
+	}
+	for _, committed := range g.resumption.committed {
+		if len(committed.Versions(service)) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// recordOrigin records where the stream began, and reports whether the stewards must know it before the first event is forwarded. They need
+// to know only if a client may resume the stream while its service runs several versions.
+func (t *transaction) recordOrigin(c choice) (report bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.origin != nil {
-		return
+		return false
 	}
 	t.origin = &stream.Origin{Service: t.service, Software: c.state.Software}
-	if t.route.Resumable && t.request.ID != "" {
-		t.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String(t.request.ID), Origin: *t.origin}, time.Now())
+	if !t.route.Resumable || t.request.ID == "" {
+		return false
+	}
+	now := time.Now()
+	t.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String(t.request.ID), Origin: *t.origin, Model: t.request.Model}, now)
+	return t.severalVersionsLocked(t.service, now)
+}
+
+// flushStarts returns once the recorded starts have been written to the connections of all stewards, or after startWriteTimeout: another
+// gateway may need to know them even if this one is killed right after the first event. A steward that does not read delays no other.
+func (g *Gateway) flushStarts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startWriteTimeout)
+	defer cancel()
+	g.mu.Lock()
+	receivers := maps.Clone(g.resumption.receivers)
+	g.updateReportedLocked(time.Now())
+	g.mu.Unlock()
+	done := make(chan bool, len(receivers))
+	for steward, r := range receivers {
+		go func() { done <- g.flushStartsTo(ctx, steward, r) }()
+	}
+	late := false
+	for range receivers {
+		late = !<-done || late
+	}
+	if late {
+		g.count(metricLateStarts)
+	}
+}
+
+// flushStartsTo reports whether the recorded starts were written to a steward's connection before the context ended.
+func (g *Gateway) flushStartsTo(ctx context.Context, steward string, r *startReceiver) bool {
+	select {
+	case r.flush <- struct{}{}:
+		defer func() { <-r.flush }()
+	case <-ctx.Done():
+		return false
+	}
+	g.mu.Lock()
+	sent := g.reportStartsToLocked(steward, r)
+	written := r.written
+	g.mu.Unlock()
+	if !sent {
+		return false
+	}
+	select {
+	case <-written:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
-// reportStarts tells all stewards where streams began, as far as their services run several software versions: another gateway may need to
-// know, also if this one has ended by then.
+// reportStarts tells all stewards where streams began, as far as their services run several software versions.
 func (g *Gateway) reportStarts() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, several := time.Now(), map[string]bool{}
-	for _, state := range g.endpoints {
-		if _, checked := several[state.Service]; !checked {
-			several[state.Service] = len(g.resumption.versions.Of(state.Service, now)) > 1
+	if !g.updateReportedLocked(time.Now()) {
+		return
+	}
+	for steward, r := range g.resumption.receivers {
+		g.reportStartsToLocked(steward, r)
+	}
+}
+
+// reportStartsToLocked queues the starts that a steward has not been told, and reports whether it did.
+func (g *Gateway) reportStartsToLocked(steward string, r *startReceiver) bool {
+	starts, next := g.resumption.starts.After(r.next, maxStartsPerFrame)
+	starts = slices.DeleteFunc(starts, func(s stream.Start) bool { return !g.resumption.reported[s.Origin.Service] })
+	if len(starts) > 0 {
+		written, sent := g.tellStarts(steward, encodeStarts(starts))
+		if !sent {
+			return false
 		}
+		r.written = written
 	}
-	if !slices.Contains(slices.Collect(maps.Values(several)), true) {
-		return
+	r.next = next
+	return true
+}
+
+// updateReportedLocked updates the services whose starts are reported, and reports whether there are any. All starts are sent again if a
+// service is added, since those of that service have been left out so far.
+func (g *Gateway) updateReportedLocked(now time.Time) bool {
+	reported := map[string]bool{}
+	for _, service := range g.resumption.versions.Services() {
+		if g.severalVersionsLocked(service, now) {
+			reported[service] = true
+		}
 	}
-	for steward, next := range g.resumption.sent {
-		starts, next := g.resumption.starts.After(next, maxStartsPerFrame)
-		starts = slices.DeleteFunc(starts, func(s stream.Start) bool { return !several[s.Origin.Service] })
-		if len(starts) == 0 || g.tellStarts(steward, encodeStarts(starts)) {
-			g.resumption.sent[steward] = next
+	for service := range reported {
+		if !g.resumption.reported[service] {
+			for _, r := range g.resumption.receivers {
+				r.next = 0
+			}
 		}
 	}
+	g.resumption.reported = reported
+	return len(reported) > 0
 }
 
-// encodeStarts groups starts by their origin.
+// encodeStarts groups starts by their origin and model.
 func encodeStarts(starts []stream.Start) *wirepb.StreamStarts {
-	groups := map[stream.Origin]*wirepb.StreamGroup{}
+	type key struct {
+		stream.Origin
+		model string
+	}
+	groups := map[key]*wirepb.StreamGroup{}
 	message := &wirepb.StreamStarts{}
 	for _, s := range starts {
-		group := groups[s.Origin]
+		group := groups[key{s.Origin, s.Model}]
 		if group == nil {
-			group = &wirepb.StreamGroup{Service: s.Origin.Service, Software: s.Origin.Software}
-			groups[s.Origin] = group
+			group = &wirepb.StreamGroup{Service: s.Origin.Service, Software: s.Origin.Software, Model: s.Model}
+			groups[key{s.Origin, s.Model}] = group
 			message.Groups = append(message.Groups, group)
 		}
 		group.Streams = append(group.Streams, s.ID)
@@ -89,27 +202,24 @@
 	return message
 }
 
-// findOrigin finds out where the stream that the request takes up began. If that isn't known, or its service is no longer that of the
+// findOrigin finds out where the stream that the request resumes began. If that isn't known, or its service is no longer that of the
 // route, it refuses the request and returns false.
 func (t *transaction) findOrigin(ctx context.Context) bool {
 	id := xxhash.Sum64String(t.request.Resumes)
 	t.mu.Lock()
-	now := time.Now()
-	origin, known := t.resumption.starts.Find(id, now)
-	versions := t.resumption.versions.Of(t.service, now)
-	// A gateway with an old view may not have heard of another version.
-	onlyVersion := len(versions) == 1 && now.Sub(t.endpointsUpdatedAt) <= 2*maxEndpointsAge
-	noOther := now.Sub(t.resumption.since) > stream.TTL
+	origin, known := t.resumption.starts.Find(id, time.Now())
 	t.mu.Unlock()
-	if !known && (!onlyVersion || !noOther) {
-		origin, known, noOther = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
+	var answers originAnswers
+	if !known {
+		answers = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
+		origin, known = answers.origin, answers.known
 	}
-	if !known && onlyVersion && noOther {
-		origin, known = stream.Origin{Service: t.service, Software: versions[0]}, true
+	if !known {
+		origin, known = t.onlyOrigin(answers)
 	}
 	switch {
 	case !known:
-		t.giveUp("it is not known where its stream began", withJitter(originRetryAfter))
+		t.giveUp("it is not known where its stream began", withJitter(answers.retryAfter()))
 		return false
 	case origin.Service != t.service && !t.route.Serves(origin.Service):
 		t.giveUp("the service that began its stream is not in its route any more", defaultRetryAfter)
@@ -121,9 +231,55 @@
 	return true
 }
 
-// askOrigins asks stewards where a stream began. unused is set if a steward has answered and no steward knows of any start in the service,
-// as gateways tell them only while it runs several software versions.
-func (t *transaction) askOrigins(ctx context.Context, stewards []string, id uint64) (origin stream.Origin, known, unused bool) {
+// onlyOrigin returns the only version at which a stream of unknown start can have begun: a steward with a proven quorum must name it,
+// and neither another steward nor this gateway may know of a further one. A gateway with an old view may not have heard of it.
+func (t *transaction) onlyOrigin(answers originAnswers) (origin stream.Origin, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	versions := t.resumption.versions.Of(t.service, now)
+	if !answers.proven || len(versions) != 1 || !slices.Equal(versions, answers.versions) || now.Sub(t.endpointsUpdatedAt) > 2*maxEndpointsAge {
+		return stream.Origin{}, false
+	}
+	if t.severalVersionsLocked(t.service, now) {
+		return stream.Origin{}, false
+	}
+	return stream.Origin{Service: t.service, Software: versions[0]}, true
+}
+
+// originAnswers is what stewards answered to where a stream began.
+type originAnswers struct {
+	origin stream.Origin
+	known  bool
+	// versions are the committed versions that any steward named, sorted; proven is set if a steward had proven a quorum.
+	versions []string
+	proven   bool
+	// asked and answered count the stewards.
+	asked, answered int
+}
+
+// add adds a steward's answer.
+func (a *originAnswers) add(reply *wirepb.OriginReply) {
+	a.answered++
+	a.proven = a.proven || reply.GetProven()
+	a.versions = append(a.versions, reply.GetVersions()...)
+	slices.Sort(a.versions)
+	a.versions = slices.Compact(a.versions)
+	if reply.GetKnown() && !a.known {
+		a.origin, a.known = stream.Origin{Service: reply.GetService(), Software: reply.GetSoftware()}, true
+	}
+}
+
+// retryAfter returns when a client whose stream's start is unknown may return. If all stewards have answered, they don't learn it any more.
+func (a *originAnswers) retryAfter() time.Duration {
+	if a.answered > 0 && a.answered == a.asked && a.proven {
+		return versionRetryAfter
+	}
+	return originRetryAfter
+}
+
+// askOrigins asks stewards where a stream began.
+func (t *transaction) askOrigins(ctx context.Context, stewards []string, id uint64) originAnswers {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	replies := make(chan *wirepb.OriginReply, len(stewards))
@@ -137,27 +293,23 @@
 			replies <- reply
 		}()
 	}
-	answered, used := 0, false
+	answers := originAnswers{asked: len(stewards)}
 	for range stewards {
-		reply := <-replies
-		if reply == nil {
-			continue
+		if reply := <-replies; reply != nil {
+			answers.add(reply)
 		}
-		answered++
-		used = used || reply.GetUsed()
-		if reply.GetKnown() && !known {
-			origin, known = stream.Origin{Service: reply.GetService(), Software: reply.GetSoftware()}, true
+		if answers.known {
 			cancel() // the others need not answer
 		}
 	}
-	t.log.Info("asked where a stream began", "id", t.request.ID, "resumes", t.request.Resumes, "stewards", len(stewards), "answers", answered,
-		"known", known, "service", origin.Service, "software", origin.Software, "used", used)
-	return origin, known, answered > 0 && !used
+	t.log.Info("asked where a stream began", "id", t.request.ID, "resumes", t.request.Resumes, "stewards", answers.asked, "answers", answers.answered,
+		"known", answers.known, "service", answers.origin.Service, "software", answers.origin.Software, "versions", answers.versions, "proven", answers.proven)
+	return answers
 }
 
-// sendStarts queues starts of streams for a steward and reports whether it did.
-func (g *Gateway) sendStarts(steward string, starts *wirepb.StreamStarts) bool {
-	return g.stewardLinks.Send(steward, &wirepb.Frame{Body: &wirepb.Frame_StreamStarts{StreamStarts: starts}})
+// sendStarts queues starts of streams for a steward and reports whether it did. The channel is closed when they have been written.
+func (g *Gateway) sendStarts(steward string, starts *wirepb.StreamStarts) (written <-chan struct{}, sent bool) {
+	return g.stewardLinks.SendWithReceipt(steward, &wirepb.Frame{Body: &wirepb.Frame_StreamStarts{StreamStarts: starts}})
 }
 
 // callForOrigin asks a steward where a stream began.
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -79,34 +81,59 @@
 	// versions are those of the endpoints, local where this gateway began the stream, "" for nowhere.
 	versions []string
 	local    string
-	// replies are the stewards' answers, nil for none; age is how long the gateway has been running, stale how old its view is.
+	// replies are the stewards' answers, nil for none; age is how long the gateway has been running, stale how old its view is. committed are
+	// the versions in the log as a steward's snapshot named them.
 	replies    []*wirepb.OriginReply
 	age, stale time.Duration
+	committed  []string
 	// want is the version at which it goes on, "" if the request must be refused.
 	want  string
 	asked bool
 }
 
-// TestTakenUpStreamGoesOnAtItsSoftwareVersion checks where a stream goes on that a client takes up, by what is known of its start.
+// TestTakenUpStreamGoesOnAtItsSoftwareVersion guards against a stream that is joined from two versions: what a client resumes may go on only
+// at the version that is known to have begun it, or at the only one that a steward with a quorum and this gateway know.
 func TestTakenUpStreamGoesOnAtItsSoftwareVersion(t *testing.T) {
 	known := func(service, software string) *wirepb.OriginReply {
 		return &wirepb.OriginReply{Known: true, Service: service, Software: software, Used: true}
 	}
-	both, one := []string{"v1", "v2"}, []string{"v1", "v1"}
+	// names is the answer of a steward that has lost its memory of starts, or never had the stream's.
+	names := func(versions ...string) *wirepb.OriginReply {
+		return &wirepb.OriginReply{Versions: versions, Proven: true}
+	}
+	unproven := func(versions ...string) *wirepb.OriginReply { return &wirepb.OriginReply{Versions: versions} }
+	replies := func(all ...*wirepb.OriginReply) []*wirepb.OriginReply { return all }
+	both, one, reset := []string{"v1", "v2"}, []string{"v1", "v1"}, []string{"", ""}
 	tests := map[string]takenUpTest{
-		"begun here":                           {both, "v2", nil, 0, 0, "v2", false},
-		"begun elsewhere":                      {both, "", []*wirepb.OriginReply{{Used: true}, known("engines", "v2")}, 0, 0, "v2", true},
-		"one steward does not answer":          {both, "", []*wirepb.OriginReply{nil, known("engines", "v1")}, 0, 0, "v1", true},
-		"no steward knows it":                  {both, "", []*wirepb.OriginReply{{Used: true}, {Used: true}}, 0, 0, "", true},
-		"no steward knows any":                 {both, "", []*wirepb.OriginReply{{}, {}}, 0, 0, "", true},
-		"no steward answers":                   {both, "", []*wirepb.OriginReply{nil, nil}, 0, 0, "", true},
-		"its version is gone":                  {one, "v2", nil, 0, 0, "", false},
-		"its service is not in the route":      {both, "", []*wirepb.OriginReply{known("desk", "v1")}, 0, 0, "", true},
-		"only one version, none other told":    {one, "", []*wirepb.OriginReply{{}, {}}, 0, 0, "v1", true},
-		"only one version left":                {one, "", []*wirepb.OriginReply{{Used: true}, {}}, 0, 0, "", true},
-		"only one version, no answer":          {one, "", []*wirepb.OriginReply{nil}, 0, 0, "", true},
-		"only one version for long":            {one, "", nil, 2 * stream.TTL, 0, "v1", false},
-		"only one version by an outdated view": {one, "", []*wirepb.OriginReply{{}}, 2 * stream.TTL, time.Minute, "", true},
+		"begun here":                               {versions: both, local: "v2", want: "v2"},
+		"begun elsewhere":                          {versions: both, replies: replies(names("v1", "v2"), known("engines", "v2")), want: "v2", asked: true},
+		"one steward does not answer":              {versions: both, replies: replies(nil, known("engines", "v1")), want: "v1", asked: true},
+		"one steward restarted":                    {versions: one, replies: replies(names("v1", "v2"), known("engines", "v1")), want: "v1", asked: true},
+		"no steward knows it":                      {versions: both, replies: replies(names("v1", "v2"), names("v1", "v2")), asked: true},
+		"no steward knows any":                     {versions: both, replies: replies(unproven(), unproven()), asked: true},
+		"no steward answers":                       {versions: both, replies: replies(nil, nil), asked: true},
+		"its version is gone":                      {versions: one, local: "v2"},
+		"its service is not in the route":          {versions: both, replies: replies(known("desk", "v1")), asked: true},
+		"one version here and in the log":          {versions: one, replies: replies(names("v1"), names("v1")), want: "v1", asked: true},
+		"the same, for long":                       {versions: one, replies: replies(names("v1")), age: 2 * stream.TTL, want: "v1", asked: true},
+		"one here, two in the log":                 {versions: one, replies: replies(names("v1", "v2"), names("v1", "v2")), asked: true},
+		"one here, another in the log":             {versions: one, replies: replies(names("v2")), asked: true},
+		"two here, one in the log":                 {versions: both, replies: replies(names("v1")), asked: true},
+		"none here, one in the log":                {replies: replies(names("v1")), asked: true},
+		"one here, none in the log":                {versions: one, replies: replies(names()), asked: true},
+		"one, but no quorum is proven":             {versions: one, replies: replies(unproven("v1"), unproven("v1")), asked: true},
+		"one by a new leader, two by a follower":   {versions: one, replies: replies(names("v1"), unproven("v1", "v2")), asked: true},
+		"one by answers, two by a former leader":   {versions: one, replies: replies(names("v1")), committed: []string{"v1", "v2"}, asked: true},
+		"one, no steward reachable":                {versions: one, replies: replies(nil, nil), asked: true},
+		"one for long, no steward reachable":       {versions: one, replies: replies(nil), age: 2 * stream.TTL, asked: true},
+		"one, no steward known":                    {versions: one},
+		"one by an outdated view":                  {versions: one, replies: replies(names("v1")), age: 2 * stream.TTL, stale: time.Minute, asked: true},
+		"begun at an unknown version, two here":    {versions: append(reset, both...), local: "unknown"},
+		"begun at an unknown version, none other":  {versions: reset, local: "unknown", want: "unknown"},
+		"versions unknown here and in the log":     {versions: reset, replies: replies(names("")), want: "unknown", asked: true},
+		"a restarted endpoint beside one version":  {versions: append([]string{""}, one...), replies: replies(names("v1")), want: "v1", asked: true},
+		"begun at an unknown version, two in log":  {versions: reset, local: "unknown", committed: []string{"v1", "v2"}},
+		"known to a steward, unknown version, two": {versions: append(reset, both...), replies: replies(known("engines", "")), asked: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) { synctest.Test(t, test.run) })
@@ -131,8 +158,12 @@
 		stewards = append(stewards, strconv.Itoa(n))
 	}
 	b.SetStewards(stewards)
+	named := func(software string) string { return strings.ReplaceAll(software, "unknown", "") }
 	if test.local != "" {
-		b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: test.local}}, time.Now())
+		b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: named(test.local)}}, time.Now())
+	}
+	if test.committed != nil {
+		b.applySnapshot("former", committedSnapshot(test.committed...))
 	}
 	time.Sleep(test.age)
 	var states []endpoint.State
@@ -152,21 +183,26 @@
 		}
 		return
 	}
-	if got.Status != 200 || len(b.calls) != 1 || software[b.calls[0].Endpoint] != test.want {
+	if got.Status != 200 || len(b.calls) != 1 || software[b.calls[0].Endpoint] != named(test.want) {
 		t.Errorf("%v, %+v", b.calls, got)
 	}
 }
 
+// committedSnapshot is a steward's snapshot that names the committed versions of a service that runs several.
+func committedSnapshot(versions ...string) *wirepb.Snapshot {
+	return &wirepb.Snapshot{Software: &wirepb.SoftwareTable{Revision: 1, Services: []*wirepb.ServiceSoftware{{Service: "engines", Versions: versions}}}}
+}
+
 // TestStartsAreToldWhileVersionsDiffer checks which starts stewards are told of, and that one which reconnects is told of all.
 func TestStartsAreToldWhileVersionsDiffer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil }, softwareEndpoint("w1", "v1"))
 		var told []int
-		b.tellStarts = func(_ string, message *wirepb.StreamStarts) bool {
+		b.tellStarts = func(_ string, message *wirepb.StreamStarts) (<-chan struct{}, bool) {
 			for _, group := range message.GetGroups() {
 				told = append(told, len(group.GetStreams()))
 			}
-			return true
+			return closedChannel(), true
 		}
 		report := func(want ...int) {
 			t.Helper()
@@ -206,3 +242,81 @@
 		}
 	})
 }
+
+// closedChannel returns a closed channel.
+func closedChannel() <-chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
+
+// TestStreamBegunRightBeforeKillContinues guards against starts that are lost if a gateway is killed right after a stream's first event: the
+// gateway's periodic reports don't run here.
+func TestStreamBegunRightBeforeKillContinues(t *testing.T) {
+	tests := map[string]struct {
+		versions  []string
+		committed []string
+		// writeTime is how long a write to a steward takes, wantDelay how long the first event may be held back.
+		writeTime, wantDelay time.Duration
+		wantTold             bool
+	}{
+		"two versions here":        {versions: []string{"v1", "v2"}, wantTold: true},
+		"two versions in the log":  {versions: []string{"v1"}, committed: []string{"v1", "v2"}, wantTold: true},
+		"slow connection":          {versions: []string{"v1", "v2"}, writeTime: 5 * time.Millisecond, wantDelay: 10 * time.Millisecond, wantTold: true},
+		"steward that reads never": {versions: []string{"v1", "v2"}, writeTime: time.Hour, wantDelay: startWriteTimeout, wantTold: true},
+		"one version":              {versions: []string{"v1"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var endpoints []endpoint.State
+				for n, version := range test.versions {
+					endpoints = append(endpoints, softwareEndpoint("w"+strconv.Itoa(n), version))
+				}
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(1, io.EOF), nil }, endpoints...)
+				if test.committed != nil {
+					b.applySnapshot("s", committedSnapshot(test.committed...))
+				}
+				b.applySnapshot("s", &wirepb.Snapshot{})
+				told := map[uint64]bool{}
+				b.applySnapshot("other", &wirepb.Snapshot{})
+				queued := map[string]int{}
+				b.tellStarts = func(steward string, message *wirepb.StreamStarts) (<-chan struct{}, bool) {
+					written := make(chan struct{})
+					if steward == "other" {
+						close(written)
+					} else if queued[steward]++; queued[steward] > 4 {
+						return nil, false
+					} else {
+						time.AfterFunc(test.writeTime, func() {
+							b.Gateway.mu.Lock()
+							defer b.Gateway.mu.Unlock()
+							close(written)
+							queued[steward]--
+						})
+					}
+					for _, group := range message.GetGroups() {
+						for _, id := range group.GetStreams() {
+							told[id] = true
+						}
+					}
+					return written, true
+				}
+				var clients sync.WaitGroup
+				for n := range 20 {
+					clients.Go(func() {
+						id := "r" + strconv.Itoa(n)
+						got := b.do(t.Context(), "/live/a", testModel, Request{ID: id, ClientTimeout: 8 * time.Second})
+						b.Gateway.mu.Lock()
+						defer b.Gateway.mu.Unlock()
+						if got.Events != 1 || got.Took > test.wantDelay || told[xxhash.Sum64String(id)] != test.wantTold {
+							t.Errorf("told %t, %+v", told[xxhash.Sum64String(id)], got)
+						}
+					})
+				}
+				clients.Wait()
+				time.Sleep(2 * time.Hour) // the timers of the last writes
+			})
+		})
+	}
+}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -11,6 +11,7 @@
 	"burdocksaddle/logging"
 	"burdocksaddle/quarantine"
 	"burdocksaddle/scaling"
+	"burdocksaddle/stream"
 	"burdocksaddle/wirepb"
 )
 
@@ -57,6 +58,9 @@
 	publishedSuspects    []uint64
 	quarantining         bool
 	nextQuarantineUpdate time.Time
+	// softwareTracker decides on the committed software versions, committingSoftware is set while a change of them is being committed.
+	softwareTracker    stream.SoftwareTracker
+	committingSoftware bool
 }
 
 // runLeader plans and issues orders while this steward leads. The returned channel receives a value once the loop has stopped.
@@ -101,6 +105,7 @@
 	l.processReports(now)
 	l.assignHolders(ctx, now)
 	l.updateQuarantine(ctx, now)
+	l.updateSoftware(ctx, now)
 	l.collectAdapterUse()
 	l.plan(ctx, now)
 	l.publish(now, false)
@@ -141,6 +146,7 @@
 		}
 		l.endpointView, l.turns = &endpoint.View{}, endpoint.NewTurns()
 		l.evidence, l.publishedSuspects = quarantine.New(), nil
+		l.softwareTracker = stream.SoftwareTracker{}
 		l.crashReports, l.suspects = crashReports{}, nil
 		l.notifySubscribersLocked()
 		l.log.Info("leadership changed", "leads", self)
@@ -230,6 +236,7 @@
 			}
 			l.planner.UpdateEndpoints(listed)
 			l.planner.InitDemand(time.Now())
+			l.updateSoftware(ctx, time.Now())
 		})
 	})
 }
@@ -313,7 +320,7 @@
 	endpoints, missing := l.planner.Endpoints(now), l.planner.MissingModels(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.endpointView.Update(endpoints, missing, now)
+	l.endpointView.Update(l.publishable(endpoints), missing, now)
 	l.notifySubscribersLocked()
 }
 
--- a/steward/origin_test.go
+++ b/steward/origin_test.go
@@ -11,7 +11,11 @@
 
 // TestOriginQuery checks what a steward tells of streams that gateways began.
 func TestOriginQuery(t *testing.T) {
-	s, ctx := startSteward(t, "")
+	list := &softwareList{}
+	list.set("v1", "v2")
+	s, ctx := startStewardWithList(t, "", list.read)
+	waitForVersions(ctx, t, s, "v1", "v2")
+	both := []string{"v1", "v2"}
 	s.recordStarts(&wirepb.StreamStarts{Groups: []*wirepb.StreamGroup{
 		{Service: "lm", Software: "v1", Streams: []uint64{1, 2}}, {Service: "lm", Software: "v2", Streams: []uint64{3, 1}},
 	}})
@@ -19,10 +23,10 @@
 		query *wirepb.OriginQuery
 		want  *wirepb.OriginReply
 	}{
-		"where it first began":          {&wirepb.OriginQuery{Stream: 1, Service: "lm"}, &wirepb.OriginReply{Known: true, Service: "lm", Software: "v1", Used: true}},
-		"the other version":             {&wirepb.OriginQuery{Stream: 3, Service: "lm"}, &wirepb.OriginReply{Known: true, Service: "lm", Software: "v2", Used: true}},
-		"unknown":                       {&wirepb.OriginQuery{Stream: 4, Service: "lm"}, &wirepb.OriginReply{Used: true}},
-		"of a service with one version": {&wirepb.OriginQuery{Stream: 4, Service: "desk"}, &wirepb.OriginReply{}},
+		"where it first began":          {&wirepb.OriginQuery{Stream: 1, Service: "lm"}, &wirepb.OriginReply{Known: true, Service: "lm", Software: "v1", Used: true, Versions: both, Proven: true}},
+		"the other version":             {&wirepb.OriginQuery{Stream: 3, Service: "lm"}, &wirepb.OriginReply{Known: true, Service: "lm", Software: "v2", Used: true, Versions: both, Proven: true}},
+		"unknown":                       {&wirepb.OriginQuery{Stream: 4, Service: "lm"}, &wirepb.OriginReply{Used: true, Versions: both, Proven: true}},
+		"of a service with one version": {&wirepb.OriginQuery{Stream: 4, Service: "desk"}, &wirepb.OriginReply{Proven: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -97,6 +97,8 @@
 	suspects     []uint64
 	// starts are where streams began, as gateways told this steward.
 	starts *stream.Starts
+	// software are the committed software versions of the services.
+	software stream.Software
 	// turns paces the requests to endpoints with a limit while this steward leads.
 	turns *endpoint.Turns
 	// adaptersInUse are the adapters that gateways use, by endpoint address.
@@ -221,6 +223,7 @@
 		s.applyAssignments(holders)
 	}
 	s.applyQuarantine(change.GetQuarantine(), false)
+	s.applySoftware(change.GetSoftware(), false)
 	return nil
 }
 
@@ -253,6 +256,7 @@
 	defer s.mu.Unlock()
 	return proto.Marshal(&wirepb.StewardChange{
 		Table: &wirepb.TableChange{Table: s.rawTable, Version: s.tableVersion}, Holders: s.holders.ToWire(), Quarantine: s.quarantine.ToWire(),
+		Software: s.software.ToWire(),
 	})
 }
 
@@ -264,6 +268,7 @@
 	s.installTable(change.GetTable())
 	s.applyAssignments(change.GetHolders())
 	s.applyQuarantine(change.GetQuarantine(), true)
+	s.applySoftware(change.GetSoftware(), true)
 	return nil
 }
 
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -116,6 +116,9 @@
 	suspects       []uint64
 	quarantine     uint64
 	sentQuarantine bool
+	// software is the revision of the software versions that the subscriber was sent last; sentSeveral is set if a service had several.
+	software    uint64
+	sentSeveral bool
 }
 
 // nextSnapshot returns the next snapshot for a subscriber and a channel that is closed when its content changes.
@@ -132,9 +135,10 @@
 		snapshot.Quarantine = s.quarantine.ToWire()
 		sent.quarantine, sent.sentQuarantine = s.quarantine.Revision, true
 	}
+	s.fillSoftware(snapshot, sent)
 	if s.leading {
 		if sent.view != s.endpointView {
-			*sent = sentView{view: s.endpointView, quarantine: sent.quarantine, sentQuarantine: sent.sentQuarantine}
+			sent.view, sent.revision, sent.suspects = s.endpointView, 0, nil
 		}
 		if !slices.Equal(sent.suspects, s.suspects) {
 			snapshot.Suspects, snapshot.HasSuspects, sent.suspects = s.suspects, true, s.suspects
--- a/steward/table_test.go
+++ b/steward/table_test.go
@@ -35,10 +35,16 @@
 
 // startSteward starts a group of one steward. With dir "" its log is in memory.
 func startSteward(t *testing.T, dir string) (*Steward, context.Context) {
+	t.Helper()
+	return startStewardWithList(t, dir, func(context.Context) ([]endpoint.State, int, error) { return nil, 0, nil })
+}
+
+// startStewardWithList starts a group of one steward that reads the list of endpoints with a function.
+func startStewardWithList(t *testing.T, dir string, list func(context.Context) ([]endpoint.State, int, error)) (*Steward, context.Context) {
 	t.Helper()
 	pool := wire.NewPool()
 	s, err := Open(Config{Name: "s", Address: "127.0.0.1:1", DataDir: dir, Peers: []string{"127.0.0.1:1"}, FirstStart: true}, pool,
-		WithTableDecoder(decodeVersion), WithListEndpoints(func(context.Context) ([]endpoint.State, int, error) { return nil, 0, nil }))
+		WithTableDecoder(decodeVersion), WithListEndpoints(list))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/stream/starts.go
+++ b/stream/starts.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"iter"
 	"slices"
 	"time"
 )
@@ -8,10 +9,11 @@
 // TTL is how long it is known where a stream began, and which software versions served. It is longer than the timeouts of streams.
 const TTL = time.Minute
 
-// Start says where a stream began. ID is that of the client's request which brought the first event, as hashed by the caller.
+// Start says where a stream of a model began. ID is that of the client's request which brought the first event, as hashed by the caller.
 type Start struct {
 	ID     uint64
 	Origin Origin
+	Model  string
 }
 
 // Starts are the streams that began within TTL, at most a limited number of them. It isn't safe for concurrent use.
@@ -71,6 +73,17 @@
 	return starts, from + uint64(len(starts))
 }
 
+// Since yields the starts that were recorded at a time or later, the latest first.
+func (s *Starts) Since(at time.Time) iter.Seq[Start] {
+	return func(yield func(Start) bool) {
+		for _, start := range slices.Backward(s.order) {
+			if start.at.Before(at) || !yield(start.Start) {
+				return
+			}
+		}
+	}
+}
+
 // prune drops the starts that are older than TTL.
 func (s *Starts) prune(now time.Time) {
 	old := 0
@@ -100,6 +113,16 @@
 	v.seen[o] = now
 }
 
+// Services returns the services of all recorded versions, sorted.
+func (v *Versions) Services() []string {
+	var services []string
+	for o := range v.seen {
+		services = append(services, o.Service)
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
 // Of returns the versions of a service, sorted. An unknown version counts only if there is no other one, since it is known soon after an
 // endpoint's restart.
 func (v *Versions) Of(service string, now time.Time) []string {
@@ -112,9 +135,5 @@
 			versions = append(versions, o.Software)
 		}
 	}
-	slices.Sort(versions)
-	if len(versions) > 1 && versions[0] == "" {
-		return versions[1:]
-	}
-	return versions
+	return knownVersions(versions)
 }
--- a/stream/starts_test.go
+++ b/stream/starts_test.go
@@ -16,9 +16,9 @@
 // TestStartsAreForgotten checks that starts are known for TTL, and that the oldest one yields to a new one.
 func TestStartsAreForgotten(t *testing.T) {
 	s := NewStarts(2)
-	s.Record(Start{1, first}, testStart)
-	s.Record(Start{1, second}, testStart.Add(time.Second))
-	s.Record(Start{2, second}, testStart.Add(time.Second))
+	s.Record(Start{ID: 1, Origin: first}, testStart)
+	s.Record(Start{ID: 1, Origin: second}, testStart.Add(time.Second))
+	s.Record(Start{ID: 2, Origin: second}, testStart.Add(time.Second))
 	if origin, known := s.Find(1, testStart.Add(TTL)); origin != first || !known {
 		t.Errorf("%v %t, where it first began counts", origin, known)
 	}
@@ -29,7 +29,7 @@
 		t.Error("a service has starts that it can't have")
 	}
 	for id := range uint64(3) {
-		s.Record(Start{10 + id, first}, testStart.Add(2*TTL))
+		s.Record(Start{ID: 10 + id, Origin: first}, testStart.Add(2*TTL))
 	}
 	if _, known := s.Find(10, testStart.Add(2*TTL)); known || len(s.origin) != 2 || len(s.order) != 2 {
 		t.Errorf("%d known, limit 2", len(s.origin))
@@ -54,16 +54,16 @@
 	}
 	expect(9)
 	for id := range uint64(3) {
-		s.Record(Start{id, first}, testStart)
+		s.Record(Start{ID: id, Origin: first}, testStart)
 	}
 	expect(2, 0, 1)
 	expect(2, 2)
 	expect(2)
 	for id := range uint64(6) {
-		s.Record(Start{10 + id, second}, testStart)
+		s.Record(Start{ID: 10 + id, Origin: second}, testStart)
 	}
 	expect(9, 12, 13, 14, 15)
-	s.Record(Start{20, second}, testStart.Add(2*TTL))
+	s.Record(Start{ID: 20, Origin: second}, testStart.Add(2*TTL))
 	expect(9, 20)
 }
 
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -46,7 +46,13 @@
 type link struct {
 	address string
 	cancel  context.CancelFunc
-	frames  chan *wirepb.Frame
+	frames  chan queuedFrame
+}
+
+// queuedFrame is a frame to send; written is closed once it has been written to the connection.
+type queuedFrame struct {
+	frame   *wirepb.Frame
+	written chan struct{}
 }
 
 // Option sets one property of an Uplink.
@@ -100,17 +106,24 @@
 // Send queues a frame for a steward and reports whether it did; it fails if there is no stream to the steward or its queue is
 // full.
 func (u *Uplink) Send(steward string, frame *wirepb.Frame) bool {
+	_, queued := u.SendWithReceipt(steward, frame)
+	return queued
+}
+
+// SendWithReceipt is like Send; the channel is closed once the frame has been written to the connection, which may never happen.
+func (u *Uplink) SendWithReceipt(steward string, frame *wirepb.Frame) (written <-chan struct{}, queued bool) {
+	done := make(chan struct{})
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	l := u.links[steward]
 	if l == nil {
-		return false
+		return nil, false
 	}
 	select {
-	case l.frames <- frame:
-		return true
+	case l.frames <- queuedFrame{frame, done}:
+		return done, true
 	default:
-		return false
+		return nil, false
 	}
 }
 
@@ -151,7 +164,7 @@
 			continue
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
-		l := &link{address: address, cancel: cancel, frames: make(chan *wirepb.Frame, sendQueueLength)}
+		l := &link{address: address, cancel: cancel, frames: make(chan queuedFrame, sendQueueLength)}
 		u.links[address] = l
 		streams.Go(func() { u.maintain(linkCtx, l) })
 	}
@@ -235,10 +248,11 @@
 		case <-ctx.Done():
 			stream.Close()
 			return
-		case frame := <-l.frames:
-			if stream.Send(frame, sendTimeout) != nil {
+		case queued := <-l.frames:
+			if stream.Send(queued.frame, sendTimeout) != nil {
 				return // the receiving side detects the failed stream as well
 			}
+			close(queued.written)
 		}
 	}
 }
