Serve resumed streams before new requests where a service runs several versions

Cause: resumed streams can only go to endpoints of their version, where new requests of the same urgency took the slots and the queue. Change: new requests are sent one step less urgent (at most 9), leave the last eighth of an endpoint's slots free while another endpoint can serve them, and take no endpoint for which a resumed stream waits at the same gateway. The estimated wait of a resumed stream does not count less urgent requests. Nothing changes with one version.

--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -41,7 +41,11 @@
 	if !ok {
 		mean = initialStreamDuration
 	}
-	return time.Duration(float64(mean) * float64(e.Load.Waiting+1) / float64(e.Slots))
+	waiting := e.Load.Waiting
+	if t.origin != nil && t.severalVersionsLocked(t.service, time.Now()) {
+		waiting = 0 // new requests are less urgent and are admitted after it
+	}
+	return time.Duration(float64(mean) * float64(waiting+1) / float64(e.Slots))
 }
 
 // withJitter randomizes a Retry-After value.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,7 +30,7 @@
 	defer idleTimer.Stop()
 	response, err := t.send(attemptCtx, Call{
 		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Remaining: time.Until(t.deadline),
-		LastEvent: t.lastEvent, Stream: stream, Urgency: min(t.route.Priority, lowestUrgency),
+		LastEvent: t.lastEvent, Stream: stream, Urgency: t.urgency(),
 	})
 	if err != nil {
 		if !IsErrNotSent(err) {
@@ -57,6 +57,18 @@
 	return t.relayStream(ctx, c, response, idleTimer)
 }
 
+// urgency returns the urgency to send the request with. Where a service runs several software versions, new requests are one step less
+// urgent, so that endpoints admit resumed streams first: those have few endpoints to go to, and their clients wait for seconds only.
+func (t *transaction) urgency() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	urgency := t.route.Priority
+	if t.origin == nil && t.severalVersionsLocked(t.service, time.Now()) {
+		urgency++
+	}
+	return min(urgency, lowestUrgency)
+}
+
 // recordNotices records what an endpoint's response says about the endpoint itself.
 func (t *transaction) recordNotices(c choice, response *Response) {
 	if response.InvalidPause != "" {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -58,7 +58,17 @@
 		return choice{}, availability{}, false
 	}
 	byUse, found := g.candidatesLocked(q, service, origin, now)
+	if several && origin == nil && len(g.resumption.waiting) > 0 {
+		for use, among := range byUse {
+			byUse[use] = among.without(func(e routing.Endpoint) bool { return g.resumption.neededLocked(g.endpoints[e.Name]) })
+		}
+	}
 	for _, use := range []endpoint.Use{endpoint.UseNormal, endpoint.UseLimited, endpoint.UseLast} {
+		if several && origin == nil {
+			if c, ok = g.chooseAmongLocked(q, g.withFreeSlotsLocked(byUse[use], avoid, now), avoid, now); ok {
+				return c, found, true
+			}
+		}
 		if c, ok = g.chooseAmongLocked(q, byUse[use], avoid, now); ok {
 			return c, found, true
 		}
@@ -66,9 +76,29 @@
 	return choice{}, found, false
 }
 
+// resumeReserve is the share of an endpoint's slots that new requests leave to resumed streams while another endpoint can serve them: a
+// resumed stream can only go to endpoints of its version, a new one to any.
+const resumeReserve = 1.0 / 8
+
+// withFreeSlotsLocked returns the candidates that have more than resumeReserve of their slots free, without those to avoid.
+func (g *Gateway) withFreeSlotsLocked(all candidates, avoid []string, now time.Time) candidates {
+	return all.without(func(e routing.Endpoint) bool {
+		load := g.router.Load(e, now)
+		if reported := g.endpoints[e.Name].Load; reported != nil {
+			load = max(load, float64(reported.Running+reported.Waiting)) // the router ignores reports on endpoints that it has not considered before
+		}
+		return slices.Contains(avoid, e.Name) || load+1 > (1-resumeReserve)*float64(e.Slots)
+	})
+}
+
 // candidates are endpoints that hold a request's model.
 type candidates struct{ ready, withoutAdapter []routing.Endpoint }
 
+// without returns the candidates that a function does not match.
+func (c candidates) without(matches func(routing.Endpoint) bool) candidates {
+	return candidates{slices.DeleteFunc(slices.Clone(c.ready), matches), slices.DeleteFunc(slices.Clone(c.withoutAdapter), matches)}
+}
+
 // candidatesLocked returns the endpoints that may be used for a request, by their Use.
 func (g *Gateway) candidatesLocked(q *Request, service string, origin *stream.Origin, now time.Time) (byUse [endpoint.UseNever]candidates, found availability) {
 	for _, state := range g.endpoints {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/stream"
 	"burdocksaddle/wirepb"
 )
@@ -35,6 +36,14 @@
 	reported map[string]bool
 	// receivers are the connected stewards.
 	receivers map[string]*startReceiver
+	// waiting counts the resumed streams that wait for an endpoint of their version that holds their model.
+	waiting map[resumedNeed]int
+}
+
+// resumedNeed is what an endpoint must run and hold for a resumed stream.
+type resumedNeed struct {
+	stream.Origin
+	model string
 }
 
 // startReceiver is a steward that is told of starts.
@@ -56,6 +65,7 @@
 func newResumption() resumption {
 	return resumption{
 		starts: stream.NewStarts(maxStarts), committed: map[string]stream.Software{}, reported: map[string]bool{}, receivers: map[string]*startReceiver{},
+		waiting: map[resumedNeed]int{},
 	}
 }
 
@@ -73,6 +83,31 @@
 	return false
 }
 
+// setResumedWaitLocked records whether this transaction is a resumed stream that waits for an endpoint while its service runs several versions.
+func (t *transaction) setResumedWaitLocked(waits bool, now time.Time) {
+	waits = waits && t.origin != nil && t.severalVersionsLocked(t.service, now)
+	if waits == t.resumedWaits {
+		return
+	}
+	t.resumedWaits = waits
+	need := resumedNeed{*t.origin, t.request.Model}
+	if waits {
+		t.resumption.waiting[need]++
+	} else if t.resumption.waiting[need]--; t.resumption.waiting[need] == 0 {
+		delete(t.resumption.waiting, need)
+	}
+}
+
+// neededLocked reports whether resumed streams wait for this endpoint.
+func (r *resumption) neededLocked(state endpoint.State) bool {
+	for need := range r.waiting {
+		if need.Service == state.Service && need.Software == state.Software && (need.model == "" || state.Holds(need.model)) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordOrigin records where the stream began, and reports whether the stewards must know it before the first event is forwarded. They need
 // to know only if a client may resume the stream while its service runs several versions.
 func (t *transaction) recordOrigin(c choice) (report bool) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -87,6 +87,8 @@
 	streamStarted    bool
 	// origin is where the stream began, nil for one that hasn't; it is guarded by the gateway's mutex.
 	origin *stream.Origin
+	// resumedWaits is set while the transaction counts as a resumed stream that waits for an endpoint; it is guarded by the gateway's mutex.
+	resumedWaits bool
 	// lastEventAt is when the client was sent the last event.
 	lastEventAt time.Time
 	// begun is set once the current attempt's endpoint has begun a response, attemptEvents counts that response's events.
@@ -224,6 +226,7 @@
 	t.active--
 	delete(t.crashes.cancels, t)
 	t.leaveTurnQueueLocked()
+	t.setResumedWaitLocked(false, time.Now())
 	if d := t.demands[t.request.Model]; d != nil {
 		d.waiting--
 	}
@@ -309,6 +312,7 @@
 		chosen, found, ok := t.chooseLocked(t.request, t.service, t.origin, t.avoid, now)
 		behind := ok && chosen.limit.Named && t.joinTurnQueueLocked() > 1
 		ok = ok && !behind
+		t.setResumedWaitLocked(!ok && found.modelHeld, now)
 		if ok && t.needsRetryToken && !t.retryTokenTaken && !t.budgetLocked().TakeRetry() {
 			t.mu.Unlock()
 			t.giveUp("the retry budget is used up", defaultRetryAfter)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -174,6 +174,9 @@
 	return score + failurePenalty*s.decayedFailures(now)
 }
 
+// Load returns the requests at an endpoint: this entry's own and those of other entries by the last report.
+func (r *Router) Load(e Endpoint, now time.Time) float64 { return r.stateOf(e, now).load(now) }
+
 // load returns the sum of this entry's own requests and those of other entries by the last report, which decays with
 // its age.
 func (s *endpointState) load(now time.Time) float64 {
