Load models for resumed streams at their software version

Cause: a resumed stream whose model was held at other versions only was rejected at once by the store's load time, and the planner counted replicas over all versions. Change: gateways report at which versions resumed streams wait for a model, and wait for a load from disk if the client's time allows. The planner loads the model from memory or disk at an endpoint of that version and keeps a model's last replica at a version with starts younger than 5 s or waiting resumed streams; starts name their model. A counter tells how origins of resumed streams were found.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -49,6 +49,19 @@
 	limitedRate float64
 }
 
+// resumedWait returns what a resumed stream waits for; chosen is set if an endpoint was found.
+func (a *availability) resumedWait(chosen bool, model string) resumedWait {
+	switch {
+	case chosen || !a.softwareServes:
+		return resumedWaitNone
+	case a.modelHeld:
+		return resumedWaitSlot
+	case model != "" && a.pausedUntil.IsZero():
+		return resumedWaitModel
+	}
+	return resumedWaitNone
+}
+
 // chooseLocked selects an endpoint of a service that can execute a request now; origin is where its stream began, nil for a new one. Endpoints
 // that are leaving are used only if no other can.
 func (g *Gateway) chooseLocked(q *Request, service string, origin *stream.Origin, avoid []string, now time.Time) (c choice, found availability, ok bool) {
--- a/gateway/compete_test.go
+++ b/gateway/compete_test.go
@@ -12,10 +12,12 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
 	"burdocksaddle/stream"
+	"burdocksaddle/wirepb"
 )
 
 // slotEndpoint is an endpoint that runs a number of streams at a time and admits the most urgent waiting one first.
@@ -262,3 +264,56 @@
 		})
 	}
 }
+
+// TestResumedStreamWaitsForItsModel guards against resumed streams that are rejected because of the store's load time although the leader
+// loads their model from a local copy at an endpoint of their version, and against a wait that can't end in time.
+func TestResumedStreamWaitsForItsModel(t *testing.T) {
+	tests := map[string]struct {
+		clientTimeout, loadedAfter time.Duration
+		other                      string
+		served                     bool
+		// minTook and maxTook bound the time to the answer.
+		minTook, maxTook time.Duration
+		resuming         []*wirepb.ResumingDemand
+	}{
+		"loaded in time":                       {8 * time.Second, 900 * time.Millisecond, "v2", true, 900 * time.Millisecond, 950 * time.Millisecond, []*wirepb.ResumingDemand{{Software: "v1", Waiting: 1}}},
+		"never loaded":                         {8 * time.Second, time.Hour, "v2", false, 0, minClientStreamTimeout + retryInterval, []*wirepb.ResumingDemand{{Software: "v1", Waiting: 1}}},
+		"too little time for a load from disk": {time.Second, 900 * time.Millisecond, "v2", false, 0, 0, nil},
+		"one version, load from the store":     {8 * time.Second, 900 * time.Millisecond, "", false, 0, 0, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				without := engineEndpoint("w0")
+				without.Software = "v1"
+				states := []endpoint.State{without}
+				if test.other != "" {
+					states = append(states, softwareEndpoint("w1", test.other))
+				}
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil }, states...)
+				b.applySnapshot("steward", &wirepb.Snapshot{Leads: true})
+				b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: "v1"}}, time.Now())
+				var resuming []*wirepb.ResumingDemand
+				time.AfterFunc(500*time.Millisecond, func() {
+					b.Gateway.mu.Lock()
+					defer b.Gateway.mu.Unlock()
+					resuming = b.resumption.resumingLocked("engines", testModel)
+				})
+				time.AfterFunc(test.loadedAfter, func() { b.setEndpoints(softwareEndpoint("w0", "v1"), softwareEndpoint("w1", "v2")) })
+				got := b.do(t.Context(), "/live/a", testModel, Request{ID: "again", Resumes: "r0", LastEvent: "1", ClientTimeout: test.clientTimeout})
+				if served := got.Status == 200 && len(b.calls) == 1 && b.calls[0].Endpoint == "w0"; served != test.served || got.Took < test.minTook || got.Took > test.maxTook {
+					t.Errorf("calls %v, %+v", b.calls, got)
+				}
+				time.Sleep(2 * time.Hour)
+				b.Gateway.mu.Lock()
+				defer b.Gateway.mu.Unlock()
+				if diff := cmp.Diff(test.resuming, resuming, protocmp.Transform()); diff != "" {
+					t.Error(diff)
+				}
+				if left := len(b.resumption.waiting) + len(b.resumption.missing); left != 0 {
+					t.Errorf("%d resumed streams still counted as waiting", left)
+				}
+			})
+		})
+	}
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -123,6 +123,7 @@
 		report.Models = append(report.Models, &wirepb.GatewayDemand{
 			Service: d.service, Model: model, Came: uint32(d.arrivals), Running: uint32(d.running), Waiting: uint32(d.waiting), Missed: uint32(d.missed),
 			RunningAt: slices.Sorted(maps.Keys(d.runningByEndpoint)), Adapters: adapters,
+			Resuming: g.resumption.resumingLocked(d.service, model),
 		})
 	}
 	report.Leaving = g.leavingLocked()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,7 @@
 	metricInvalidLimits     = "burdocksaddle_gateway_invalid_limits_total"
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
 	metricLateStarts        = "burdocksaddle_gateway_late_stream_starts_total"
+	metricOrigins           = "burdocksaddle_gateway_resumed_streams_total"
 	metricTrials            = "burdocksaddle_gateway_quarantine_trials_total"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
 )
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +26,8 @@
 	originTimeout = 300 * time.Millisecond
 	// originRetryAfter is the Retry-After value if a steward did not say where a stream began; it may be about to answer again.
 	originRetryAfter = 250 * time.Millisecond
+	// resumedLoadDelay is the time from the report of a waiting resumed stream to the load order, plus the time until gateways see the model.
+	resumedLoadDelay = 300 * time.Millisecond
 )
 
 // resumption is what a gateway knows of where streams began. It is guarded by the gateway's mutex.
@@ -38,6 +42,8 @@
 	receivers map[string]*startReceiver
 	// waiting counts the resumed streams that wait for an endpoint of their version that holds their model.
 	waiting map[resumedNeed]int
+	// missing counts those for which no endpoint of their version holds their model.
+	missing map[resumedNeed]int
 }
 
 // resumedNeed is what an endpoint must run and hold for a resumed stream.
@@ -65,7 +71,7 @@
 func newResumption() resumption {
 	return resumption{
 		starts: stream.NewStarts(maxStarts), committed: map[string]stream.Software{}, reported: map[string]bool{}, receivers: map[string]*startReceiver{},
-		waiting: map[resumedNeed]int{},
+		waiting: map[resumedNeed]int{}, missing: map[resumedNeed]int{},
 	}
 }
 
@@ -83,19 +89,62 @@
 	return false
 }
 
-// setResumedWaitLocked records whether this transaction is a resumed stream that waits for an endpoint while its service runs several versions.
-func (t *transaction) setResumedWaitLocked(waits bool, now time.Time) {
-	waits = waits && t.origin != nil && t.severalVersionsLocked(t.service, now)
-	if waits == t.resumedWaits {
+// resumedWait is what a resumed stream waits for while its service runs several software versions.
+type resumedWait int
+
+const (
+	resumedWaitNone resumedWait = iota
+	// resumedWaitSlot is the wait for an endpoint that holds the model.
+	resumedWaitSlot
+	// resumedWaitModel is the wait until an endpoint of the version holds the model.
+	resumedWaitModel
+)
+
+// setResumedWaitLocked records what this transaction waits for, if it is a resumed stream.
+func (t *transaction) setResumedWaitLocked(wait resumedWait, now time.Time) {
+	if t.origin == nil || !t.severalVersionsLocked(t.service, now) {
+		wait = resumedWaitNone
+	}
+	if wait == t.resumedWait {
 		return
 	}
-	t.resumedWaits = waits
 	need := resumedNeed{*t.origin, t.request.Model}
-	if waits {
-		t.resumption.waiting[need]++
-	} else if t.resumption.waiting[need]--; t.resumption.waiting[need] == 0 {
-		delete(t.resumption.waiting, need)
+	counts := map[resumedWait]map[resumedNeed]int{resumedWaitSlot: t.resumption.waiting, resumedWaitModel: t.resumption.missing}
+	if before := counts[t.resumedWait]; before != nil {
+		if before[need]--; before[need] == 0 {
+			delete(before, need)
+		}
+	}
+	if after := counts[wait]; after != nil {
+		after[need]++
 	}
+	t.resumedWait, t.resumedWaitSince = wait, now
+}
+
+// resumedLoadTimeLocked returns the time until a model that a resumed stream waits for can serve at an endpoint of its version. The leader
+// loads it there from a local copy, never from the store; whether there is a copy is not known here.
+func (t *transaction) resumedLoadTimeLocked(now time.Time) time.Duration {
+	service, ok := t.table.Service(t.service)
+	if !ok || service.Engine == nil {
+		return 0
+	}
+	m, ok := service.Engine.Model(t.request.Model)
+	if !ok {
+		return 0
+	}
+	return max(m.DiskLoadTime+resumedLoadDelay-now.Sub(t.resumedWaitSince), time.Millisecond)
+}
+
+// resumingLocked returns the versions at which resumed streams wait for a model, for the leader.
+func (r *resumption) resumingLocked(service, model string) []*wirepb.ResumingDemand {
+	var resuming []*wirepb.ResumingDemand
+	for need, waiting := range r.missing {
+		if need.Service == service && need.model == model {
+			resuming = append(resuming, &wirepb.ResumingDemand{Software: need.Software, Waiting: uint32(waiting)})
+		}
+	}
+	slices.SortFunc(resuming, func(a, b *wirepb.ResumingDemand) int { return strings.Compare(a.GetSoftware(), b.GetSoftware()) })
+	return resuming
 }
 
 // neededLocked reports whether resumed streams wait for this endpoint.
@@ -237,6 +286,14 @@
 	return message
 }
 
+// How the origin of a resumed stream was found, in metrics.
+const (
+	originHere        = "Here"
+	originAtSteward   = "Steward"
+	originOnlyVersion = "OnlyVersion"
+	originUnknown     = "Unknown"
+)
+
 // findOrigin finds out where the stream that the request resumes began. If that isn't known, or its service is no longer that of the
 // route, it refuses the request and returns false.
 func (t *transaction) findOrigin(ctx context.Context) bool {
@@ -244,14 +301,20 @@
 	t.mu.Lock()
 	origin, known := t.resumption.starts.Find(id, time.Now())
 	t.mu.Unlock()
-	var answers originAnswers
+	source, answers := originHere, originAnswers{}
 	if !known {
+		source = originAtSteward
 		answers = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
 		origin, known = answers.origin, answers.known
 	}
 	if !known {
-		origin, known = t.onlyOrigin(answers)
+		if origin, known = t.onlyOrigin(answers); known {
+			source = originOnlyVersion
+		} else {
+			source = originUnknown
+		}
 	}
+	t.count(fmt.Sprintf("%s{origin=%q}", metricOrigins, source))
 	switch {
 	case !known:
 		t.giveUp("it is not known where its stream began", withJitter(answers.retryAfter()))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -87,8 +87,9 @@
 	streamStarted    bool
 	// origin is where the stream began, nil for one that hasn't; it is guarded by the gateway's mutex.
 	origin *stream.Origin
-	// resumedWaits is set while the transaction counts as a resumed stream that waits for an endpoint; it is guarded by the gateway's mutex.
-	resumedWaits bool
+	// resumedWait is what the transaction waits for as a resumed stream, resumedWaitSince since when. Both are guarded by the gateway's mutex.
+	resumedWait      resumedWait
+	resumedWaitSince time.Time
 	// lastEventAt is when the client was sent the last event.
 	lastEventAt time.Time
 	// begun is set once the current attempt's endpoint has begun a response, attemptEvents counts that response's events.
@@ -226,7 +227,7 @@
 	t.active--
 	delete(t.crashes.cancels, t)
 	t.leaveTurnQueueLocked()
-	t.setResumedWaitLocked(false, time.Now())
+	t.setResumedWaitLocked(resumedWaitNone, time.Now())
 	if d := t.demands[t.request.Model]; d != nil {
 		d.waiting--
 	}
@@ -312,7 +313,7 @@
 		chosen, found, ok := t.chooseLocked(t.request, t.service, t.origin, t.avoid, now)
 		behind := ok && chosen.limit.Named && t.joinTurnQueueLocked() > 1
 		ok = ok && !behind
-		t.setResumedWaitLocked(!ok && found.modelHeld, now)
+		t.setResumedWaitLocked(found.resumedWait(ok, t.request.Model), now)
 		if ok && t.needsRetryToken && !t.retryTokenTaken && !t.budgetLocked().TakeRetry() {
 			t.mu.Unlock()
 			t.giveUp("the retry budget is used up", defaultRetryAfter)
@@ -339,7 +340,9 @@
 			turnWait = t.turnWaitLocked(found.limitedRate)
 		}
 		if !found.modelHeld && t.request.Model != "" {
-			wait = t.modelLoadTimeLocked(t.table, t.service, t.request.Model)
+			if wait = t.modelLoadTimeLocked(t.table, t.service, t.request.Model); t.resumedWait == resumedWaitModel {
+				wait = t.resumedLoadTimeLocked(now)
+			}
 			t.requestDemandReportLocked()
 		}
 		t.mu.Unlock()
--- a/scaling/evict.go
+++ b/scaling/evict.go
@@ -24,7 +24,7 @@
 	}
 	var victims []victim
 	for _, m := range t.state.Models {
-		if loss, allowed := p.evictionCost(f, m.Name, n); allowed {
+		if loss, allowed := p.evictionCost(f, m.Name, n); allowed && !p.lastForResumed(f, t, m.Name) {
 			if l := p.demandByModel[m.Name]; l != nil && l.runningOn[t.state.ID] {
 				loss += drainCostSeconds
 			}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -37,6 +37,8 @@
 	endpoints []*trackedEndpoint
 	// replicas includes replicas that are being loaded; serving counts only those that can serve requests.
 	replicas, serving map[string]int
+	// replicasAt and servingAt count the same by software version.
+	replicasAt, servingAt map[ModelVersion]int
 	// assumedHeld contains models with replicas on endpoints whose current load is unknown.
 	assumedHeld map[string]bool
 	// storeLoads is the number of loads from the store in progress, storeLimit the number that run at full speed.
@@ -45,7 +47,7 @@
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := planState{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, assumedHeld: map[string]bool{}, storeLimit: p.storeConcurrency, storeLimiter: p.storeLimiters[service]}
+	f := planState{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, replicasAt: map[ModelVersion]int{}, servingAt: map[ModelVersion]int{}, assumedHeld: map[string]bool{}, storeLimit: p.storeConcurrency, storeLimiter: p.storeLimiters[service]}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -55,10 +57,10 @@
 			t.reservedFor = ""
 		}
 		if t.reservedFor != "" {
-			f.replicas[t.reservedFor]++
+			f.countReplica(t, t.reservedFor, 1)
 		}
 		if t.loading != "" {
-			f.replicas[t.loading]++
+			f.countReplica(t, t.loading, 1)
 			if t.source == SourceStore {
 				f.storeLoads++
 			}
@@ -72,8 +74,8 @@
 		}
 		for _, m := range t.state.Models {
 			if m.Name != t.unloading && !p.overLimit(t, m.Name, now) {
-				f.replicas[m.Name]++
-				f.serving[m.Name]++
+				f.countReplica(t, m.Name, 1)
+				f.countServing(t, m.Name, 1)
 				f.assumedHeld[m.Name] = f.assumedHeld[m.Name] || silent
 			}
 		}
@@ -108,7 +110,7 @@
 		n := need{model: m, requestsPerReplica: l.concurrencyAt(f.now)}
 		evict, _, fits := p.evictions(f, t, n)
 		t.reservedFor = ""
-		f.replicas[name]--
+		f.countReplica(t, name, -1)
 		if !ok || !fits || t.state.Holds(name) {
 			continue
 		}
@@ -152,6 +154,9 @@
 	requestsPerReplica float64
 	// prefetch reports whether no request is waiting for the model.
 	prefetch bool
+	// resuming reports whether resumed streams wait for the model at endpoints with the software version.
+	resuming bool
+	software string
 }
 
 // overloadedRequests is the number of requests per replica from which a model is as urgent as models without replicas, which have
@@ -160,6 +165,9 @@
 
 // rank returns the priority of the need; lower ranks are served first.
 func (n need) rank() int {
+	if n.resuming {
+		return -1
+	}
 	if n.replicas == 0 || n.requestsPerReplica >= overloadedRequests {
 		return 0
 	}
@@ -201,7 +209,7 @@
 // nextOrder returns the order for the most urgent need: overloaded models and those without replicas first, then by requests per
 // replica.
 func (p *Planner) nextOrder(f *planState) (Order, bool) {
-	var needs []need
+	needs := p.resumingNeeds(f)
 	for _, name := range sortedKeys(p.demandByModel) {
 		m, ok := f.engine.Model(name)
 		if !ok {
@@ -238,6 +246,9 @@
 		if t.busy(f.now) || t.reservedFor != "" || t.state.Limit.Named || t.state.Holds(n.model.Name) {
 			continue
 		}
+		if n.resuming && !n.canResume(t) {
+			continue
+		}
 		source := t.sourceOf(n.model.Name)
 		if source == SourceStore && (n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
 			continue
@@ -301,14 +312,14 @@
 
 func (p *Planner) createOrder(f *planState, t *trackedEndpoint, n need, evict []string) Order {
 	t.orderedAt, t.awaitingReply = f.now, true
-	f.replicas[n.model.Name]++
+	f.countReplica(t, n.model.Name, 1)
 	order := Order{Endpoint: t.state.ID}
 	if len(evict) > 0 {
 		t.unloading, t.reservedFor, t.reservationExpires = evict[0], n.model.Name, f.now.Add(reservationTimeout)
-		f.replicas[t.unloading]--
-		f.serving[t.unloading]--
+		f.countReplica(t, t.unloading, -1)
+		f.countServing(t, t.unloading, -1)
 		order.Model, order.Unload = t.unloading, true
-		order.Reason = fmt.Sprintf("room for %s: %d replicas, %.1f requests each", n.model.Name, n.replicas, n.requestsPerReplica)
+		order.Reason = fmt.Sprintf("room for %s: %s", n.model.Name, n.reason())
 		return order
 	}
 	source := t.sourceOf(n.model.Name)
@@ -319,7 +330,7 @@
 		t.concurrentStoreLoads = f.storeLoads
 	}
 	order.Model, order.Source, order.ExpectedDuration = n.model.Name, source, loadTime(n.model, source)
-	order.Reason = fmt.Sprintf("%d replicas, %.1f requests each", n.replicas, n.requestsPerReplica)
+	order.Reason = n.reason()
 	return order
 }
 
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -79,6 +79,8 @@
 	demandSeen bool
 	// storeLimiters limit the rate at which loads from the store start, by service.
 	storeLimiters map[string]*rate.Limiter
+	// recentStarts are the models that have begun streams lately, by software version.
+	recentStarts map[ModelVersion]bool
 }
 
 // trackedEndpoint is an endpoint with its orders in progress.
@@ -118,6 +120,8 @@
 	missed float64
 	// runningOn holds the IDs of the endpoints that run requests for the model.
 	runningOn map[string]bool
+	// resuming counts the waiting resumed streams by software version.
+	resuming  map[string]int
 	updatedAt time.Time
 	lastUsed  time.Time
 }
@@ -314,6 +318,7 @@
 	l.arrivalRate = l.arrivalRateAt(now) + float64(d.Arrivals)*math.Ln2/rateHalfLife.Seconds()
 	l.missed = l.missedAt(now) + float64(d.Missed)
 	l.updatedAt, l.waiting, l.running = now, d.Waiting, d.Running
+	l.resuming = resumingCounts(d.Resuming)
 	l.runningOn = make(map[string]bool, len(d.RunningOn))
 	for _, id := range d.RunningOn {
 		l.runningOn[id] = true
--- a/scaling/simulation_test.go
+++ b/scaling/simulation_test.go
@@ -30,6 +30,8 @@
 	unloadTime time.Duration
 	// withoutReport contains endpoints whose reports are lost, unheld those that nobody may give orders to, by address.
 	withoutReport, unheld map[string]bool
+	// resuming are the waiting resumed streams by model.
+	resuming map[string][]Resuming
 }
 
 // simEndpoint is a simulated endpoint.
@@ -63,7 +65,7 @@
 	w := &simulation{
 		t: t, now: time.Unix(1000, 0), planner: New(), engine: &engine,
 		waiting: map[string]int{}, running: map[string]int{}, arrivals: map[string]int{}, loads: map[Source]int{}, missed: map[string]int{}, fullSpeedStoreLoads: initialStoreConcurrency,
-		runningAt: map[string][]string{}, unloadTime: simStep, withoutReport: map[string]bool{}, unheld: map[string]bool{},
+		runningAt: map[string][]string{}, unloadTime: simStep, withoutReport: map[string]bool{}, unheld: map[string]bool{}, resuming: map[string][]Resuming{},
 	}
 	for i := range endpoints {
 		w.simEndpoints = append(w.simEndpoints, &simEndpoint{state: endpoint.State{
@@ -123,10 +125,14 @@
 			w.running[m.Name] += w.waiting[m.Name]
 			w.waiting[m.Name] = 0
 		}
-		if w.waiting[m.Name]+w.running[m.Name]+w.missed[m.Name]+w.arrivals[m.Name] > 0 {
+		resumedStreams := 0
+		for _, r := range w.resuming[m.Name] {
+			resumedStreams += r.Waiting
+		}
+		if resumedStreams+w.waiting[m.Name]+w.running[m.Name]+w.missed[m.Name]+w.arrivals[m.Name] > 0 {
 			demand = append(demand, Demand{
-				Service: simService, Model: m.Name, Waiting: w.waiting[m.Name], Running: w.running[m.Name], Missed: w.missed[m.Name],
-				Arrivals: w.arrivals[m.Name], RunningOn: w.runningAt[m.Name],
+				Service: simService, Model: m.Name, Waiting: w.waiting[m.Name] + resumedStreams, Running: w.running[m.Name], Missed: w.missed[m.Name],
+				Arrivals: w.arrivals[m.Name], RunningOn: w.runningAt[m.Name], Resuming: w.resuming[m.Name],
 			})
 			w.missed[m.Name], w.arrivals[m.Name] = 0, 0
 		}
--- a/scaling/software_test.go
+++ b/scaling/software_test.go
@@ -33,3 +33,101 @@
 		}
 	}
 }
+
+// resumedLoadLimit is how long a load for resumed streams may take: their clients leave after 2 s.
+const resumedLoadLimit = 1500 * time.Millisecond
+
+// newVersionSimulation returns four endpoints, the first two of which run v1 and the others v2.
+func newVersionSimulation(t *testing.T, models int) *simulation {
+	w := newSimulation(t, 4, models)
+	for n, software := range []string{"v1", "v1", "v2", "v2"} {
+		w.simEndpoints[n].state.Software = software
+	}
+	return w
+}
+
+// TestResumedStreamsGetTheirModelAtTheirVersion guards against resumed streams that leave because their model is held by endpoints of
+// another version only. The model must be loaded from a local copy at their version within their clients' time, beside twice the target
+// of new requests for other models there.
+func TestResumedStreamsGetTheirModelAtTheirVersion(t *testing.T) {
+	tests := map[string]struct {
+		copies []int
+		// want is the endpoint that must hold the model, -1 for none of its version.
+		want  int
+		loads map[Source]int
+	}{
+		"copy at its version":            {[]int{1, 2, 3}, 1, map[Source]int{SourceDisk: 1}},
+		"copies at other versions only":  {[]int{2, 3}, -1, map[Source]int{}},
+		"copies at both of its version":  {[]int{0, 1}, 1, map[Source]int{SourceDisk: 1}},
+		"no copy, not loaded from store": {nil, -1, map[Source]int{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionSimulation(t, 7)
+			for i := range 4 {
+				w.addModel(i, modelName(1+i))
+			}
+			w.addModel(0, modelName(5))
+			w.addModel(1, modelName(6))
+			w.simEndpoints[2].state.Models = append(w.simEndpoints[2].state.Models, endpoint.Model{Name: modelName(0)})
+			for _, i := range test.copies {
+				w.addDiskCopy(i, modelName(0))
+			}
+			w.running[modelName(0)], w.running[modelName(1)], w.running[modelName(5)] = 4, 2*targetConcurrency, targetConcurrency
+			w.run(2*time.Second, func(time.Duration) {})
+			clear(w.loads)
+			w.running[modelName(1)], w.running[modelName(2)] = 2, 2
+			w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+			w.run(resumedLoadLimit, func(time.Duration) {})
+			for i := range 2 {
+				if holds := w.simEndpoints[i].state.Holds(modelName(0)); holds != (i == test.want) {
+					t.Errorf("endpoint %d holds the model: %t", i, holds)
+				}
+			}
+			loaded := w.loads[SourceDisk] + w.loads[SourceMemory] + w.loads[SourceStore]
+			if want := test.loads[SourceDisk]; w.loads[SourceStore] > 0 || loaded < want {
+				t.Errorf("loads %v, want %v", w.loads, test.loads)
+			}
+		})
+	}
+}
+
+// TestLastReplicaStaysForResumedStreams guards against evicting a model from the last endpoint of a version at which its streams may be
+// resumed, although an endpoint of another version holds it.
+func TestLastReplicaStaysForResumedStreams(t *testing.T) {
+	v1 := ModelVersion{modelName(0), "v1"}
+	tests := map[string]struct {
+		starts   map[ModelVersion]bool
+		resuming []Resuming
+		second   bool
+		stays    bool
+	}{
+		"recent starts":                    {starts: map[ModelVersion]bool{v1: true}, stays: true},
+		"waiting resumed streams":          {resuming: []Resuming{{Software: "v1", Waiting: 1}}, stays: true},
+		"starts at another version":        {starts: map[ModelVersion]bool{{modelName(0), "v2"}: true}},
+		"no starts":                        {},
+		"another replica at their version": {starts: map[ModelVersion]bool{v1: true}, second: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionSimulation(t, 5)
+			w.addModel(0, modelName(0))
+			w.addModel(0, modelName(1))
+			w.addModel(2, modelName(0))
+			if test.second {
+				w.addModel(1, modelName(0))
+			}
+			w.addDiskCopy(0, modelName(4))
+			w.running[modelName(1)] = 2 * targetConcurrency
+			w.run(time.Second, func(time.Duration) {})
+			w.running[modelName(0)] = 0
+			w.planner.RecordStarts(test.starts)
+			w.resuming[modelName(0)] = test.resuming
+			w.waiting[modelName(4)] = 1
+			w.run(resumedLoadLimit, func(time.Duration) {})
+			if stays := w.simEndpoints[0].state.Holds(modelName(0)); stays != test.stays {
+				t.Errorf("the replica stayed: %t, models %v", stays, w.simEndpoints[0].state.Models)
+			}
+		})
+	}
+}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -114,6 +114,7 @@
 // plan issues the orders that the demand requires.
 func (l *leader) plan(ctx context.Context, now time.Time) {
 	l.planner.RecordDemand(l.collectDemand(now), now)
+	l.planner.RecordStarts(l.recentStarts(now))
 	l.recordLeaving(now)
 	l.recordLimits(now)
 	if !l.ordersAllowed(ctx) {
@@ -184,6 +185,9 @@
 			delete(d.newRequests, m.GetModel())
 			sum.Running += int(m.GetRunning())
 			sum.Waiting += int(m.GetWaiting())
+			for _, r := range m.GetResuming() {
+				sum.Resuming = append(sum.Resuming, scaling.Resuming{Software: r.GetSoftware(), Waiting: int(r.GetWaiting())})
+			}
 			sum.RunningOn = append(sum.RunningOn, m.GetRunningAt()...)
 			sums[m.GetModel()] = sum
 		}
--- a/steward/software.go
+++ b/steward/software.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/scaling"
 	"burdocksaddle/stream"
 	"burdocksaddle/wirepb"
 )
@@ -39,6 +40,21 @@
 	})
 }
 
+// recentStartAge is how old a stream's start may be for its model to keep a replica at its software version. Clients leave some seconds
+// after a break, and most streams have ended by then.
+const recentStartAge = 5 * time.Second
+
+// recentStarts returns the models that have begun streams lately, by software version, as far as gateways reported them.
+func (s *Steward) recentStarts(now time.Time) map[scaling.ModelVersion]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := map[scaling.ModelVersion]bool{}
+	for start := range s.starts.Since(now.Add(-recentStartAge)) {
+		recent[scaling.ModelVersion{Model: start.Model, Software: start.Origin.Software}] = true
+	}
+	return recent
+}
+
 // publishable returns the endpoints whose software version is committed, so that no stream begins at a version that the log doesn't
 // know. The caller must hold the lock.
 func (s *Steward) publishable(endpoints []endpoint.State) []endpoint.State {
--- a/steward/software_test.go
+++ b/steward/software_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/scaling"
 	"burdocksaddle/stream"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
@@ -207,3 +208,33 @@
 		t.Error(diff)
 	}
 }
+
+// TestResumedStreamsReachThePlanner checks that what gateways report of resumed streams is summed, and that starts count for their model and
+// version while they are recent.
+func TestResumedStreamsReachThePlanner(t *testing.T) {
+	s, _ := startSteward(t, "")
+	for _, gateway := range []string{"a", "b"} {
+		s.recordDemand(gateway, &wirepb.DemandReport{Models: []*wirepb.GatewayDemand{
+			{Service: "lm", Model: "m", Waiting: 2, Resuming: []*wirepb.ResumingDemand{{Software: "v1", Waiting: 2}}},
+		}})
+	}
+	l := &leader{Steward: s}
+	var resuming []scaling.Resuming
+	for _, d := range l.collectDemand(time.Now()) {
+		resuming = append(resuming, d.Resuming...)
+	}
+	if diff := cmp.Diff([]scaling.Resuming{{Software: "v1", Waiting: 2}, {Software: "v1", Waiting: 2}}, resuming); diff != "" {
+		t.Error(diff)
+	}
+	now := time.Now()
+	s.recordStarts(&wirepb.StreamStarts{Groups: []*wirepb.StreamGroup{
+		{Service: "lm", Software: "v1", Model: "m", Streams: []uint64{1, 2}}, {Service: "lm", Software: "v2", Model: "n", Streams: []uint64{3}},
+	}})
+	want := map[scaling.ModelVersion]bool{{Model: "m", Software: "v1"}: true, {Model: "n", Software: "v2"}: true}
+	if diff := cmp.Diff(want, s.recentStarts(now)); diff != "" {
+		t.Error(diff)
+	}
+	if recent := s.recentStarts(now.Add(2 * recentStartAge)); len(recent) > 0 {
+		t.Errorf("%v", recent)
+	}
+}
