--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"burdocksaddle/endpoint"
 	"burdocksaddle/stream"
 	"burdocksaddle/wirepb"
 )
@@ -23,6 +26,8 @@
 	originRetryAfter = 250 * time.Millisecond
 	// unknownStreamReason is the reason of refusals of streams whose start is unknown.
 	unknownStreamReason = "it is not known where its stream began"
+	// resumedLoadDelay is the time from the report of a waiting resumed stream to the load order, plus the time until gateways see the model.
+	resumedLoadDelay = 300 * time.Millisecond
 )
 
 // resumption is what a gateway knows of where streams began. It is guarded by the gateway's mutex.
@@ -35,6 +40,16 @@
 	reported map[string]bool
 	// receivers are the connected stewards.
 	receivers map[string]*startReceiver
+	// waiting counts the resumed streams that wait for an endpoint of their version that holds their model.
+	waiting map[resumedNeed]int
+	// missing counts those for which no endpoint of their version holds their model.
+	missing map[resumedNeed]int
+}
+
+// resumedNeed is what an endpoint must run and hold for a resumed stream.
+type resumedNeed struct {
+	stream.Origin
+	model string
 }
 
 // startReceiver is a steward that is told of starts.
@@ -56,6 +71,7 @@
 func newResumption() resumption {
 	return resumption{
 		starts: stream.NewStarts(maxStarts), committed: map[string]stream.Software{}, reported: map[string]bool{}, receivers: map[string]*startReceiver{},
+		waiting: map[resumedNeed]int{}, missing: map[resumedNeed]int{},
 	}
 }
 
@@ -73,6 +89,74 @@
 	return false
 }
 
+// resumedWait is what a resumed stream waits for while its service runs several software versions.
+type resumedWait int
+
+const (
+	resumedWaitNone resumedWait = iota
+	// resumedWaitSlot is the wait for an endpoint that holds the model.
+	resumedWaitSlot
+	// resumedWaitModel is the wait until an endpoint of the version holds the model.
+	resumedWaitModel
+)
+
+// setResumedWaitLocked records what this transaction waits for, if it is a resumed stream.
+func (t *transaction) setResumedWaitLocked(wait resumedWait, now time.Time) {
+	if t.origin == nil || !t.severalVersionsLocked(t.service, now) {
+		wait = resumedWaitNone
+	}
+	if wait == t.resumedWait {
+		return
+	}
+	need := resumedNeed{*t.origin, t.request.Model}
+	counts := map[resumedWait]map[resumedNeed]int{resumedWaitSlot: t.resumption.waiting, resumedWaitModel: t.resumption.missing}
+	if before := counts[t.resumedWait]; before != nil {
+		if before[need]--; before[need] == 0 {
+			delete(before, need)
+		}
+	}
+	if after := counts[wait]; after != nil {
+		after[need]++
+	}
+	t.resumedWait, t.resumedWaitSince = wait, now
+}
+
+// resumedLoadTimeLocked returns the time until a model that a resumed stream waits for can serve at an endpoint of its version. The leader
+// loads it there from a local copy, never from the store; whether there is a copy is not known here.
+func (t *transaction) resumedLoadTimeLocked(now time.Time) time.Duration {
+	service, ok := t.table.Service(t.service)
+	if !ok || service.Engine == nil {
+		return 0
+	}
+	m, ok := service.Engine.Model(t.request.Model)
+	if !ok {
+		return 0
+	}
+	return max(m.DiskLoadTime+resumedLoadDelay-now.Sub(t.resumedWaitSince), time.Millisecond)
+}
+
+// resumingLocked returns the versions at which resumed streams wait for a model, for the leader.
+func (r *resumption) resumingLocked(service, model string) []*wirepb.ResumingDemand {
+	var resuming []*wirepb.ResumingDemand
+	for need, waiting := range r.missing {
+		if need.Service == service && need.model == model {
+			resuming = append(resuming, &wirepb.ResumingDemand{Software: need.Software, Waiting: uint32(waiting)})
+		}
+	}
+	slices.SortFunc(resuming, func(a, b *wirepb.ResumingDemand) int { return strings.Compare(a.GetSoftware(), b.GetSoftware()) })
+	return resuming
+}
+
+// neededLocked reports whether resumed streams wait for this endpoint.
+func (r *resumption) neededLocked(state endpoint.State) bool {
+	for need := range r.waiting {
+		if need.Service == state.Service && need.Software == state.Software && (need.model == "" || state.Holds(need.model)) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordOrigin records where the stream began, and reports whether the stewards must know it before the first event is forwarded. They need
 // to know only if a client may resume the stream while its service runs several versions.
 func (t *transaction) recordOrigin(c choice) (report bool) {
@@ -202,6 +286,14 @@
 	return message
 }
 
+// How the origin of a resumed stream was found, in metrics.
+const (
+	originHere        = "Here"
+	originAtSteward   = "Steward"
+	originOnlyVersion = "OnlyVersion"
+	originUnknown     = "Unknown"
+)
+
 // findOrigin finds out where the stream that the request resumes began. If that isn't known, or its service is no longer that of the
 // route, it refuses the request and returns false.
 func (t *transaction) findOrigin(ctx context.Context) bool {
@@ -209,14 +301,20 @@
 	t.mu.Lock()
 	origin, known := t.resumption.starts.Find(id, time.Now())
 	t.mu.Unlock()
-	var answers originAnswers
+	source, answers := originHere, originAnswers{}
 	if !known {
+		source = originAtSteward
 		answers = t.askOrigins(ctx, t.stewardLinks.Stewards(), id)
 		origin, known = answers.origin, answers.known
 	}
 	if !known {
-		origin, known = t.onlyOrigin(answers)
+		if origin, known = t.onlyOrigin(answers); known {
+			source = originOnlyVersion
+		} else {
+			source = originUnknown
+		}
 	}
+	t.count(fmt.Sprintf("%s{origin=%q}", metricOrigins, source))
 	switch {
 	case !known:
 		t.giveUp(unknownStreamReason, withJitter(answers.retryAfter()))
--- a/gateway/team.go
+++ b/gateway/team.go
@@ -66,14 +66,6 @@
 	return &tagged
 }
 
-// urgency returns the priority of the request at endpoints: that of its team if it has one, else that of its route.
-func (t *transaction) urgency() int {
-	if t.hasTeam && t.team.HasUrgency {
-		return min(t.team.Urgency, lowestUrgency)
-	}
-	return min(t.route.Priority, lowestUrgency)
-}
-
 // withTeam appends the name of the caller's team to the fields of a log line, if there is one.
 func (t *transaction) withTeam(fields ...any) []any {
 	if t.hasTeam {
