Fault test: callers with teams and keys

The fault test had no teams, so nothing of what a deployment does about keys was judged under faults. Tables now have three teams and a key that each version adds and a later one removes; callers send their keys and claim another team's name; a public route needs no key. The check Teams judges what endpoints get and that no valid key is denied, the check Keys which added and removed keys gateways accept, and no process may log a key. Requests with keys that come and go don't count for Recover; all that counted before still do.

--- a/e2e/capacity_platform_test.go
+++ b/e2e/capacity_platform_test.go
@@ -50,7 +50,7 @@
 	c := newPlatformCluster(t, smallShape, buildBinary(t))
 	gateway := c.vms["gateway-0"]
 	operator := standin.NewOperator()
-	for end := time.Now().Add(maxStartTime); operator.Replace(c.ctx, c.vms["steward-0"].operator, c.routingTable(1, 0)) != http.StatusOK; sleepContext(c.ctx, pollInterval) {
+	for end := time.Now().Add(maxStartTime); operator.Replace(c.ctx, c.vms["steward-0"].operator, c.routingTable(1, 0, nil)) != http.StatusOK; sleepContext(c.ctx, pollInterval) {
 		if time.Now().After(end) {
 			t.Fatal("the routing table was not acknowledged")
 		}
--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -39,6 +39,7 @@
 	changes     []sentChange
 	configReads []configRead
 	probes      []routeProbe
+	keyProbes   []keyProbe
 	// finalReads holds one read from each steward after the load has ended.
 	finalReads []configRead
 	// resumedAt holds the times at which each VM's suspended process was resumed.
@@ -78,6 +79,8 @@
 	{"Turns", checkTurns, false},
 	{"Versions", checkVersions, false},
 	{"TakenUp", checkTakenUp, false},
+	{"Teams", checkTeams, true},
+	{"Keys", checkKeys, true},
 }
 
 // runChecks returns the violations found and the number of cases judged, by check name.
@@ -251,12 +254,7 @@
 // does not refuse a request because it lacks that version.
 func checkInForce(o observations) (judged int, broken []string) {
 	for _, p := range o.probes {
-		from, until := p.outcome.Sent.Add(-contactTime), p.outcome.Done
-		excused := o.disturbed(p.gateway, from, until)
-		for _, steward := range o.stewards {
-			excused = excused || o.disturbed(steward, from, until)
-		}
-		if excused {
+		if o.excused(p.gateway, p.outcome) {
 			continue
 		}
 		judged++
@@ -267,15 +265,21 @@
 	return judged, broken
 }
 
+// excused reports whether a fault affected a gateway or a steward during an outcome or in the contactTime before.
+func (o observations) excused(gateway string, outcome standin.Outcome) bool {
+	from, until := outcome.Sent.Add(-contactTime), outcome.Done
+	return o.disturbed(gateway, from, until) || slices.ContainsFunc(o.stewards, func(steward string) bool { return o.disturbed(steward, from, until) })
+}
+
 // minServedRatio is the share of requests that must succeed after recovery; the platform requires only a quarter of it.
 const minServedRatio = 0.95
 
 // checkRecover checks that all requests sent after recovery are answered and that at least minServedRatio of them succeed, where their callers
-// don't leave.
+// don't leave. Requests with keys that tables add and remove are judged by checkKeys.
 func checkRecover(o observations) (judged int, broken []string) {
 	served, sent := 0, 0
 	for _, outcome := range o.outcomes {
-		if outcome.Sent.Before(o.recoveredBy) || outcome.LeaveAfter > 0 {
+		if outcome.Sent.Before(o.recoveredBy) || outcome.LeaveAfter > 0 || isVersionKey(outcome.Key) {
 			continue
 		}
 		sent++
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -377,12 +377,13 @@
 func versionPath(version int) string { return "/v" + strconv.Itoa(version) + "/" }
 
 // routingTable returns a configuration. Each version adds a route named after it; moreRoutes adds routes that nobody uses.
-func (c *platformCluster) routingTable(version, moreRoutes int) []byte {
+func (c *platformCluster) routingTable(version, moreRoutes int, teams []standin.Team) []byte {
 	routes := []standin.Route{
 		{Name: "live", PathPrefix: "/live/", Kind: "streaming", Service: "engine", LatencyObjectiveMS: 500, TimeoutMS: 6000, Resumable: true},
 		{Name: "once", PathPrefix: "/once/", Kind: "streaming", Service: "engine", LatencyObjectiveMS: 500, TimeoutMS: 6000},
 		{Name: "book", PathPrefix: "/book/", Kind: "non_idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500},
 		{Name: "read", PathPrefix: "/read/", Kind: "idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500},
+		{Name: "open", PathPrefix: openPath, Kind: "idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500, Public: true},
 	}
 	add := func(name, prefix string) {
 		routes = append(routes, standin.Route{Name: name, PathPrefix: prefix, Kind: "idempotent", Service: "plain", LatencyObjectiveMS: 100, TimeoutMS: 1500})
@@ -397,7 +398,7 @@
 	for m := range platformModels {
 		models = append(models, modelName(m))
 	}
-	body, err := standin.Table(version, routes, models, "engine", "plain")
+	body, err := standin.Table(version, routes, teams, models, "engine", "plain")
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -365,6 +365,9 @@
 		if bytes.Contains(c.log(name), []byte("DATA RACE")) {
 			t.Errorf("%s has a data race", name)
 		}
+		if bytes.Contains(c.log(name), []byte(keyMark)) {
+			t.Errorf("%s logged an API key", name)
+		}
 	}
 	o := load.observations(recoveredBy)
 	broken, judged := o.runChecks()
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -47,6 +47,7 @@
 	version     int
 	moreRoutes  int
 	probes      []routeProbe
+	keyProbes   []keyProbe
 	// finalReads holds one read from each steward after the load has ended.
 	finalReads []configRead
 }
@@ -59,11 +60,13 @@
 		for n := range callersPerGateway {
 			r := rand.New(rand.NewPCG(seed, uint64(1000+g*callersPerGateway+n)))
 			repeats := rand.New(rand.NewPCG(seed, uint64(2000+g*callersPerGateway+n)))
-			l.workers.Go(func() { l.runCaller(standin.NewCaller(address, n%2 == 1), r, repeats, fmt.Sprintf("g%dc%d", g, n)) })
+			caller := loadCaller{Caller: standin.NewCaller(address, n%2 == 1), name: fmt.Sprintf("g%dc%d", g, n), team: callerTeams[(g+n)%len(callerTeams)], anonymous: n == 0}
+			l.workers.Go(func() { l.runCaller(caller, r, repeats) })
 		}
 	}
 	for g := range c.shape.gateways {
 		l.workers.Go(func() { l.runProbes("gateway-" + strconv.Itoa(g)) })
+		l.workers.Go(func() { l.runKeyProbes("gateway-" + strconv.Itoa(g)) })
 	}
 	l.workers.Go(func() { l.runOperator(rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))) })
 	return l
@@ -85,7 +88,7 @@
 
 // repeatedRequest returns the request that crashes plain endpoints.
 func repeatedRequest(id string) standin.Request {
-	return standin.Request{ID: id, Host: "one.example", Path: deadlyRequest.Path, Caller: deadlyRequest.Caller, Body: []byte(deadlyRequest.Body), Timeout: 1500 * time.Millisecond}
+	return standin.Request{ID: id, Host: "one.example", Path: deadlyRequest.Path, Caller: deadlyRequest.Caller, Key: callerTeams[0].Keys[0], Body: []byte(deadlyRequest.Body), Timeout: 1500 * time.Millisecond}
 }
 
 // randomRequest returns a random request; deadly allows the deadly part in its prompt.
@@ -113,10 +116,10 @@
 
 // runCaller sends requests one after the other. A request that was refused as not run is sent once more, under a new ID, after
 // its Retry-After time, unless that is more than a third of the timeout. repeats draws which requests are the repeated one.
-func (l *platformLoad) runCaller(caller *standin.Caller, r, repeats *rand.Rand, name string) {
+func (l *platformLoad) runCaller(caller loadCaller, r, repeats *rand.Rand) {
 	defer caller.Close()
 	for n := 0; sleepContext(l.ctx, platformRequestInterval); n++ {
-		request := randomRequest(r, name+"-"+strconv.Itoa(n), l.cluster.deadly.Load())
+		request := caller.identify(randomRequest(r, caller.name+"-"+strconv.Itoa(n), l.cluster.deadly.Load()))
 		if l.cluster.repeating.Load() && repeats.IntN(deadlyShare) == 0 {
 			request = repeatedRequest(request.ID)
 		} else if request.Path == livePath+"x" && repeats.IntN(leavingShare) == 0 {
@@ -173,7 +176,7 @@
 		if version == 0 {
 			continue
 		}
-		request := standin.Request{ID: fmt.Sprintf("probe-%s-%d", gateway, n), Host: "one.example", Path: versionPath(version) + "x", Timeout: 1500 * time.Millisecond}
+		request := standin.Request{ID: fmt.Sprintf("probe-%s-%d", gateway, n), Host: "one.example", Path: versionPath(version) + "x", Key: callerTeams[0].Keys[0], Timeout: 1500 * time.Millisecond}
 		outcome := l.record(caller.Do(l.cluster.ctx, request))
 		l.mu.Lock()
 		l.probes = append(l.probes, routeProbe{l.cluster.vms[gateway].bindAddress, version, outcome})
@@ -215,7 +218,7 @@
 func (l *platformLoad) applyConfig(operator *standin.Operator, r *rand.Rand) {
 	l.version += 1 + r.IntN(3)
 	change := sentChange{version: l.version, sent: time.Now()}
-	seeds, table := l.cluster.operatorAddresses(), l.cluster.routingTable(l.version, l.moreRoutes)
+	seeds, table := l.cluster.operatorAddresses(), l.cluster.routingTable(l.version, l.moreRoutes, teamsOf(l.version))
 	for range 3 * len(seeds) {
 		address := pick(r, seeds)
 		if status := operator.Replace(l.ctx, address, table); status == http.StatusOK {
@@ -285,5 +288,5 @@
 			stewards = append(stewards, v.bindAddress)
 		}
 	}
-	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, resumedAt: resumedAt, recoveredBy: recoveredBy}
+	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, keyProbes: l.keyProbes, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, resumedAt: resumedAt, recoveredBy: recoveredBy}
 }
