--- a/gateway/team_test.go
+++ b/gateway/team_test.go
@@ -246,6 +246,31 @@
 	})
 }
 
+// TestRunningRequestKeepsItsTeam guards against running requests that are ended, or go on for no team, once a table removes their key.
+func TestRunningRequestKeepsItsTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b *testGateway
+		b = newTestGateway(t, func(_ context.Context, call Call) (*Response, error) {
+			if len(b.calls) > 1 {
+				return streamResponse(3, io.EOF), nil
+			}
+			if err := b.applyTable(uplink.Table{Version: 2}); err != nil {
+				t.Error(err)
+			}
+			return streamResponse(1, ErrIncompleteResponse{Endpoint: call.Endpoint, Cause: io.ErrUnexpectedEOF}), nil
+		}, engineEndpoint("w1", testModel), engineEndpoint("w2", testModel))
+		b.table.Store(newTeamTable(t, 1, "press"))
+		b.decodeTable = func([]byte) (*route.Table, error) { return newTeamTable(t, 2, "shops"), nil }
+		got := b.ask(t.Context(), "/live/x", "key-press")
+		if got.Status != http.StatusOK || got.Cut || len(b.calls) != 2 || b.calls[1].Team != "press" {
+			t.Errorf("%+v, %+v", got, b.calls)
+		}
+		if after := b.ask(t.Context(), "/live/x", "key-press"); after.Status != http.StatusUnauthorized {
+			t.Errorf("the next request: %+v", after)
+		}
+	})
+}
+
 // TestKeysAreNotLogged guards against keys in log lines and metrics, and checks what is logged of a team and of a refusal for a key.
 func TestKeysAreNotLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
