Apply pauses to every endpoint at an address

A pause was recorded under the endpoint for which the request was meant. Pauses are now kept by address until they end, across changes of the ID and the start time.

--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -383,6 +383,7 @@
 	{800, shapeSmall, "copies of a large table filled the gateways' links"},
 	{801, shapeSmall, "copies of a large table filled the gateways' links"},
 	{909, shapeSmall, "a reload signal ended a gateway that was starting"},
+	{1302, shapeSmall, "a pause asked for at a reused address was kept under the former endpoint"},
 	{903, shapeLarge, "leaders changed three times after the recovery, see KNOWN-RED.txt"},
 }
 
--- a/endpoint/notice.go
+++ b/endpoint/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -45,13 +46,15 @@
 type Notices struct {
 	drainTime time.Duration
 	byID      map[string]notice
+	// pausedUntil is the end of the pause at an address. A pause counts for whichever endpoint is listed there: after an address has been
+	// reused, the endpoint that asks for it need not be the one for which the request was meant.
+	pausedUntil map[string]time.Time
 }
 
 // notice is what one endpoint said; zero times mean nothing.
 type notice struct {
 	startMS      int64
 	leavingSince time.Time
-	pausedUntil  time.Time
 	lastListed   time.Time
 	// limit is what the endpoint said at limitHeardAt. Until noTurnUntil, it gets no further request within its limit.
 	limit                     Limit
@@ -60,7 +63,7 @@
 
 // NewNotices returns empty Notices; drainTime is how long a leaving endpoint may still be sent new requests.
 func NewNotices(drainTime time.Duration) *Notices {
-	return &Notices{drainTime: drainTime, byID: map[string]notice{}}
+	return &Notices{drainTime: drainTime, byID: map[string]notice{}, pausedUntil: map[string]time.Time{}}
 }
 
 // of returns the notice of an incarnation. A start time becomes known later than the endpoint itself, so only two different known
@@ -85,12 +88,10 @@
 	return true
 }
 
-// RecordPause records that an endpoint wants no requests for a time, of which MaxPause counts at most.
-func (n *Notices) RecordPause(i Incarnation, pause time.Duration, now time.Time) {
-	known := n.of(i)
-	if until := now.Add(min(pause, MaxPause)); until.After(known.pausedUntil) {
-		known.pausedUntil, known.lastListed = until, now
-		n.byID[i.ID] = known
+// RecordPause records that the endpoint at an address wants no requests for a time, of which MaxPause counts at most.
+func (n *Notices) RecordPause(address string, pause time.Duration, now time.Time) {
+	if until := now.Add(min(pause, MaxPause)); until.After(n.pausedUntil[address]) {
+		n.pausedUntil[address] = until
 	}
 }
 
@@ -156,14 +157,15 @@
 }
 
 // UseOf returns whether an endpoint may be used now for a request that arrived at the given time.
-func (n *Notices) UseOf(i Incarnation, arrived, now time.Time) Use {
+func (n *Notices) UseOf(state State, arrived, now time.Time) Use {
+	if now.Before(n.pausedUntil[state.Address]) {
+		return UseNever
+	}
 	if len(n.byID) == 0 {
 		return UseNormal
 	}
-	known := n.of(i)
+	known := n.of(state.Incarnation())
 	switch {
-	case now.Before(known.pausedUntil):
-		return UseNever
 	case known.leavingSince.IsZero():
 		return UseNormal
 	case arrived.Sub(known.leavingSince) < n.drainTime:
@@ -172,8 +174,8 @@
 	return UseNever
 }
 
-// PausedUntil returns the end of an endpoint's pause, or the zero time.
-func (n *Notices) PausedUntil(i Incarnation) time.Time { return n.of(i).pausedUntil }
+// PausedUntil returns the end of the pause at an address, or the zero time.
+func (n *Notices) PausedUntil(address string) time.Time { return n.pausedUntil[address] }
 
 // Leaving returns the endpoints that said that they are leaving, sorted by ID.
 func (n *Notices) Leaving() []Incarnation {
@@ -187,8 +189,10 @@
 	return leaving
 }
 
-// Update drops the notices of former incarnations, and those of endpoints that have not been listed for noticeRetention.
+// Update drops the pauses that have ended, the other notices of former incarnations, and those of endpoints that have not been listed for
+// noticeRetention.
 func (n *Notices) Update(listed map[string]State, now time.Time) {
+	maps.DeleteFunc(n.pausedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	for id, known := range n.byID {
 		state, ok := listed[id]
 		if ok {
@@ -198,7 +202,7 @@
 		}
 		limited := known.limit.Named && (state.Limit.Named || now.Sub(known.limitHeardAt) < limitRetention) ||
 			now.Sub(known.limitHeardAt) < limitTTL || now.Before(known.noTurnUntil)
-		idle := known.leavingSince.IsZero() && !now.Before(known.pausedUntil) && !limited
+		idle := known.leavingSince.IsZero() && !limited
 		if idle || now.Sub(known.lastListed) > noticeRetention {
 			delete(n.byID, id)
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -73,9 +73,9 @@
 		t.requestDemandReportLocked()
 	}
 	if response.Pause > 0 {
-		t.notices.RecordPause(i, response.Pause, now)
+		t.notices.RecordPause(c.state.Address, response.Pause, now)
 		t.count(metricPauses)
-		t.log.Info("endpoint wants no requests", "id", t.request.ID, "endpoint", i.ID, "pauseMs", response.Pause.Milliseconds(), "status", response.Status)
+		t.log.Info("endpoint wants no requests", "id", t.request.ID, "endpoint", i.ID, "address", c.state.Address, "pauseMs", response.Pause.Milliseconds(), "status", response.Status)
 	}
 }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -74,9 +74,9 @@
 		if q.Model != "" && !state.Holds(q.Model) {
 			continue
 		}
-		use := g.notices.UseOf(state.Incarnation(), q.Arrived, now)
+		use := g.notices.UseOf(state, q.Arrived, now)
 		if use == endpoint.UseNever {
-			found.addPause(g.notices.PausedUntil(state.Incarnation()), now)
+			found.addPause(g.notices.PausedUntil(state.Address), now)
 			continue
 		}
 		if limit := g.limitOfLocked(state, now); limit.Named {
--- a/gateway/notice_test.go
+++ b/gateway/notice_test.go
@@ -248,3 +248,48 @@
 		})
 	}
 }
+
+// TestPauseAtReusedAddress plays an endpoint that takes over the address of another one and answers a request meant for that one by asking
+// for a pause. Guards against the pause being kept under the former endpoint only, which let requests reach the new one during its pause.
+func TestPauseAtReusedAddress(t *testing.T) {
+	const pause, tolerance = 3 * time.Second, 500 * time.Millisecond
+	former, taker := plainEndpoint("d1"), plainEndpoint("d2")
+	taker.Address = former.Address
+	restarted := former
+	former.StartMS, restarted.StartMS = 1, 2
+	for name, next := range map[string]endpoint.State{"another ID": taker, "the same ID": restarted} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var asked time.Time
+				late := 0
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					if asked.IsZero() {
+						asked = time.Now()
+						return pausingResponse(pause), nil
+					}
+					if since := time.Since(asked); since > tolerance && since < pause {
+						late++
+					}
+					return bufferedResponse(http.StatusOK), nil
+				}, former)
+				b.doRequest(t.Context(), "/read/a", "", 100*time.Millisecond)
+				for end := time.Now().Add(pause - tolerance); time.Now().Before(end); {
+					b.setEndpoints(next)
+					b.doRequest(t.Context(), "/read/a", "", 100*time.Millisecond)
+					time.Sleep(100 * time.Millisecond)
+				}
+				if late > 2 {
+					t.Errorf("%d requests reached the endpoint in its pause, at most 2 may", late)
+				}
+				time.Sleep(2 * tolerance)
+				b.setEndpoints(next)
+				if result := b.doRequest(t.Context(), "/read/a", "", 0); result.Status != http.StatusOK {
+					t.Errorf("after the pause: %+v", result)
+				}
+			})
+		})
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -285,7 +285,7 @@
 func (t *transaction) stillUsable(c choice) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.notices.UseOf(c.state.Incarnation(), t.request.Arrived, time.Now()) != endpoint.UseNever
+	return t.notices.UseOf(c.state, t.request.Arrived, time.Now()) != endpoint.UseNever
 }
 
 // retryInterval is the pause between two attempts to find an endpoint.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -245,7 +245,7 @@
 func (h *Holder) pause() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if left := time.Until(h.notices.PausedUntil(h.incarnation())); left > 0 {
+	if left := time.Until(h.notices.PausedUntil(h.config.Endpoint)); left > 0 {
 		return endpoint.ErrPaused{Pause: left}
 	}
 	return nil
@@ -260,12 +260,7 @@
 	h.log.Info("endpoint wants no calls", "pauseMs", paused.Pause.Milliseconds())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.notices.RecordPause(h.incarnation(), paused.Pause, time.Now())
-}
-
-// incarnation identifies the endpoint by its address, since a holder keeps it through restarts.
-func (h *Holder) incarnation() endpoint.Incarnation {
-	return endpoint.Incarnation{ID: h.config.Endpoint}
+	h.notices.RecordPause(h.config.Endpoint, paused.Pause, time.Now())
 }
 
 // SetUsedAdapters sets the adapters that requests use now, as far as the gateways have reported.
