--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -161,7 +161,7 @@
 	}
 	t.outcome = outcomeAnswered
 	if err := t.responder.Respond(response.Status, response.Header, response.Body); err != nil {
-		t.outcome = outcomeClientLeft
+		t.outcome = writeFailureOutcome(err)
 	}
 	return true
 }
@@ -339,9 +339,10 @@
 			t.longestGap = max(t.longestGap, now.Sub(previousAt))
 		}
 		previousAt = now
-		if t.responder.Event(event) != nil {
+		idleTimer.Stop() // while the client is far behind, the endpoint is not idle
+		if err := t.responder.Event(event); err != nil {
 			t.release(c, nil)
-			t.outcome = outcomeClientLeft
+			t.outcome = writeFailureOutcome(err)
 			return true
 		}
 		if t.route.Repeatable() && t.executions < t.maxAttempts() {
--- a/gateway/error.go
+++ b/gateway/error.go
@@ -60,3 +60,15 @@
 func (e ErrNotEventStream) Error() string {
 	return fmt.Sprintf("response is not an event stream, status %d", e.Status)
 }
+
+// ErrSlowClient reports that a response was ended because its client does not read it.
+type ErrSlowClient struct{ Reason string }
+
+// Error implements error.
+func (e ErrSlowClient) Error() string { return "the client is too slow: " + e.Reason }
+
+// IsErrSlowClient reports whether an error is an ErrSlowClient.
+func IsErrSlowClient(err error) bool {
+	var e ErrSlowClient
+	return errors.As(err, &e)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -61,8 +61,17 @@
 	outcomeFailed     = "Failed"
 	outcomeCut        = "Cut"
 	outcomeClientLeft = "ClientLeft"
+	outcomeClientSlow = "ClientSlow"
 )
 
+// writeFailureOutcome returns the outcome of a request whose response could not be written.
+func writeFailureOutcome(err error) string {
+	if IsErrSlowClient(err) {
+		return outcomeClientSlow
+	}
+	return outcomeClientLeft
+}
+
 // transaction is the state of one request in the gateway.
 type transaction struct {
 	*Gateway
