--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,9 +88,9 @@
 		t.requestDemandReportLocked()
 	}
 	if response.Pause > 0 {
-		t.notices.RecordPause(i, response.Pause, now)
+		t.notices.RecordPause(c.state.Address, response.Pause, now)
 		t.count(metricPauses)
-		t.log.Info("endpoint wants no requests", "id", t.request.ID, "endpoint", i.ID, "pauseMs", response.Pause.Milliseconds(), "status", response.Status)
+		t.log.Info("endpoint wants no requests", "id", t.request.ID, "endpoint", i.ID, "address", c.state.Address, "pauseMs", response.Pause.Milliseconds(), "status", response.Status)
 	}
 }
 
@@ -176,7 +176,7 @@
 	}
 	t.outcome = outcomeAnswered
 	if err := t.responder.Respond(response.Status, response.Header, response.Body); err != nil {
-		t.outcome = outcomeClientLeft
+		t.outcome = writeFailureOutcome(err)
 	}
 	return true
 }
@@ -356,9 +356,10 @@
 			t.longestGap = max(t.longestGap, now.Sub(previousAt))
 		}
 		previousAt = now
-		if t.responder.Event(event) != nil {
+		idleTimer.Stop() // while the client is far behind, the endpoint is not idle
+		if err := t.responder.Event(event); err != nil {
 			t.release(c, nil)
-			t.outcome = outcomeClientLeft
+			t.outcome = writeFailureOutcome(err)
 			return true
 		}
 		if t.route.Repeatable() && t.executions < t.maxAttempts() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -62,8 +62,17 @@
 	outcomeFailed     = "Failed"
 	outcomeCut        = "Cut"
 	outcomeClientLeft = "ClientLeft"
+	outcomeClientSlow = "ClientSlow"
 )
 
+// writeFailureOutcome returns the outcome of a request whose response could not be written.
+func writeFailureOutcome(err error) string {
+	if IsErrSlowClient(err) {
+		return outcomeClientSlow
+	}
+	return outcomeClientLeft
+}
+
 // transaction is the state of one request in the gateway.
 type transaction struct {
 	*Gateway
@@ -303,7 +312,7 @@
 func (t *transaction) stillUsable(c choice) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.notices.UseOf(c.state.Incarnation(), t.request.Arrived, time.Now()) != endpoint.UseNever
+	return t.notices.UseOf(c.state, t.request.Arrived, time.Now()) != endpoint.UseNever
 }
 
 // retryInterval is the pause between two attempts to find an endpoint.
