Limit teams over all gateways through the leader

Rate limits of teams had no enforcement. The leader now lends from buckets that begin empty with each term and need a quorum proof; gateways prefetch, order waiting requests by urgency and arrival, use leases and an allowance without a leader, answer 429 with Retry-After, give back what never ran and charge again what was sent late. chargeQuota is not called by Serve yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/quota"
 	"burdocksaddle/route"
 	"burdocksaddle/routing"
 	"burdocksaddle/uplink"
@@ -32,6 +33,8 @@
 	RetryExtra float64
 	// DrainTime is how long an endpoint that said that it is leaving may still be sent new requests.
 	DrainTime time.Duration
+	// Quota are the bounds of teams' rate limits.
+	Quota quota.Bounds
 }
 
 // Gateway routes the requests that one gateway process receives and holds their shared state.
@@ -45,6 +48,7 @@
 	listEndpoints func(context.Context) ([]endpoint.State, int, error)
 	hasStopped    func(ctx context.Context, address string) bool
 	askTurn       func(ctx context.Context, leader string, request *wirepb.TurnRequest) (*wirepb.TurnReply, error)
+	askQuota      func(ctx context.Context, leader string, request *wirepb.QuotaRequest) (*wirepb.QuotaReply, error)
 	askTrial      func(ctx context.Context, leader string, request *wirepb.TrialRequest) (*wirepb.TurnReply, error)
 	askOrigin     func(ctx context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error)
 	tellStarts    func(steward string, starts *wirepb.StreamStarts) bool
@@ -93,6 +97,7 @@
 	active       int
 	crashes      crashRecord
 	resumption   resumption
+	quotas       quotaState
 }
 
 // modelLocation identifies a model, or one of its adapters, at an endpoint.
@@ -150,6 +155,7 @@
 		hasStopped: func(context.Context, string) bool { return false },
 	}
 	g.askTurn, g.askTrial, g.askOrigin, g.tellStarts = g.callForTurn, g.callForTrial, g.callForOrigin, g.sendStarts
+	g.askQuota, g.quotas = g.callForQuota, newQuotaState(time.Now())
 	g.setRetryBurst(assumedGateways)
 	g.pendingCtx, g.cancelPending = context.WithCancel(context.Background())
 	g.activeCtx, g.cancelActive = context.WithCancel(context.Background())
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -27,10 +27,11 @@
 // Run maintains the streams to the stewards until the context ends; the returned channel then yields the result.
 func (g *Gateway) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
-	uplinkEnded, checksEnded := g.stewardLinks.Run(ctx), g.runCrashChecks(ctx)
+	uplinkEnded, checksEnded, quotaEnded := g.stewardLinks.Run(ctx), g.runCrashChecks(ctx), g.runQuota(ctx)
 	go func() {
 		g.runPeriodic(ctx)
 		<-checksEnded
+		<-quotaEnded
 		ended <- <-uplinkEnded
 	}()
 	return ended
@@ -165,6 +166,7 @@
 	}
 	if s.GetProven() && s.GetGateways() > 0 {
 		g.setRetryBurst(int(s.GetGateways()))
+		g.quotas.gateways = int(s.GetGateways())
 	}
 	if s.GetLeads() && g.currentLeader != steward {
 		g.log.Info("leader changed", "leader", steward)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,11 @@
 	metricInvalidLimits     = "burdocksaddle_gateway_invalid_limits_total"
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
 	metricTrials            = "burdocksaddle_gateway_quarantine_trials_total"
+	metricQuotaCharges      = "burdocksaddle_gateway_quota_charges_total"
+	metricQuotaCalls        = "burdocksaddle_gateway_quota_calls_total"
+	metricQuotaReturns      = "burdocksaddle_gateway_quota_returns_total"
+	metricQuotaRenewals     = "burdocksaddle_gateway_quota_renewals_total"
+	metricQuotaWaiting      = "burdocksaddle_gateway_quota_waiting_requests"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
 )
 
@@ -56,6 +61,7 @@
 	g.metrics.NewGauge(metricEndpointsAge, g.withLock(func() float64 { return time.Since(g.endpointsUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricTableAge, g.withLock(func() float64 { return time.Since(g.tableUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricQuarantineEntries, g.withLock(func() float64 { return float64(g.crashes.table.Active() + len(g.crashes.table.Requests)) }))
+	g.metrics.NewGauge(metricQuotaWaiting, g.withLock(func() float64 { return float64(len(g.quotas.waiting)) }))
 	g.metrics.NewGauge(metricHasLeader, g.withLock(func() float64 {
 		if g.currentLeader == "" {
 			return 0
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -100,6 +100,8 @@
 	quarantined atomic.Bool
 	// trial is set if the leader allowed one attempt although the request is quarantined.
 	trial bool
+	// quota is what was taken of the team's rate limit for the request.
+	quota quotaCharge
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
 	demandReportRequested bool
 	events                int
--- a/quota/bucket_test.go
+++ b/quota/bucket_test.go
@@ -117,3 +117,37 @@
 		t.Error(diff)
 	}
 }
+
+// TestLease guards against a gateway that uses its lease too early, too long or beyond its rate, while a leader may count it as unused.
+func TestLease(t *testing.T) {
+	for _, used := range []struct {
+		after  time.Duration
+		amount float64
+		want   bool
+	}{
+		{400 * time.Millisecond, 1, false}, {600 * time.Millisecond, 41, false}, {600 * time.Millisecond, 39, true},
+		{2400 * time.Millisecond, 761, false}, {2400 * time.Millisecond, 759, true}, {2500 * time.Millisecond, 1, false},
+	} {
+		w := NewWallet(simBounds, testCap, simStart)
+		w.RecordDemand(2000, simStart)
+		w.Apply("l", 0, Ask{PerSecond: 400}, LeaseGranted, simStart, simStart.Add(time.Millisecond))
+		w.calledAt = simStart
+		if _, ok := w.TakeAlone(used.amount, 10, simStart.Add(used.after)); ok != used.want {
+			t.Errorf("%v after the call %v were taken: %v", used.after, used.amount, ok)
+		}
+	}
+}
+
+// TestLateCharge guards against charges that may be sent long after the amount was lent.
+func TestLateCharge(t *testing.T) {
+	w := NewWallet(simBounds, testCap, simStart)
+	w.Apply("l", 100, Ask{PerSecond: 400}, LeaseGranted, simStart, simStart.Add(time.Millisecond))
+	w.calledAt = simStart
+	near := simStart.Add(450 * time.Millisecond)
+	granted, _ := w.Take(100, near)
+	alone, _ := w.TakeAlone(10, 10, simStart.Add(600*time.Millisecond))
+	got := []time.Duration{granted.Until.Sub(simStart), alone.Until.Sub(simStart)}
+	if diff := cmp.Diff([]time.Duration{550 * time.Millisecond, 700 * time.Millisecond}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/quota/rule_test.go
+++ b/quota/rule_test.go
@@ -343,12 +343,15 @@
 
 var simBounds = Bounds{Window: 8 * time.Second, Overage: 0.1, Slack: 7400}
 
+// tightBounds allow hardly more than the overhang, so that other excesses show.
+var tightBounds = Bounds{Window: time.Second, Overage: 0.76}
+
 // TestRuleHoldsUnderFaults guards against windows in which all gateways together use more than the rule allows.
 func TestRuleHoldsUnderFaults(t *testing.T) {
 	const length = 24 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		s := &sim{random: rand.New(rand.NewPCG(seed, 1)), bounds: simBounds, now: simStart, waitTime: 300 * time.Millisecond}
+		s := &sim{random: rand.New(rand.NewPCG(seed, 1)), bounds: rapid.SampledFrom([]Bounds{simBounds, tightBounds}).Draw(t, "bounds"), now: simStart, waitTime: 300 * time.Millisecond}
 		s.sendLate = time.Duration(rapid.IntRange(0, 700).Draw(t, "sendLateMs")) * time.Millisecond
 		for range rapid.IntRange(1, 3).Draw(t, "teams") {
 			s.teams = append(s.teams, drawTeam(t))
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -140,6 +140,7 @@
 			l.lastListed[address] = now
 		}
 		l.endpointView, l.turns = &endpoint.View{}, endpoint.NewTurns()
+		l.resetQuotaLocked(now)
 		l.evidence, l.publishedSuspects = quarantine.New(), nil
 		l.crashReports, l.suspects = crashReports{}, nil
 		l.notifySubscribersLocked()
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -23,6 +23,7 @@
 	metricChanges            = "burdocksaddle_steward_changes_total"
 	metricDiskWrite          = "burdocksaddle_steward_disk_write_seconds"
 	metricChangeSeconds      = "burdocksaddle_steward_change_seconds"
+	metricQuotaRequests      = "burdocksaddle_steward_quota_requests_total"
 	// maxProofAge is the reported age when there is no quorum proof.
 	maxProofAge = time.Hour
 )
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -16,6 +16,7 @@
 	"burdocksaddle/holder"
 	"burdocksaddle/quarantine"
 	"burdocksaddle/quorum"
+	"burdocksaddle/quota"
 	"burdocksaddle/route"
 	"burdocksaddle/scaling"
 	"burdocksaddle/stream"
@@ -45,6 +46,8 @@
 	FaultTolerance int
 	// Lease is how long an endpoint still accepts orders of its last holder.
 	Lease time.Duration
+	// Quota are the bounds of teams' rate limits.
+	Quota quota.Bounds
 }
 
 // Steward is one member of the group that replicates the operator's table and the assignment of endpoints.
@@ -99,6 +102,8 @@
 	starts *stream.Starts
 	// turns paces the requests to endpoints with a limit while this steward leads.
 	turns *endpoint.Turns
+	// quotas are the buckets of teams' rate limits while this steward leads.
+	quotas quotaBuckets
 	// adaptersInUse are the adapters that gateways use, by endpoint address.
 	adaptersInUse map[string]*wirepb.EndpointUse
 	// leaderWake and holderWake wake the loops of runLeader and runHolders.
@@ -205,7 +210,7 @@
 func (s *Steward) Handlers() wire.Handlers {
 	return wire.Handlers{
 		Peer: s.quorumLog.Handle, Subscribe: s.handleSubscribe, TableQuery: s.handleTableQuery, TableChange: s.handleTableChange,
-		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn, Trial: s.handleTrial, Origin: s.handleOrigin,
+		Order: s.handleEndpointOrder, Adapter: s.handleAdapterCall, HolderReport: s.handleHolderReport, Turn: s.handleTurn, Trial: s.handleTrial, Origin: s.handleOrigin, Quota: s.handleQuota,
 	}
 }
 
