--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -116,6 +116,8 @@
 	quarantined atomic.Bool
 	// trial is set if the leader allowed one attempt although the request is quarantined.
 	trial bool
+	// quota is what was taken of the team's rate limit for the request.
+	quota quotaCharge
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
 	demandReportRequested bool
 	events                int
@@ -147,6 +149,10 @@
 	defer cancel()
 	defer context.AfterFunc(g.activeCtx, cancel)()
 	t.trial = t.takeTrial(ctx)
+	if t.hasTeam && !t.chargeQuota(ctx, t.team) {
+		return
+	}
+	defer t.returnQuota()
 	if reason, after := t.register(cancel); reason != "" {
 		t.refuse(after, reason)
 		t.recordOutcome()
@@ -302,6 +308,10 @@
 			t.release(chosen, nil)
 			continue
 		}
+		if !t.renewQuota(ctx) {
+			t.release(chosen, nil)
+			return
+		}
 		if done := t.attempt(ctx, chosen); done {
 			return
 		}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -146,6 +146,7 @@
 			l.lastListed[address] = now
 		}
 		l.endpointView, l.turns = &endpoint.View{}, endpoint.NewTurns()
+		l.resetQuotaLocked(now)
 		l.evidence, l.publishedSuspects = quarantine.New(), nil
 		l.softwareTracker = stream.SoftwareTracker{}
 		l.crashReports, l.suspects = crashReports{}, nil
