Choose endpoints of known speed by prompt tokens of work

By slots, slow endpoints get as many requests as fast ones and their streams pause. Where speeds are known, routing now compares two endpoints drawn by speed, one with a recently observed short gap and two with a cached prefix, by prefill time, expected pause and the endpoint's share of this gateway's work. Without speeds the choice is unchanged.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,6 +42,8 @@
 	Unavailable bool
 	// Warming is set if its replica has only just started to serve.
 	Warming bool
+	// Speed is the endpoint's speed relative to the mean of the service, 0 if unknown.
+	Speed float64
 }
 
 // Request holds the properties of a request that affect routing.
@@ -51,6 +53,21 @@
 	PromptPrefix uint64
 	// Avoid lists endpoints that already failed this request.
 	Avoid []string
+	// PromptTokens is the size of the prompt, 0 if unknown.
+	PromptTokens int
+	// Prefixes are the prefixes of the prompt that other requests may share, shortest first.
+	Prefixes []Prefix
+	// OutputTokens is the expected size of the response, 0 if unknown.
+	OutputTokens int
+	// MaxGap is the longest pause between two events of a stream that still meets its target, 0 if there is no target.
+	MaxGap time.Duration
+}
+
+// Prefix is a prefix of a prompt.
+type Prefix struct {
+	// Key identifies the prefix, Tokens is its size.
+	Key    uint64
+	Tokens int
 }
 
 // Report is an endpoint's load as its agent reports it.
@@ -74,6 +91,8 @@
 	dataCentre string
 	random     func(n int) int
 	endpoints  map[string]*endpointState
+	// meanPrompt is the moving average of the prompt tokens of requests to endpoints of known speed.
+	meanPrompt float64
 }
 
 // endpointState is what this entry has observed of one endpoint.
@@ -90,6 +109,7 @@
 	adapters     boundedSet
 	lastSequence uint64
 	lastUsed     time.Time
+	work         work
 }
 
 // New returns a Router for a data centre; random returns a number from 0 to n-1.
@@ -103,6 +123,9 @@
 	if len(available) == 0 {
 		return Endpoint{}, false
 	}
+	if speedsKnown(available) {
+		return r.chooseByWork(q, available, now)
+	}
 	sampled := r.sample(available, q)
 	return slices.MinFunc(sampled, func(a, b Endpoint) int {
 		return cmp.Compare(r.score(a, q, now), r.score(b, q, now))
