Publish endpoint speeds and use them in gateways

The choice by prompt tokens of work needs speeds that all gateways share. Gaps after an event that a client took over 5 ms to accept do not count. Gateways record sent and prefilled prompt tokens and observed gaps only for services with published speeds; others are served as before. A new leader has no speeds for some seconds.

The prompt's shared parts with their sizes and the length hint are decoded. Log lines and counters show when services change to the choice by work, changed speeds and reported paces.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -34,6 +34,8 @@
 	LoadingLeft time.Duration
 	// Limit is the rate of requests that the endpoint takes from all processes together.
 	Limit Limit
+	// Speed is the endpoint's speed relative to the mean of its service, 0 if unknown or if the endpoints are about equally fast.
+	Speed float64
 	// Holder is the address of the steward that sends orders to the endpoint, empty while no steward may.
 	Holder string
 }
--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -146,7 +146,7 @@
 		return false
 	}
 	equal := s.StartMS == other.StartMS && s.Service == other.Service && s.Software == other.Software && s.Address == other.Address && s.DataCentre == other.DataCentre && s.Slots == other.Slots
-	return equal && s.Draining == other.Draining && s.Loading == other.Loading && s.Holder == other.Holder && s.Limit == other.Limit &&
+	return equal && s.Draining == other.Draining && s.Loading == other.Loading && s.Holder == other.Holder && s.Limit == other.Limit && s.Speed == other.Speed &&
 		slices.EqualFunc(s.Models, other.Models, func(a, b Model) bool { return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters) })
 }
 
--- a/endpoint/view_test.go
+++ b/endpoint/view_test.go
@@ -44,6 +44,7 @@
 		state.Holder, state.Loading = fmt.Sprintf("h%d", r.IntN(3)), fmt.Sprintf("m%d", r.IntN(3))
 	case 7:
 		state.Limit = Limit{Named: r.IntN(2) == 0, PerSecond: float64(r.IntN(3))}
+		state.Speed = float64(r.IntN(3)) / 2
 	case 8:
 		if len(states) > 3 {
 			return slices.Delete(slices.Clone(states), i, i+1)
--- a/endpoint/wire.go
+++ b/endpoint/wire.go
@@ -12,7 +12,7 @@
 		Id: s.ID, BornMs: s.StartMS, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: uint32(s.Slots),
 		Draining: s.Draining, Loading: s.Loading, LoadingLeftMs: uint32(s.LoadingLeft.Milliseconds()),
 		RemainingMs: uint32(s.Remaining.Milliseconds()), Holder: s.Holder,
-		Limited: s.Limit.Named, Limit: s.Limit.PerSecond, Software: s.Software,
+		Limited: s.Limit.Named, Limit: s.Limit.PerSecond, Software: s.Software, Speed: s.Speed,
 	}
 	for _, m := range s.Models {
 		message.Models = append(message.Models, &wirepb.HeldModel{Name: m.Name, Adapters: m.Adapters})
@@ -37,7 +37,7 @@
 		Slots: int(message.GetSlots()), Draining: message.GetDraining(), Loading: message.GetLoading(),
 		LoadingLeft: time.Duration(message.GetLoadingLeftMs()) * time.Millisecond,
 		Remaining:   time.Duration(message.GetRemainingMs()) * time.Millisecond, Holder: message.GetHolder(),
-		Limit: Limit{Named: message.GetLimited(), PerSecond: message.GetLimit()}, Software: message.GetSoftware(),
+		Limit: Limit{Named: message.GetLimited(), PerSecond: message.GetLimit()}, Software: message.GetSoftware(), Speed: message.GetSpeed(),
 	}
 	for _, m := range message.GetModels() {
 		s.Models = append(s.Models, Model{Name: m.GetName(), Adapters: m.GetAdapters()})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -294,6 +294,8 @@
 // relayStream forwards a stream's events as they arrive, and resumes at another endpoint where the route allows it.
 func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
 	var previousAt, steadyAt time.Time
+	var pace streamPace
+	defer func() { t.recordPace(c, &pace) }()
 	for {
 		event, id, err := response.Next()
 		if errors.Is(err, io.EOF) {
@@ -329,6 +331,10 @@
 		t.attemptEvents++
 		now := time.Now()
 		t.lastEventAt = now
+		if c.byWork && t.attemptEvents == 1 {
+			t.recordPrefilled()
+		}
+		t.recordEvent(c, &pace, now)
 		if steadyAt.IsZero() {
 			steadyAt = now.Add(steadyStreamTime)
 		} else if now.After(steadyAt) {
@@ -344,6 +350,7 @@
 			t.outcome = outcomeClientLeft
 			return true
 		}
+		pace.recordWritten(time.Now())
 		if t.route.Repeatable() && t.executions < t.maxAttempts() {
 			idleTimer.Reset(max(minIdleTimeout, idleTimeoutFactor*t.route.MaxEventGap))
 		} else {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -34,6 +34,8 @@
 	needsAdapter bool
 	// limit is the endpoint's limit; if it named one, the request needs a turn.
 	limit endpoint.Limit
+	// byWork is set if the endpoints of the service were compared by work.
+	byWork bool
 }
 
 // availability is what the endpoints of a request's service offer, whether or not one can execute it now.
@@ -91,7 +93,7 @@
 		if now.Before(g.absentUntil[modelLocation{state.ID, q.Model, ""}]) {
 			continue // wait briefly: the model may be loaded soon
 		}
-		e := routing.Endpoint{Name: state.ID, DataCentre: state.DataCentre, Slots: state.Slots, Incarnation: uint64(state.StartMS)}
+		e := routing.Endpoint{Name: state.ID, DataCentre: state.DataCentre, Slots: state.Slots, Incarnation: uint64(state.StartMS), Speed: state.Speed}
 		wanted := endpoint.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || state.HoldsAdapter(wanted) && now.After(g.absentUntil[modelLocation{state.ID, q.Model, q.Adapter}]) {
 			byUse[use].ready = append(byUse[use].ready, e)
@@ -112,16 +114,25 @@
 }
 
 func (g *Gateway) chooseAmongLocked(q *Request, among candidates, avoid []string, now time.Time) (choice, bool) {
-	query := routing.Request{Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid}
+	query := routing.Request{
+		Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Prefixes: q.Prefixes, MaxGap: q.maxGap,
+	}
 	if e, found := g.router.Choose(query, among.ready, now); found {
-		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, limit: g.limitOfLocked(g.endpoints[e.Name], now)}, true
+		return g.newChoiceLocked(e, query, now), true
 	}
 	if e, found := g.chooseAdapterEndpointLocked(query, among.withoutAdapter, now); found {
-		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, needsAdapter: true, limit: g.limitOfLocked(g.endpoints[e.Name], now)}, true
+		c := g.newChoiceLocked(e, query, now)
+		c.needsAdapter = true
+		return c, true
 	}
 	return choice{}, false
 }
 
+func (g *Gateway) newChoiceLocked(e routing.Endpoint, query routing.Request, now time.Time) choice {
+	state := g.endpoints[e.Name]
+	return choice{endpoint: e, state: state, query: query, limit: g.limitOfLocked(state, now), byWork: g.speedServices[state.Service]}
+}
+
 // chooseAdapterEndpointLocked selects the endpoint that loads an adapter. All gateways prefer the same one while it
 // has capacity, so that endpoints do not evict adapters on each other's behalf.
 func (g *Gateway) chooseAdapterEndpointLocked(query routing.Request, candidates []routing.Endpoint, now time.Time) (routing.Endpoint, bool) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,9 +90,14 @@
 	turnQueues map[turnQueue][]*transaction
 	// turnGateways is how many gateways wait for turns at the same endpoints, as far as the leader said so.
 	turnGateways map[turnQueue]int
-	active       int
-	crashes      crashRecord
-	resumption   resumption
+	// paces are the observed paces that have not been reported, nextPaceReport is when they are reported next.
+	paces          map[paceKey]*observedPace
+	nextPaceReport time.Time
+	// speedServices are the services in which the leader publishes speeds.
+	speedServices map[string]bool
+	active        int
+	crashes       crashRecord
+	resumption    resumption
 }
 
 // modelLocation identifies a model, or one of its adapters, at an endpoint.
@@ -146,7 +151,7 @@
 		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absentUntil: map[modelLocation]time.Time{}, stewardViews: map[string]*endpoint.SubscriberView{}, leaderView: &endpoint.SubscriberView{},
 		notices: endpoint.NewNotices(config.DrainTime),
 		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, turnGateways: map[turnQueue]int{}, meanStreamDurations: map[string]time.Duration{},
-		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), resumption: newResumption(), pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
+		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), resumption: newResumption(), paces: map[paceKey]*observedPace{}, pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
 		hasStopped: func(context.Context, string) bool { return false },
 	}
 	g.askTurn, g.askTrial, g.askOrigin, g.tellStarts = g.callForTurn, g.callForTrial, g.callForOrigin, g.sendStarts
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -89,7 +89,7 @@
 	g.log.Info("using endpoints from the platform's list", "count", len(listed), "unread", unparsed)
 	for i, state := range listed {
 		known := g.endpoints[state.ID]
-		listed[i].Holder, listed[i].Limit = known.Holder, known.Limit // the list does not contain them
+		listed[i].Holder, listed[i].Limit, listed[i].Speed = known.Holder, known.Limit, known.Speed // the list does not contain them
 	}
 	g.setEndpointsLocked(listed, time.Now())
 }
@@ -131,12 +131,21 @@
 			Id: heard.ID, BornMs: heard.StartMS, Limited: heard.Named, PerSecond: heard.PerSecond, AgeMs: milliseconds(now.Sub(heard.HeardAt)),
 		})
 	}
+	var reportedPaces []paceKey
+	report.Paces, reportedPaces = g.pacesLocked(now)
 	g.crashes.prune(now)
 	told := g.crashes.fillReport(report, now)
 	if !g.stewardLinks.Send(g.currentLeader, &wirepb.Frame{Body: &wirepb.Frame_DemandReport{DemandReport: report}}) {
 		return // the previous report is still queued; keep the counts for the next one
 	}
 	told()
+	if len(reportedPaces) > 0 {
+		g.nextPaceReport = now.Add(paceInterval)
+		g.metrics.GetOrCreateCounter(metricPaces).Add(len(reportedPaces))
+	}
+	for _, key := range reportedPaces {
+		delete(g.paces, key)
+	}
 	for model, d := range g.demands {
 		if d.arrivals, d.missed = 0, 0; d.running == 0 && d.waiting == 0 {
 			delete(g.demands, model)
@@ -221,6 +230,7 @@
 		}
 	}
 	g.endpoints = known
+	g.speedsChangedLocked()
 	g.notices.Update(known, now)
 	g.router.Prune(func(name string) bool { _, ok := known[name]; return ok })
 	for location, until := range g.absentUntil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,9 @@
 	metricInvalidLimits     = "burdocksaddle_gateway_invalid_limits_total"
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
 	metricTrials            = "burdocksaddle_gateway_quarantine_trials_total"
+	metricChoicesByWork     = "burdocksaddle_gateway_choices_by_work_total"
+	metricUnevenServices    = "burdocksaddle_gateway_uneven_services"
+	metricPaces             = "burdocksaddle_gateway_reported_paces_total"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
 )
 
@@ -53,6 +56,7 @@
 		return float64(waiting)
 	}))
 	g.metrics.NewGauge(metricEndpoints, g.withLock(func() float64 { return float64(len(g.endpoints)) }))
+	g.metrics.NewGauge(metricUnevenServices, g.withLock(func() float64 { return float64(len(g.speedServices)) }))
 	g.metrics.NewGauge(metricEndpointsAge, g.withLock(func() float64 { return time.Since(g.endpointsUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricTableAge, g.withLock(func() float64 { return time.Since(g.tableUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricQuarantineEntries, g.withLock(func() float64 { return float64(g.crashes.table.Active() + len(g.crashes.table.Requests)) }))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocksaddle/endpoint"
+	"burdocksaddle/routing"
 )
 
 // Request is a decoded client request.
@@ -24,6 +25,12 @@
 	// PromptTokens and MaxTokens are the sizes declared by the client.
 	PromptTokens int
 	MaxTokens    int
+	// OutputTokens is the size of the response that the client expects, 0 if it named none.
+	OutputTokens int
+	// Prefixes are the prefixes of the prompt that other requests may share, shortest first.
+	Prefixes []routing.Prefix
+	// maxGap is the longest pause between events that meets the target of the request's route, set once the route is known.
+	maxGap time.Duration
 	// ClientTimeout is the client's timeout; 0 if it declared none.
 	ClientTimeout time.Duration
 	// LastEvent is the id of the last stream event that the client received, empty for none.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -98,6 +98,10 @@
 	stalled atomic.Bool
 	// quarantined is set once the request or a part of its prompt has been quarantined, which ends the transaction.
 	quarantined atomic.Bool
+	// work is what the current attempt's prompt adds to its endpoint, workPending is set until it has been prefilled. Both are guarded by
+	// the gateway's mutex.
+	work        routing.Work
+	workPending bool
 	// trial is set if the leader allowed one attempt although the request is quarantined.
 	trial bool
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
@@ -122,6 +126,7 @@
 		Gateway: g, request: request, responder: responder, route: matched, table: table, arrivedAt: request.Arrived,
 		service: matched.PickService(splitPosition(request.ID)), lastEvent: request.LastEvent,
 	}
+	request.maxGap = matched.MaxEventGap
 	clientTimeout := matched.Timeout
 	if request.ClientTimeout > 0 {
 		clientTimeout = min(clientTimeout, request.ClientTimeout)
@@ -325,6 +330,7 @@
 				t.leaveTurnQueueLocked()
 			}
 			t.router.RecordStart(chosen.endpoint, chosen.query, now)
+			t.recordSentLocked(chosen, now)
 			t.countRunningLocked(chosen.endpoint.Name, true)
 			t.mu.Unlock()
 			return chosen, true
@@ -417,6 +423,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.router.RecordEnd(c.endpoint.Name)
+	t.recordPrefilledLocked()
 	if fault != nil {
 		t.router.RecordFailure(c.endpoint.Name, time.Now())
 	}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -191,6 +191,22 @@
 	}
 }
 
+// SetSpeeds sets the speed of each endpoint; the function returns 0 for an endpoint of unknown speed.
+func (p *Planner) SetSpeeds(speed func(endpoint.Incarnation) float64) {
+	for _, t := range p.endpoints {
+		t.state.Speed = speed(t.state.Incarnation())
+	}
+}
+
+// Incarnations returns the service of each run of an endpoint.
+func (p *Planner) Incarnations() map[endpoint.Incarnation]string {
+	all := make(map[endpoint.Incarnation]string, len(p.endpoints))
+	for _, t := range p.endpoints {
+		all[t.state.Incarnation()] = t.state.Service
+	}
+	return all
+}
+
 // InitDemand derives an initial demand from the existing replicas, since the platform places busy models on many endpoints. It
 // does nothing once real demand has been reported.
 func (p *Planner) InitDemand(now time.Time) {
@@ -219,7 +235,7 @@
 	}
 	if r.StartMS != 0 && t.state.StartMS != 0 && r.StartMS != t.state.StartMS {
 		*t = trackedEndpoint{state: t.state, unheld: t.unheld}
-		t.state.Limit = endpoint.Limit{}
+		t.state.Limit, t.state.Speed = endpoint.Limit{}, 0
 		t.state.Software = "" // the list may still show the version before the restart
 	}
 	if r.StartMS != 0 {
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -9,6 +9,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/logging"
+	"burdocksaddle/pace"
 	"burdocksaddle/quarantine"
 	"burdocksaddle/scaling"
 	"burdocksaddle/wirepb"
@@ -57,12 +58,14 @@
 	publishedSuspects    []uint64
 	quarantining         bool
 	nextQuarantineUpdate time.Time
+	// speeds estimates the speeds of the endpoints.
+	speeds *pace.Estimator
 }
 
 // runLeader plans and issues orders while this steward leads. The returned channel receives a value once the loop has stopped.
 func (s *Steward) runLeader(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	l := &leader{Steward: s, results: make(chan func(), resultQueueSize), plannedReportAt: map[string]time.Time{}, lastListed: map[string]time.Time{}, evidence: quarantine.New()}
+	l := &leader{Steward: s, results: make(chan func(), resultQueueSize), plannedReportAt: map[string]time.Time{}, lastListed: map[string]time.Time{}, evidence: quarantine.New(), speeds: pace.New()}
 	go func() {
 		l.run(ctx)
 		done <- nil
@@ -102,6 +105,7 @@
 	l.assignHolders(ctx, now)
 	l.updateQuarantine(ctx, now)
 	l.collectAdapterUse()
+	l.updateSpeeds(now)
 	l.plan(ctx, now)
 	l.publish(now, false)
 }
@@ -142,6 +146,7 @@
 		l.endpointView, l.turns = &endpoint.View{}, endpoint.NewTurns()
 		l.evidence, l.publishedSuspects = quarantine.New(), nil
 		l.crashReports, l.suspects = crashReports{}, nil
+		l.speeds, l.paces = pace.New(), nil
 		l.notifySubscribersLocked()
 		l.log.Info("leadership changed", "leads", self)
 	}
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -23,6 +23,8 @@
 	metricChanges            = "burdocksaddle_steward_changes_total"
 	metricDiskWrite          = "burdocksaddle_steward_disk_write_seconds"
 	metricChangeSeconds      = "burdocksaddle_steward_change_seconds"
+	metricPaces              = "burdocksaddle_steward_paces_total"
+	metricSpeedChanges       = "burdocksaddle_steward_speed_changes_total"
 	// maxProofAge is the reported age when there is no quorum proof.
 	maxProofAge = time.Hour
 )
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -99,6 +99,8 @@
 	starts *stream.Starts
 	// turns paces the requests to endpoints with a limit while this steward leads.
 	turns *endpoint.Turns
+	// paces are the paces of endpoints that gateways reported and the leader has not yet taken into account.
+	paces []*wirepb.EndpointPace
 	// adaptersInUse are the adapters that gateways use, by endpoint address.
 	adaptersInUse map[string]*wirepb.EndpointUse
 	// leaderWake and holderWake wake the loops of runLeader and runHolders.
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -75,6 +75,7 @@
 	}
 	if s.leading {
 		s.crashReports.add(d, time.Now())
+		s.paces = append(s.paces, d.GetPaces()[:min(len(d.GetPaces()), maxPendingPaces-len(s.paces))]...)
 	}
 	s.demands[node] = demandReport{at: time.Now(), models: d.GetModels(), leaving: d.GetLeaving(), limits: d.GetLimits(), newRequests: newRequests}
 	notify(s.leaderWake)
