Count replicas by the speed of their endpoints

A replica counted for 12 requests whatever its endpoint's speed, so models on slow endpoints got no further replica. Where speeds are published, capacity and eviction use the sum of speeds, and busy models are placed on fast endpoints first. Unknown speeds count as 1, which gives the former decisions; the existing tests pass unchanged. Two replicas at speed 0.6 with 22 requests now get a third.

--- a/scaling/evict.go
+++ b/scaling/evict.go
@@ -24,7 +24,7 @@
 	}
 	var victims []victim
 	for _, m := range t.state.Models {
-		if loss, allowed := p.evictionCost(f, m.Name, n); allowed {
+		if loss, allowed := p.evictionCost(f, t, m.Name, n); allowed {
 			if l := p.demandByModel[m.Name]; l != nil && l.runningOn[t.state.ID] {
 				loss += drainCostSeconds
 			}
@@ -61,12 +61,15 @@
 	return max(0, largest*float64(f.engine.AdapterSlots)-held)
 }
 
-// evictionCost returns the cost of removing one replica of a model: low while the remaining replicas can serve its requests well, higher
+// evictionCost returns the cost of removing an endpoint's replica of a model: low while the remaining replicas can serve its requests well, higher
 // for the last replica of an occasionally requested model. allowed is false if the replica must stay.
-func (p *Planner) evictionCost(f *planState, model string, n need) (loss float64, allowed bool) {
+func (p *Planner) evictionCost(f *planState, t *trackedEndpoint, model string, n need) (loss float64, allowed bool) {
 	l, remainingReplicas := p.demandByModel[model], f.serving[model]-1
 	value := l.concurrencyAt(f.now)
-	perReplica := value / float64(max(remainingReplicas, 1))
+	perReplica := value
+	if remainingReplicas >= 1 {
+		perReplica = value / max(f.servingCapacity[model]-t.speed(), minSpeed)
+	}
 	switch {
 	case n.prefetch:
 		return perReplica, remainingReplicas >= 1 && perReplica < targetConcurrency/2
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -37,6 +37,8 @@
 	endpoints []*trackedEndpoint
 	// replicas includes replicas that are being loaded; serving counts only those that can serve requests.
 	replicas, serving map[string]int
+	// capacity and servingCapacity are the sums of the speeds of these replicas' endpoints, where an unknown speed is 1.
+	capacity, servingCapacity map[string]float64
 	// assumedHeld contains models with replicas on endpoints whose current load is unknown.
 	assumedHeld map[string]bool
 	// storeLoads is the number of loads from the store in progress, storeLimit the number that run at full speed.
@@ -45,7 +47,7 @@
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := planState{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, assumedHeld: map[string]bool{}, storeLimit: p.storeConcurrency, storeLimiter: p.storeLimiters[service]}
+	f := planState{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, capacity: map[string]float64{}, servingCapacity: map[string]float64{}, assumedHeld: map[string]bool{}, storeLimit: p.storeConcurrency, storeLimiter: p.storeLimiters[service]}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -55,10 +57,10 @@
 			t.reservedFor = ""
 		}
 		if t.reservedFor != "" {
-			f.replicas[t.reservedFor]++
+			f.addReplica(t, t.reservedFor, 1)
 		}
 		if t.loading != "" {
-			f.replicas[t.loading]++
+			f.addReplica(t, t.loading, 1)
 			if t.source == SourceStore {
 				f.storeLoads++
 			}
@@ -72,8 +74,8 @@
 		}
 		for _, m := range t.state.Models {
 			if m.Name != t.unloading && !p.overLimit(t, m.Name, now) {
-				f.replicas[m.Name]++
-				f.serving[m.Name]++
+				f.addReplica(t, m.Name, 1)
+				f.addServing(t, m.Name, 1)
 				f.assumedHeld[m.Name] = f.assumedHeld[m.Name] || silent
 			}
 		}
@@ -108,7 +110,7 @@
 		n := need{model: m, requestsPerReplica: l.concurrencyAt(f.now)}
 		evict, _, fits := p.evictions(f, t, n)
 		t.reservedFor = ""
-		f.replicas[name]--
+		f.addReplica(t, name, -1)
 		if !ok || !fits || t.state.Holds(name) {
 			continue
 		}
@@ -211,10 +213,10 @@
 		switch value := l.concurrencyAt(f.now); {
 		case n == 0 && (l.waiting > 0 || l.missedAt(f.now) > minMissed):
 			needs = append(needs, need{model: m, requestsPerReplica: value + l.missedAt(f.now)})
-		case n > 0 && n < len(f.endpoints) && value > targetConcurrency*float64(n):
-			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: value / float64(n)})
+		case n > 0 && n < len(f.endpoints) && value > targetConcurrency*f.capacity[name]:
+			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: value / f.capacity[name]})
 		case n > 0 && n == f.serving[name] && value >= minSaturatedConcurrency && p.saturated(f, name):
-			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: max(value/float64(n), targetConcurrency)})
+			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: max(value/f.capacity[name], targetConcurrency)})
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
@@ -247,7 +249,7 @@
 			continue
 		}
 		utilizationCost := fullEndpointCostSeconds * float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
-		cost := loadTime(n.model, source).Seconds() + evictCost + utilizationCost
+		cost := loadTime(n.model, source).Seconds() + evictCost + utilizationCost + speedCost(n, t)
 		if best == nil || cost < bestCost {
 			best, bestEvict, bestCost = t, evict, cost
 		}
@@ -301,12 +303,12 @@
 
 func (p *Planner) createOrder(f *planState, t *trackedEndpoint, n need, evict []string) Order {
 	t.orderedAt, t.awaitingReply = f.now, true
-	f.replicas[n.model.Name]++
+	f.addReplica(t, n.model.Name, 1)
 	order := Order{Endpoint: t.state.ID}
 	if len(evict) > 0 {
 		t.unloading, t.reservedFor, t.reservationExpires = evict[0], n.model.Name, f.now.Add(reservationTimeout)
-		f.replicas[t.unloading]--
-		f.serving[t.unloading]--
+		f.addReplica(t, t.unloading, -1)
+		f.addServing(t, t.unloading, -1)
 		order.Model, order.Unload = t.unloading, true
 		order.Reason = fmt.Sprintf("room for %s: %d replicas, %.1f requests each", n.model.Name, n.replicas, n.requestsPerReplica)
 		return order
