Make long prompts wait for others at uneven endpoints

Several long prompts in prefill at one endpoint make all its streams pause. Where speeds are published, a prompt of 2,048 tokens or more waits at its gateway while its endpoint is expected to prefill others, at most until half of the latency objective less its own prefill time. Counter and log line show it.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -36,6 +36,8 @@
 	limit endpoint.Limit
 	// byWork is set if the endpoints of the service were compared by work.
 	byWork bool
+	// held is set if there is none because the request must wait for other long prompts.
+	held bool
 }
 
 // availability is what the endpoints of a request's service offer, whether or not one can execute it now.
@@ -49,6 +51,8 @@
 	pausedUntil time.Time
 	// limitedRate is the sum of the limits of the endpoints with the request's model that named one, in requests a second.
 	limitedRate float64
+	// held is set if the request must wait because of the long prompts that endpoints prefill.
+	held bool
 }
 
 // chooseLocked selects an endpoint of a service that can execute a request now; origin is where its stream began, nil for a new one. Endpoints
@@ -59,6 +63,10 @@
 		if c, ok = g.chooseAmongLocked(q, byUse[use], avoid, now); ok {
 			return c, found, true
 		}
+		if c.held {
+			found.held = true
+			break // it does not go to a leaving endpoint instead
+		}
 	}
 	return choice{}, found, false
 }
@@ -115,11 +123,16 @@
 
 func (g *Gateway) chooseAmongLocked(q *Request, among candidates, avoid []string, now time.Time) (choice, bool) {
 	query := routing.Request{
-		Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Prefixes: q.Prefixes, MaxGap: q.maxGap,
+		Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Prefixes: q.Prefixes, MaxGap: q.maxGap, MayWait: q.mayWait(now),
 	}
-	if e, found := g.router.Choose(query, among.ready, now); found {
+	e, ok := g.router.Choose(query, among.ready, now)
+	switch {
+	case ok:
 		return g.newChoiceLocked(e, query, now), true
+	case e.Name != "":
+		return choice{held: true}, false
 	}
+	query.MayWait = 0
 	if e, found := g.chooseAdapterEndpointLocked(query, among.withoutAdapter, now); found {
 		c := g.newChoiceLocked(e, query, now)
 		c.needsAdapter = true
@@ -196,3 +209,11 @@
 	}
 	return 0
 }
+
+// mayWait returns how long the request may still wait because of other long prompts; what its own prompt takes is not available for that.
+func (q *Request) mayWait(now time.Time) time.Duration {
+	if q.maxHold == 0 {
+		return 0
+	}
+	return q.maxHold - now.Sub(q.Arrived) - routing.PrefillTime(q.PromptTokens)
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -89,7 +89,10 @@
 	g.log.Info("using endpoints from the platform's list", "count", len(listed), "unread", unparsed)
 	for i, state := range listed {
 		known := g.endpoints[state.ID]
-		listed[i].Holder, listed[i].Limit, listed[i].Speed = known.Holder, known.Limit, known.Speed // the list does not contain them
+		listed[i].Holder, listed[i].Limit = known.Holder, known.Limit // the list does not contain them
+		if known.Incarnation() == state.Incarnation() {
+			listed[i].Speed = known.Speed
+		}
 	}
 	g.setEndpointsLocked(listed, time.Now())
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,7 @@
 	metricNoTurns           = "burdocksaddle_gateway_turns_denied_total"
 	metricTrials            = "burdocksaddle_gateway_quarantine_trials_total"
 	metricChoicesByWork     = "burdocksaddle_gateway_choices_by_work_total"
+	metricHeldPrompts       = "burdocksaddle_gateway_held_prompts_total"
 	metricUnevenServices    = "burdocksaddle_gateway_uneven_services"
 	metricPaces             = "burdocksaddle_gateway_reported_paces_total"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -122,3 +122,62 @@
 		}
 	}
 }
+
+// TestLongPromptsWait guards against long prompts that are prefilled together at one endpoint, and against one that waits until it is late:
+// it is sent once the first of two has its first event, or after half of its latency objective.
+func TestLongPromptsWait(t *testing.T) {
+	for name, test := range map[string]struct {
+		firstEvent time.Duration
+		speed      float64
+		draining   bool
+		tokens     int
+		wantWait   time.Duration
+	}{
+		"after the first event":     {60 * time.Millisecond, 0.8, false, 3000, 60 * time.Millisecond},
+		"no longer than it may":     {400 * time.Millisecond, 0.8, false, 3000, 147 * time.Millisecond},
+		"short ones do not":         {400 * time.Millisecond, 0.8, false, 500, 0},
+		"not with unknown speeds":   {400 * time.Millisecond, 0, false, 3000, 0},
+		"not at a leaving endpoint": {60 * time.Millisecond, 0.8, true, 3000, 60 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				state := engineEndpoint("w1", testModel)
+				state.Speed = test.speed
+				states := []endpoint.State{state}
+				if test.draining {
+					states = append(states, engineEndpoint("w2", testModel))
+				}
+				sent := map[string]time.Time{}
+				var b *testGateway
+				b = newTestGateway(t, func(_ context.Context, call Call) (*Response, error) {
+					b.mu.Lock()
+					sent[call.Request.ID] = time.Now()
+					b.mu.Unlock()
+					return pacedResponse(2, test.firstEvent), nil
+				}, states...)
+				if test.draining {
+					b.notices.RecordLeaving(states[1].Incarnation(), time.Now())
+				}
+				began, done := time.Now(), make(chan struct{})
+				go func() {
+					defer close(done)
+					b.do(t.Context(), "/live/a", testModel, Request{ID: "one", ClientTimeout: 8 * time.Second, PromptTokens: 3000})
+				}()
+				synctest.Wait()
+				b.do(t.Context(), "/live/a", testModel, Request{ID: "two", ClientTimeout: 8 * time.Second, PromptTokens: test.tokens})
+				<-done
+				if waited := sent["two"].Sub(began); waited < test.wantWait || waited > test.wantWait+retryInterval {
+					t.Errorf("sent after %v, want %v", waited, test.wantWait)
+				}
+				for _, call := range b.calls {
+					if call.Endpoint != "w1" {
+						t.Errorf("sent to %s", call.Endpoint)
+					}
+				}
+				if held := b.metrics.GetOrCreateCounter(metricHeldPrompts).Get() > 0; held != (test.wantWait > 0) {
+					t.Errorf("counted as held: %v", held)
+				}
+			})
+		})
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -29,8 +29,9 @@
 	OutputTokens int
 	// Prefixes are the prefixes of the prompt that other requests may share, shortest first.
 	Prefixes []routing.Prefix
-	// maxGap is the longest pause between events that meets the target of the request's route, set once the route is known.
-	maxGap time.Duration
+	// maxGap is the longest pause between events that meets the target of the request's route, maxHold how long a long prompt may wait
+	// for other long prompts. Both are set once the route is known.
+	maxGap, maxHold time.Duration
 	// ClientTimeout is the client's timeout; 0 if it declared none.
 	ClientTimeout time.Duration
 	// LastEvent is the id of the last stream event that the client received, empty for none.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,8 @@
 	versionRetryAfter = 2 * time.Second
 	// otherGatewayRetryAfter is the Retry-After value where another gateway can serve the request.
 	otherGatewayRetryAfter = 50 * time.Millisecond
+	// maxHoldShare is the part of its latency objective for which a long prompt may wait for others, 1 in that number.
+	maxHoldShare = 2
 	// lowestUrgency is the largest urgency value that endpoints support; larger values are less urgent.
 	lowestUrgency = 9
 )
@@ -102,6 +104,8 @@
 	// the gateway's mutex.
 	work        routing.Work
 	workPending bool
+	// held is set once the request had to wait because of other long prompts.
+	held bool
 	// trial is set if the leader allowed one attempt although the request is quarantined.
 	trial bool
 	// demandReportRequested is set once a demand report was requested because no endpoint holds the model.
@@ -127,6 +131,9 @@
 		service: matched.PickService(splitPosition(request.ID)), lastEvent: request.LastEvent,
 	}
 	request.maxGap = matched.MaxEventGap
+	if matched.Kind == route.KindStream {
+		request.maxHold = matched.LatencyObjective / maxHoldShare
+	}
 	clientTimeout := matched.Timeout
 	if request.ClientTimeout > 0 {
 		clientTimeout = min(clientTimeout, request.ClientTimeout)
@@ -335,6 +342,11 @@
 			t.mu.Unlock()
 			return chosen, true
 		}
+		if found.held && !t.held {
+			t.held = true
+			t.count(metricHeldPrompts)
+			t.log.Info("long prompt waits for others", "id", t.request.ID, "model", t.request.Model, "promptTokens", t.request.PromptTokens)
+		}
 		changed := t.changed
 		wait, turnWait := time.Duration(0), time.Duration(0)
 		if found.limitedRate > 0 && (behind || !found.modelHeld) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -61,6 +61,8 @@
 	OutputTokens int
 	// MaxGap is the longest pause between two events of a stream that still meets its target, 0 if there is no target.
 	MaxGap time.Duration
+	// MayWait is how long the request may still wait for an endpoint that prefills fewer long prompts, 0 if it may not.
+	MayWait time.Duration
 }
 
 // Prefix is a prefix of a prompt.
@@ -117,7 +119,8 @@
 	return &Router{dataCentre: dataCentre, random: random, endpoints: map[string]*endpointState{}}
 }
 
-// Choose returns the endpoint for a request among those that can serve it, or false if none is available.
+// Choose returns the endpoint for a request among those that can serve it, or false if none is available. It returns false with an endpoint
+// if the request must wait because of the prompts that the endpoint prefills.
 func (r *Router) Choose(q Request, all []Endpoint, now time.Time) (Endpoint, bool) {
 	available := r.available(all, q, now)
 	if len(available) == 0 {
--- a/routing/work.go
+++ b/routing/work.go
@@ -37,6 +37,12 @@
 	shareHalfLife = 20 * time.Second
 	maxShare      = 1.22
 	shareCostMs   = 150.0
+	// longPrompt is the size from which a prompt may have to wait, two chunks of prefill. A long prompt waits while more than
+	// minPrefilling tokens are expected to be prefilled at its endpoint and, together with its own, more than maxPrefilling by an
+	// endpoint of speed 1. About 4,700 make a stream pause for 200 ms; the rest is a margin for prompts that are known late.
+	longPrompt    = 2048
+	minPrefilling = 700
+	maxPrefilling = 3800
 	// decodeTokens is the work of one output token in prompt tokens: a batch of 32 makes a decode step of 4.75 ms 10% longer.
 	decodeTokens = 0.43
 	// remoteCostMs is the cost of an endpoint in another data centre, warmingCostMs that of a new replica, adapterCostMs that of an adapter
@@ -94,7 +100,19 @@
 			best, lowest = e, cost
 		}
 	}
-	return best, true
+	return best, !r.mustWait(best, q, now)
+}
+
+// mustWait reports whether a long prompt waits because its endpoint is expected to prefill others, which would exceed the limit on prompt
+// tokens in prefill. The limit rises as the time that the request may wait ends, so that none waits for ever.
+func (r *Router) mustWait(e Endpoint, q Request, now time.Time) bool {
+	s := r.endpoints[e.Name]
+	own := r.uncachedTokens(s, q)
+	if own < longPrompt || q.MayWait <= 0 {
+		return false
+	}
+	backlog := r.backlog(s, now) - s.work.sentTokens(now)
+	return backlog > minPrefilling && backlog+own > maxPrefilling*e.speed()
 }
 
 // sampleBySpeed returns two endpoints drawn with probabilities in proportion to their speeds, and up to maxCachedSamples of those that have
@@ -284,3 +302,8 @@
 	}
 	return 0
 }
+
+// PrefillTime returns the time that an endpoint of speed 1 takes to prefill a prompt.
+func PrefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillPerMs * float64(time.Millisecond))
+}
