--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -34,6 +34,10 @@
 	needsAdapter bool
 	// limit is the endpoint's limit; if it named one, the request needs a turn.
 	limit endpoint.Limit
+	// byWork is set if the endpoints of the service were compared by work.
+	byWork bool
+	// held is set if there is none because the request must wait for other long prompts.
+	held bool
 }
 
 // availability is what the endpoints of a request's service offer, whether or not one can execute it now.
@@ -47,6 +51,8 @@
 	pausedUntil time.Time
 	// limitedRate is the sum of the limits of the endpoints with the request's model that named one, in requests a second.
 	limitedRate float64
+	// held is set if the request must wait because of the long prompts that endpoints prefill.
+	held bool
 }
 
 // resumedWait returns what a resumed stream waits for; chosen is set if an endpoint was found.
@@ -85,6 +91,10 @@
 		if c, ok = g.chooseAmongLocked(q, byUse[use], avoid, now); ok {
 			return c, found, true
 		}
+		if c.held {
+			found.held = true
+			break // it does not go to a leaving endpoint instead
+		}
 	}
 	return choice{}, found, false
 }
@@ -139,7 +149,7 @@
 		if now.Before(g.absentUntil[modelLocation{state.ID, q.Model, ""}]) {
 			continue // wait briefly: the model may be loaded soon
 		}
-		e := routing.Endpoint{Name: state.ID, DataCentre: state.DataCentre, Slots: state.Slots, Incarnation: uint64(state.StartMS)}
+		e := routing.Endpoint{Name: state.ID, DataCentre: state.DataCentre, Slots: state.Slots, Incarnation: uint64(state.StartMS), Speed: state.Speed}
 		wanted := endpoint.Adapter{Model: q.Model, Name: q.Adapter}
 		if q.Adapter == "" || state.HoldsAdapter(wanted) && now.After(g.absentUntil[modelLocation{state.ID, q.Model, q.Adapter}]) {
 			byUse[use].ready = append(byUse[use].ready, e)
@@ -160,16 +170,30 @@
 }
 
 func (g *Gateway) chooseAmongLocked(q *Request, among candidates, avoid []string, now time.Time) (choice, bool) {
-	query := routing.Request{Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid}
-	if e, found := g.router.Choose(query, among.ready, now); found {
-		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, limit: g.limitOfLocked(g.endpoints[e.Name], now)}, true
+	query := routing.Request{
+		Adapter: q.Adapter, PromptPrefix: q.PromptPrefix, Avoid: avoid, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens, Prefixes: q.Prefixes, MaxGap: q.maxGap, MayWait: q.mayWait(now),
+	}
+	e, ok := g.router.Choose(query, among.ready, now)
+	switch {
+	case ok:
+		return g.newChoiceLocked(e, query, now), true
+	case e.Name != "":
+		return choice{held: true}, false
 	}
+	query.MayWait = 0
 	if e, found := g.chooseAdapterEndpointLocked(query, among.withoutAdapter, now); found {
-		return choice{endpoint: e, state: g.endpoints[e.Name], query: query, needsAdapter: true, limit: g.limitOfLocked(g.endpoints[e.Name], now)}, true
+		c := g.newChoiceLocked(e, query, now)
+		c.needsAdapter = true
+		return c, true
 	}
 	return choice{}, false
 }
 
+func (g *Gateway) newChoiceLocked(e routing.Endpoint, query routing.Request, now time.Time) choice {
+	state := g.endpoints[e.Name]
+	return choice{endpoint: e, state: state, query: query, limit: g.limitOfLocked(state, now), byWork: g.speedServices[state.Service]}
+}
+
 // chooseAdapterEndpointLocked selects the endpoint that loads an adapter. All gateways prefer the same one while it
 // has capacity, so that endpoints do not evict adapters on each other's behalf.
 func (g *Gateway) chooseAdapterEndpointLocked(query routing.Request, candidates []routing.Endpoint, now time.Time) (routing.Endpoint, bool) {
@@ -233,3 +257,11 @@
 	}
 	return 0
 }
+
+// mayWait returns how long the request may still wait because of other long prompts; what its own prompt takes is not available for that.
+func (q *Request) mayWait(now time.Time) time.Duration {
+	if q.maxHold == 0 {
+		return 0
+	}
+	return q.maxHold - now.Sub(q.Arrived) - routing.PrefillTime(q.PromptTokens)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -44,6 +44,10 @@
 	metricQuotaReturns      = "burdocksaddle_gateway_quota_returns_total"
 	metricQuotaRenewals     = "burdocksaddle_gateway_quota_renewals_total"
 	metricQuotaWaiting      = "burdocksaddle_gateway_quota_waiting_requests"
+	metricChoicesByWork     = "burdocksaddle_gateway_choices_by_work_total"
+	metricHeldPrompts       = "burdocksaddle_gateway_held_prompts_total"
+	metricUnevenServices    = "burdocksaddle_gateway_uneven_services"
+	metricPaces             = "burdocksaddle_gateway_reported_paces_total"
 	metricQuarantineEntries = "burdocksaddle_gateway_quarantine_entries"
 )
 
@@ -61,6 +65,7 @@
 		return float64(waiting)
 	}))
 	g.metrics.NewGauge(metricEndpoints, g.withLock(func() float64 { return float64(len(g.endpoints)) }))
+	g.metrics.NewGauge(metricUnevenServices, g.withLock(func() float64 { return float64(len(g.speedServices)) }))
 	g.metrics.NewGauge(metricEndpointsAge, g.withLock(func() float64 { return time.Since(g.endpointsUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricTableAge, g.withLock(func() float64 { return time.Since(g.tableUpdatedAt).Seconds() }))
 	g.metrics.NewGauge(metricQuarantineEntries, g.withLock(func() float64 { return float64(g.crashes.table.Active() + len(g.crashes.table.Requests)) }))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -50,6 +50,8 @@
 	versionRetryAfter = 2 * time.Second
 	// otherGatewayRetryAfter is the Retry-After value where another gateway can serve the request.
 	otherGatewayRetryAfter = 50 * time.Millisecond
+	// maxHoldShare is the part of its latency objective for which a long prompt may wait for others, 1 in that number.
+	maxHoldShare = 2
 	// lowestUrgency is the largest urgency value that endpoints support; larger values are less urgent.
 	lowestUrgency = 9
 )
@@ -114,6 +116,12 @@
 	stalled atomic.Bool
 	// quarantined is set once the request or a part of its prompt has been quarantined, which ends the transaction.
 	quarantined atomic.Bool
+	// work is what the current attempt's prompt adds to its endpoint, workPending is set until it has been prefilled. Both are guarded by
+	// the gateway's mutex.
+	work        routing.Work
+	workPending bool
+	// held is set once the request had to wait because of other long prompts.
+	held bool
 	// trial is set if the leader allowed one attempt although the request is quarantined.
 	trial bool
 	// quota is what was taken of the team's rate limit for the request.
@@ -140,6 +148,10 @@
 		Gateway: g, request: found.tag(request), responder: responder, route: found.route, table: found.table, arrivedAt: request.Arrived,
 		service: found.route.PickService(splitPosition(request.ID)), lastEvent: request.LastEvent, team: found.team, hasTeam: found.hasTeam,
 	}
+	t.request.maxGap = t.route.MaxEventGap
+	if t.route.Kind == route.KindStream {
+		t.request.maxHold = t.route.LatencyObjective / maxHoldShare
+	}
 	clientTimeout := t.route.Timeout
 	if request.ClientTimeout > 0 {
 		clientTimeout = min(clientTimeout, request.ClientTimeout)
@@ -363,10 +375,16 @@
 				t.leaveTurnQueueLocked()
 			}
 			t.router.RecordStart(chosen.endpoint, chosen.query, now)
+			t.recordSentLocked(chosen, now)
 			t.countRunningLocked(chosen.endpoint.Name, true)
 			t.mu.Unlock()
 			return chosen, true
 		}
+		if found.held && !t.held {
+			t.held = true
+			t.count(metricHeldPrompts)
+			t.log.Info("long prompt waits for others", "id", t.request.ID, "model", t.request.Model, "promptTokens", t.request.PromptTokens)
+		}
 		changed := t.changed
 		wait, turnWait := time.Duration(0), time.Duration(0)
 		if found.limitedRate > 0 && (behind || !found.modelHeld) {
@@ -457,6 +475,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.router.RecordEnd(c.endpoint.Name)
+	t.recordPrefilledLocked()
 	if fault != nil {
 		t.router.RecordFailure(c.endpoint.Name, time.Now())
 	}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -39,6 +39,8 @@
 	replicas, serving map[string]int
 	// replicasAt and servingAt count the same by software version.
 	replicasAt, servingAt map[ModelVersion]int
+	// capacity and servingCapacity are the sums of the speeds of these replicas' endpoints, where an unknown speed is 1.
+	capacity, servingCapacity map[string]float64
 	// assumedHeld contains models with replicas on endpoints whose current load is unknown.
 	assumedHeld map[string]bool
 	// storeLoads is the number of loads from the store in progress, storeLimit the number that run at full speed.
@@ -47,7 +49,7 @@
 }
 
 func (p *Planner) planService(service string, engine *route.Engine, now time.Time) []Order {
-	f := planState{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, replicasAt: map[ModelVersion]int{}, servingAt: map[ModelVersion]int{}, assumedHeld: map[string]bool{}, storeLimit: p.storeConcurrency, storeLimiter: p.storeLimiters[service]}
+	f := planState{engine: engine, now: now, replicas: map[string]int{}, serving: map[string]int{}, replicasAt: map[ModelVersion]int{}, servingAt: map[ModelVersion]int{}, capacity: map[string]float64{}, servingCapacity: map[string]float64{}, assumedHeld: map[string]bool{}, storeLimit: p.storeConcurrency, storeLimiter: p.storeLimiters[service]}
 	for _, id := range sortedKeys(p.endpoints) {
 		t := p.endpoints[id]
 		if t.state.Service != service || t.state.Draining {
@@ -219,10 +221,10 @@
 		switch value := l.concurrencyAt(f.now); {
 		case n == 0 && (l.waiting > 0 || l.missedAt(f.now) > minMissed):
 			needs = append(needs, need{model: m, requestsPerReplica: value + l.missedAt(f.now)})
-		case n > 0 && n < len(f.endpoints) && value > targetConcurrency*float64(n):
-			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: value / float64(n)})
+		case n > 0 && n < len(f.endpoints) && value > targetConcurrency*f.capacity[name]:
+			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: value / f.capacity[name]})
 		case n > 0 && n == f.serving[name] && value >= minSaturatedConcurrency && p.saturated(f, name):
-			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: max(value/float64(n), targetConcurrency)})
+			needs = append(needs, need{model: m, replicas: n, requestsPerReplica: max(value/f.capacity[name], targetConcurrency)})
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int {
@@ -258,7 +260,7 @@
 			continue
 		}
 		utilizationCost := fullEndpointCostSeconds * float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
-		cost := loadTime(n.model, source).Seconds() + evictCost + utilizationCost
+		cost := loadTime(n.model, source).Seconds() + evictCost + utilizationCost + speedCost(n, t)
 		if best == nil || cost < bestCost {
 			best, bestEvict, bestCost = t, evict, cost
 		}
--- a/scaling/software.go
+++ b/scaling/software.go
@@ -63,12 +63,14 @@
 // countReplica adds a replica that is loaded, being loaded or planned at an endpoint, or removes it.
 func (f *planState) countReplica(t *trackedEndpoint, model string, change int) {
 	f.replicas[model] += change
+	f.capacity[model] += float64(change) * t.speed()
 	f.replicasAt[ModelVersion{model, t.state.Software}] += change
 }
 
 // countServing adds a replica that can serve requests, or removes it.
 func (f *planState) countServing(t *trackedEndpoint, model string, change int) {
 	f.serving[model] += change
+	f.servingCapacity[model] += float64(change) * t.speed()
 	f.servingAt[ModelVersion{model, t.state.Software}] += change
 }
 
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -9,6 +9,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/logging"
+	"burdocksaddle/pace"
 	"burdocksaddle/quarantine"
 	"burdocksaddle/scaling"
 	"burdocksaddle/stream"
@@ -61,12 +62,14 @@
 	// softwareTracker decides on the committed software versions, committingSoftware is set while a change of them is being committed.
 	softwareTracker    stream.SoftwareTracker
 	committingSoftware bool
+	// speeds estimates the speeds of the endpoints.
+	speeds *pace.Estimator
 }
 
 // runLeader plans and issues orders while this steward leads. The returned channel receives a value once the loop has stopped.
 func (s *Steward) runLeader(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	l := &leader{Steward: s, results: make(chan func(), resultQueueSize), plannedReportAt: map[string]time.Time{}, lastListed: map[string]time.Time{}, evidence: quarantine.New()}
+	l := &leader{Steward: s, results: make(chan func(), resultQueueSize), plannedReportAt: map[string]time.Time{}, lastListed: map[string]time.Time{}, evidence: quarantine.New(), speeds: pace.New()}
 	go func() {
 		l.run(ctx)
 		done <- nil
@@ -107,6 +110,7 @@
 	l.updateQuarantine(ctx, now)
 	l.updateSoftware(ctx, now)
 	l.collectAdapterUse()
+	l.updateSpeeds(now)
 	l.plan(ctx, now)
 	l.publish(now, false)
 }
@@ -150,6 +154,7 @@
 		l.evidence, l.publishedSuspects = quarantine.New(), nil
 		l.softwareTracker = stream.SoftwareTracker{}
 		l.crashReports, l.suspects = crashReports{}, nil
+		l.speeds, l.paces = pace.New(), nil
 		l.notifySubscribersLocked()
 		l.log.Info("leadership changed", "leads", self)
 	}
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -24,6 +24,8 @@
 	metricDiskWrite          = "burdocksaddle_steward_disk_write_seconds"
 	metricChangeSeconds      = "burdocksaddle_steward_change_seconds"
 	metricQuotaRequests      = "burdocksaddle_steward_quota_requests_total"
+	metricPaces              = "burdocksaddle_steward_paces_total"
+	metricSpeedChanges       = "burdocksaddle_steward_speed_changes_total"
 	// maxProofAge is the reported age when there is no quorum proof.
 	maxProofAge = time.Hour
 )
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -106,6 +106,8 @@
 	turns *endpoint.Turns
 	// quotas are the buckets of teams' rate limits while this steward leads.
 	quotas quotaBuckets
+	// paces are the paces of endpoints that gateways reported and the leader has not yet taken into account.
+	paces []*wirepb.EndpointPace
 	// adaptersInUse are the adapters that gateways use, by endpoint address.
 	adaptersInUse map[string]*wirepb.EndpointUse
 	// leaderWake and holderWake wake the loops of runLeader and runHolders.
