--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-cluster ./review/_cluster
+go build -o target/review-cluster ./review/_cluster/platform
