--- a/review/_cluster/platform/main.go
+++ b/review/_cluster/platform/main.go
@@ -34,10 +34,14 @@
 	defer file.Close()
 	record := &recorder{file: file, began: time.Now()}
 	defer func() {
-		if e, ok := recover().(errSetup); ok {
-			record.printf("%s", e.Error())
-			fmt.Fprintln(os.Stderr, e.Error())
+		switch failure := recover().(type) {
+		case nil:
+		case errSetup:
+			record.printf("%s", failure.Error())
+			fmt.Fprintln(os.Stderr, failure.Error())
 			code = exitSetup
+		default:
+			panic(failure)
 		}
 	}()
 	c := newCluster(os.Args[2], record)
--- a/review/_cluster/platform/order.go
+++ b/review/_cluster/platform/order.go
@@ -58,7 +58,11 @@
 			c.network.setCut(giver, true)
 			c.record.printf("%s is cut off from all other machines", giver)
 		} else {
-			giver = <-c.network.cutNextGiver()
+			select {
+			case giver = <-c.network.cutNextGiver():
+			case <-time.After(orderWarmUp):
+				panic(errSetup{fmt.Errorf("no machine gives an order")})
+			}
 			c.record.printf("%s is cut off from all other machines while an order of it is on its way", giver)
 		}
 		time.Sleep(cutTime)
