--- a/review/_cluster/platform/order.go
+++ b/review/_cluster/platform/order.go
@@ -75,6 +75,11 @@
 	time.Sleep(afterCut)
 	c.record.printf("%d requests sent, %d served", sent.Load(), served.Load())
 	broken := 0
+	for _, e := range c.engines {
+		for _, run := range e.Runs() {
+			c.record.at(run.Start, "%s ran request %s, complete %t", e.ID, run.ID, run.Complete)
+		}
+	}
 	for _, e := range c.engines {
 		broken += c.checkOrders(e, healed)
 	}
@@ -91,6 +96,8 @@
 		}
 		outcome := client.Do(c.ctx, request)
 		sent.Add(1)
+		c.record.at(outcome.Sent, "request %s for %s sent", request.ID, request.Model)
+		c.record.at(outcome.Done, "request %s answered: status %d, complete %t, stamp %q", request.ID, outcome.Status, outcome.Complete, outcome.Stamp)
 		if outcome.Status == 200 && outcome.Complete {
 			served.Add(1)
 		}
@@ -119,9 +126,7 @@
 			broken++
 			fault = "  BROKEN: " + fault
 		}
-		if i == 0 || fault != "" || o.Holder != previous.Holder || i == len(orders)-1 {
-			c.record.at(o.At, "order %d at %s: holder %s, fencing token %d, accepted %t, excused %t%s", i+1, e.ID, o.Holder, o.Fence, o.Accepted, excused, fault)
-		}
+		c.record.at(o.At, "order %d at %s: holder %s, fencing token %d, accepted %t, excused %t%s", i+1, e.ID, o.Holder, o.Fence, o.Accepted, excused, fault)
 		if !excused {
 			previous = o
 		}
