Show whether a steward's log runs, what its disk refuses and which voters are silent

The record of the incident has lines of members that have stopped, but nothing that tells why and since when, whether they run again, whether their disks take writes again, how much of the disk the log takes, and whom the leader still hears.

Metrics: _log_stopped, _disk_write_age_seconds (the age of the write in progress; it grows for as long as a disk refuses or stalls), _disk_failures_total by step and error number, _log_bytes. Log lines of the leader: voter is silent, voter is heard again. No decision changes. storage, quorum, steward, node and control pass.

--- a/quorum/config.go
+++ b/quorum/config.go
@@ -62,6 +62,11 @@
 	return func(l *Log) { l.restore = restore }
 }
 
+// WithFailureObserver sets a function that is called with the error of each write that failed.
+func WithFailureObserver(observe func(storage.ErrFailed)) Option {
+	return func(l *Log) { l.observeFailure = observe }
+}
+
 // WithFileSystem sets the file system that holds the data directory.
 func WithFileSystem(files storage.FileSystem) Option { return func(l *Log) { l.files = &files } }
 
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -40,6 +40,8 @@
 	files    *storage.FileSystem
 	// observeWrite is called with the time that each batch of writes took to become durable.
 	observeWrite func(time.Duration)
+	// observeFailure is called with the error of each write that failed.
+	observeFailure func(storage.ErrFailed)
 	// maxWritesPerSync limits the writes that one fsync makes durable.
 	maxWritesPerSync int
 
@@ -62,6 +64,9 @@
 
 	published atomic.Pointer[publishedStatus]
 	applied   atomic.Uint64
+	// writingSince is when the write in progress began, or nil if there is none. diskBytes is the size of the data directory.
+	writingSince atomic.Pointer[time.Time]
+	diskBytes    atomic.Int64
 	// stopped is closed when the member stops; cause is set before.
 	stopped chan struct{}
 	cause   error
@@ -72,7 +77,7 @@
 func Open(config Config, options ...Option) (*Log, error) {
 	l := &Log{
 		config: config, log: logr.Discard(), tick: defaultTick, maxWritesPerSync: writeQueueSize,
-		apply: func(uint64, []byte) any { return nil }, observeWrite: func(time.Duration) {},
+		apply: func(uint64, []byte) any { return nil }, observeWrite: func(time.Duration) {}, observeFailure: func(storage.ErrFailed) {},
 		inbox: make(chan inboundMessage, inboxSize), proposals: make(chan *proposal, callQueueSize),
 		reads: make(chan *reader, callQueueSize), requests: make(chan coreRequest, callQueueSize),
 		writes: make(chan write, writeQueueSize), persisted: make(chan uint64, 1),
@@ -131,7 +136,10 @@
 	if err == nil && state.TruncatedBytes > 0 {
 		l.log.Info("truncated an incomplete write at the end of the log", "folder", dir, "bytes", state.TruncatedBytes)
 	}
-	l.store = store
+	if err == nil {
+		l.store = store
+		l.diskBytes.Store(store.Bytes())
+	}
 	return state, err
 }
 
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -42,10 +42,8 @@
 // proof of its leader, which is no older than the last reply of this member that the leader has answered.
 func (l *Log) QuorumProofAge() time.Duration {
 	v := l.published.Load()
-	select {
-	case <-l.stopped:
+	if l.Stopped() {
 		return NoProof
-	default:
 	}
 	age := v.status.ProofAge
 	if age > math.MaxInt32 {
@@ -82,3 +80,25 @@
 
 // Term returns the current term of this member; a term has at most one leader.
 func (l *Log) Term() uint64 { return l.published.Load().status.Term }
+
+// Stopped reports whether the member has stopped.
+func (l *Log) Stopped() bool {
+	select {
+	case <-l.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// WriteAge returns how long the write in progress has taken so far, or 0 if there is none.
+func (l *Log) WriteAge() time.Duration {
+	since := l.writingSince.Load()
+	if since == nil {
+		return 0
+	}
+	return time.Since(*since)
+}
+
+// DiskBytes returns the size of the data directory as of the last write.
+func (l *Log) DiskBytes() int64 { return l.diskBytes.Load() }
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -66,10 +66,12 @@
 	pendingWrites                []write
 	pendingTasks                 []applyTask
 	wasLeader                    bool
+	// silentVoters are the voters that this leader has logged as silent.
+	silentVoters map[uint64]bool
 }
 
 func (l *Log) stepLoop(ctx context.Context) error {
-	s := &stepper{Log: l, started: time.Now(), pendingProposals: map[uint64]*proposal{}}
+	s := &stepper{Log: l, started: time.Now(), pendingProposals: map[uint64]*proposal{}, silentVoters: map[uint64]bool{}}
 	ticker := time.NewTicker(l.tick)
 	defer ticker.Stop()
 	for {
@@ -132,6 +134,7 @@
 	}
 	s.retryReads()
 	s.repair()
+	s.logSilence(s.core.Status())
 	s.publish()
 }
 
--- a/quorum/write.go
+++ b/quorum/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"burdocksaddle/consensus"
@@ -23,10 +24,17 @@
 			return nil
 		case first := <-l.writes:
 			startTime := time.Now()
+			l.writingSince.Store(&startTime)
 			sequence, err := l.writeBatch(l.collectWrites(first))
 			if err != nil {
+				var failed storage.ErrFailed
+				if errors.As(err, &failed) {
+					l.observeFailure(failed)
+				}
 				return err
 			}
+			l.writingSince.Store(nil)
+			l.diskBytes.Store(l.store.Bytes())
 			l.observeWrite(time.Since(startTime))
 			if sequence == 0 {
 				continue
--- a/steward/metrics.go
+++ b/steward/metrics.go
@@ -1,10 +1,13 @@
 package steward
 
 import (
+	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"burdocksaddle/scaling"
+	"burdocksaddle/storage"
 )
 
 // Metric names. Each label has a small, fixed set of values.
@@ -22,6 +25,10 @@
 	metricOrders             = "burdocksaddle_steward_orders_total"
 	metricChanges            = "burdocksaddle_steward_changes_total"
 	metricDiskWrite          = "burdocksaddle_steward_disk_write_seconds"
+	metricDiskFailures       = "burdocksaddle_steward_disk_failures_total"
+	metricWriteAge           = "burdocksaddle_steward_disk_write_age_seconds"
+	metricLogBytes           = "burdocksaddle_steward_log_bytes"
+	metricLogStopped         = "burdocksaddle_steward_log_stopped"
 	metricChangeSeconds      = "burdocksaddle_steward_change_seconds"
 	metricQuotaRequests      = "burdocksaddle_steward_quota_requests_total"
 	metricPaces              = "burdocksaddle_steward_paces_total"
@@ -39,6 +46,14 @@
 	s.metrics.NewGauge(metricTerm, func() float64 { return float64(s.quorumLog.Term()) })
 	s.metrics.NewGauge(metricAppliedIndex, func() float64 { return float64(s.quorumLog.Applied()) })
 	s.metrics.NewGauge(metricProofAge, func() float64 { return min(s.quorumLog.QuorumProofAge(), maxProofAge).Seconds() })
+	s.metrics.NewGauge(metricWriteAge, func() float64 { return s.quorumLog.WriteAge().Seconds() })
+	s.metrics.NewGauge(metricLogBytes, func() float64 { return float64(s.quorumLog.DiskBytes()) })
+	s.metrics.NewGauge(metricLogStopped, func() float64 {
+		if s.quorumLog.Stopped() {
+			return 1
+		}
+		return 0
+	})
 	s.metrics.NewGauge(metricMembers, func() float64 { return float64(len(s.quorumLog.Members())) })
 	s.metrics.NewGauge(metricMemberLag, func() float64 {
 		maxLag := uint64(0)
@@ -71,3 +86,13 @@
 	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{committed=\"%t\"}", metricChanges, err == nil)).Inc()
 	s.metrics.GetOrCreateHistogram(metricChangeSeconds).UpdateDuration(began)
 }
+
+// countDiskFailure counts a failed write of the log by its step and the error of the operating system.
+func (s *Steward) countDiskFailure(failed storage.ErrFailed) {
+	cause := "other"
+	var number syscall.Errno
+	if errors.As(failed, &number) {
+		cause = number.Error()
+	}
+	s.metrics.GetOrCreateCounter(fmt.Sprintf("%s{step=%q,cause=%q}", metricDiskFailures, failed.Step, cause)).Inc()
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -180,7 +180,8 @@
 		Voters: 2*config.FaultTolerance + 1, JoinOnly: !config.FirstStart, SnapshotEntries: snapshotEntries, SnapshotBytes: snapshotBytes, ReplaceAfter: replaceAfter,
 	}, quorum.WithApply(s.apply), quorum.WithSnapshot(s.snapshot), quorum.WithRestore(s.restore),
 		quorum.WithPool(pool), quorum.WithLog(s.log), quorum.WithTick(consensusTick),
-		quorum.WithWriteObserver(func(took time.Duration) { s.metrics.GetOrCreateHistogram(metricDiskWrite).Update(took.Seconds()) }))
+		quorum.WithWriteObserver(func(took time.Duration) { s.metrics.GetOrCreateHistogram(metricDiskWrite).Update(took.Seconds()) }),
+		quorum.WithFailureObserver(s.countDiskFailure))
 	if err == nil {
 		s.registerGauges()
 	}
--- a/storage/append.go
+++ b/storage/append.go
@@ -96,7 +96,7 @@
 	if err := s.activeFile.Close(); err != nil {
 		return s.fail("closing", s.activeName, err)
 	}
-	s.closedSegments = append(s.closedSegments, closedSegment{name: s.activeName, lastIndex: s.lastIndex})
+	s.closedSegments = append(s.closedSegments, closedSegment{name: s.activeName, lastIndex: s.lastIndex, size: s.activeSize})
 	return s.startSegment()
 }
 
@@ -144,7 +144,7 @@
 	if err := s.writeFileAtomic(numberedName(snapshotPrefix, snapshot.Index), payload); err != nil {
 		return err
 	}
-	s.snapshotIndex = snapshot.Index
+	s.snapshotIndex, s.snapshotSize = snapshot.Index, int64(headerBytes+len(payload))
 	return nil
 }
 
--- a/storage/load.go
+++ b/storage/load.go
@@ -84,6 +84,7 @@
 	if w.GetIndex() != found {
 		return consensus.Snapshot{}, ErrCorrupt{File: s.path(newest), Reason: "snapshot index does not match the file name"}
 	}
+	s.snapshotSize = int64(headerBytes + proto.Size(w))
 	return consensus.Snapshot{
 		Index: w.GetIndex(), Term: w.GetTerm(), Configuration: consensus.ConfigurationFromWire(w.GetConfiguration()),
 		State: w.GetState(),
@@ -108,12 +109,12 @@
 				return ErrCorrupt{File: s.path(name), Reason: "previous segment is missing"}
 			}
 		}
-		truncated, err := s.loadSegment(name, i == len(segments)-1, &replay)
+		size, truncated, err := s.loadSegment(name, i == len(segments)-1, &replay)
 		if err != nil {
 			return err
 		}
 		state.TruncatedBytes += truncated
-		s.closedSegments = append(s.closedSegments, closedSegment{name: name, lastIndex: replay.lastIndex()})
+		s.closedSegments = append(s.closedSegments, closedSegment{name: name, lastIndex: replay.lastIndex(), size: size})
 	}
 	state.Hard = replay.hardState
 	if replay.continuesSnapshot() {
@@ -130,33 +131,33 @@
 	return nil
 }
 
-func (s *Storage) loadSegment(name string, last bool, replay *logReplay) (truncated int64, err error) {
+func (s *Storage) loadSegment(name string, last bool, replay *logReplay) (size, truncated int64, err error) {
 	data, err := s.files.Read(s.path(name))
 	if err != nil {
-		return 0, s.fail("reading", name, err)
+		return 0, 0, s.fail("reading", name, err)
 	}
 	payloads, end, complete, laterRecord := splitRecords(data)
 	if !complete && (!last || laterRecord) {
-		return 0, ErrCorrupt{File: s.path(name), Offset: int64(end), Reason: "record checksum or length mismatch"}
+		return 0, 0, ErrCorrupt{File: s.path(name), Offset: int64(end), Reason: "record checksum or length mismatch"}
 	}
 	offset := int64(0)
 	for _, payload := range payloads {
 		record := &wirepb.LogRecord{}
 		if err := proto.Unmarshal(payload, record); err != nil {
-			return 0, ErrCorrupt{File: s.path(name), Offset: offset, Reason: err.Error()}
+			return 0, 0, ErrCorrupt{File: s.path(name), Offset: offset, Reason: err.Error()}
 		}
 		if reason := replay.apply(record); reason != "" {
-			return 0, ErrCorrupt{File: s.path(name), Offset: offset, Reason: reason}
+			return 0, 0, ErrCorrupt{File: s.path(name), Offset: offset, Reason: reason}
 		}
 		offset += int64(headerBytes + len(payload))
 	}
 	if complete {
-		return 0, nil
+		return int64(end), 0, nil
 	}
 	if err := s.files.Truncate(s.path(name), int64(end)); err != nil {
-		return 0, s.fail("truncating", name, err)
+		return 0, 0, s.fail("truncating", name, err)
 	}
-	return int64(len(data) - end), nil
+	return int64(end), int64(len(data) - end), nil
 }
 
 func (s *Storage) removeTemporaryFiles(names []string) error {
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -61,6 +61,7 @@
 	activeName     string
 	activeNumber   uint64
 	activeSize     int64
+	snapshotSize   int64
 	lastIndex      uint64
 	syncCount      uint64
 	// restartAfter is the index of a snapshot that replaced the log while older segments still contain its entries.
@@ -71,6 +72,7 @@
 type closedSegment struct {
 	name      string
 	lastIndex uint64
+	size      int64
 }
 
 // Option configures a Storage.
@@ -221,6 +223,15 @@
 	}
 }
 
+// Bytes returns the size of the segments and of the latest snapshot.
+func (s *Storage) Bytes() int64 {
+	size := s.snapshotSize + s.activeSize
+	for _, c := range s.closedSegments {
+		size += c.size
+	}
+	return size
+}
+
 // Syncs returns the number of syncs of appended records.
 func (s *Storage) Syncs() uint64 { return s.syncCount }
 
