--- /dev/null
+++ b/quorum/full_disk_test.go
@@ -0,0 +1,81 @@
+package quorum_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"burdocksaddle/quorum"
+	"burdocksaddle/storage"
+)
+
+// fillableDisk returns a file system that refuses every write while full is set; a part of the data is written before.
+func fillableDisk(full *atomic.Bool) storage.FileSystem {
+	disk := storage.OSFileSystem()
+	create := disk.Create
+	disk.Create = func(name string) (storage.File, error) {
+		f, err := create(name)
+		write := f.Write
+		f.Write = func(p []byte) (int, error) {
+			if !full.Load() {
+				return write(p)
+			}
+			n, _ := write(p[:len(p)/2])
+			return n, syscall.ENOSPC
+		}
+		return f, err
+	}
+	return disk
+}
+
+// startOnFillableDisks starts a group of voters and returns a switch for each that fills its disk.
+func startOnFillableDisks(t *testing.T, voters int) ([]*process, []*atomic.Bool) {
+	t.Helper()
+	var processes []*process
+	var full []*atomic.Bool
+	for _, config := range testConfigs(t, voters, 0) {
+		config.ReplaceAfter = 0
+		isFull := &atomic.Bool{}
+		full = append(full, isFull)
+		processes = append(processes, startOn(t, config, sharedNetwork, quorum.WithFileSystem(fillableDisk(isFull))))
+	}
+	return processes, full
+}
+
+func TestQuorumSurvivesDisksThatWereFullInTurn(t *testing.T) {
+	for _, voters := range []int{1, 3, 5} {
+		t.Run(fmt.Sprint(voters), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) { testQuorumSurvivesDisksThatWereFullInTurn(t, voters) })
+		})
+	}
+}
+
+func testQuorumSurvivesDisksThatWereFullInTurn(t *testing.T, voters int) {
+	processes, full := startOnFillableDisks(t, voters)
+	propose(t, processes, "before")
+	for i := range processes {
+		full[i].Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*testTick)
+		for j := 0; ctx.Err() == nil; j++ {
+			// The outcome of a command during the fault may be unknown.
+			_, _ = leaderOf(t, processes).Propose(ctx, fmt.Appendf(nil, "full %d.%d", i, j))
+			time.Sleep(testTick)
+		}
+		cancel()
+		full[i].Store(false)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	eventually(t, "a command is committed once all disks have room", func() bool {
+		_, err := leaderOf(t, processes).Propose(ctx, []byte("after"))
+		return err == nil
+	})
+	for _, p := range processes {
+		if _, err := p.ReadBarrier(ctx); err != nil {
+			t.Errorf("%s cannot read: %v", p.config.Name, err)
+		}
+	}
+}
