End a steward whose log has stopped

Callers saw: a steward whose member of the log had stopped refused every read and change until it was killed, and reported that it was healthy. Its process was never started again, although whatever stopped it may have been long over.

Cause: Run waited for the ends of the log, the leader's loop and the holders one after the other, but only the end of the process's context ends the last two.

Change: the end of one part ends the others and so the process, whose supervisor starts it again. A stopped member knows no leader and answers no other member.

This alone does not mend the incident: a process that is restarted while its disk is full ends again until there is room.

--- a/quorum/handle.go
+++ b/quorum/handle.go
@@ -17,7 +17,7 @@
 // Handle serves a stream of messages from another member until it ends.
 func (l *Log) Handle(ctx context.Context, first *wirepb.PeerMessage, stream *wire.Stream) {
 	payload := &wirepb.PeerPayload{}
-	if proto.Unmarshal(first.GetPayload(), payload) != nil {
+	if l.Stopped() || proto.Unmarshal(first.GetPayload(), payload) != nil {
 		return
 	}
 	switch body := payload.GetBody().(type) {
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -56,8 +56,12 @@
 	return time.Duration(age+slack)*l.tick + time.Since(v.at)
 }
 
-// Leader returns the leader's address, which is empty if unknown, and whether this member is the leader.
+// Leader returns the leader's address, which is empty if unknown, and whether this member is the leader. A member that has stopped
+// knows no leader.
 func (l *Log) Leader() (address string, self bool) {
+	if l.Stopped() {
+		return "", false
+	}
 	v := l.published.Load()
 	return v.leaderAddress, v.status.Role == consensus.RoleLeader
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -203,11 +203,22 @@
 	return peers
 }
 
-// Run runs the steward until the context ends. The returned channel receives the result.
+// Run runs the steward until the context ends or one of its parts has ended. The returned channel receives the result.
 func (s *Steward) Run(ctx context.Context) <-chan error {
-	done := make(chan error, 1)
-	logDone, leaderDone, holdersDone := s.quorumLog.Run(ctx), s.runLeader(ctx), s.runHolders(ctx)
-	go func() { done <- errors.Join(<-logDone, <-leaderDone, <-holdersDone) }()
+	ctx, cancel := context.WithCancel(ctx)
+	parts := []<-chan error{s.quorumLog.Run(ctx), s.runLeader(ctx), s.runHolders(ctx)}
+	results, done := make(chan error, len(parts)), make(chan error, 1)
+	for _, part := range parts {
+		go func() { results <- <-part }()
+	}
+	go func() {
+		var err error
+		for range parts {
+			err = errors.Join(err, <-results)
+			cancel()
+		}
+		done <- err
+	}()
 	return done
 }
 
