Hand over the leadership when the leader's disk does not complete a write

Callers saw: while the leader's disk stalled, no change was acknowledged, although a majority had every entry on disk.

Cause: a leader counts other members' disks, so it went on committing, and its heartbeats kept the others from electing another leader. It applies, and so answers for, only what is on its own disk.

Change: the step loop of a leader whose write in progress is older than 8 ticks (400 ms at a steward) transfers the leadership to the voter that holds most.

--- a/quorum/full_disk_test.go
+++ b/quorum/full_disk_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"burdocksaddle/quorum"
 	"burdocksaddle/storage"
 )
@@ -79,3 +81,60 @@
 		}
 	}
 }
+
+// stallingDisk returns a file system whose syncs do not return while stalled is set and the context has not ended.
+func stallingDisk(ctx context.Context, stalled *atomic.Bool) storage.FileSystem {
+	disk := storage.OSFileSystem()
+	create := disk.Create
+	disk.Create = func(name string) (storage.File, error) {
+		f, err := create(name)
+		sync := f.Sync
+		f.Sync = func() error {
+			for stalled.Load() && ctx.Err() == nil {
+				time.Sleep(testTick)
+			}
+			return sync()
+		}
+		return f, err
+	}
+	return disk
+}
+
+func TestLeaderWhoseDiskStallsHandsOver(t *testing.T) {
+	runInBubble(t, testLeaderWhoseDiskStallsHandsOver)
+}
+
+func testLeaderWhoseDiskStallsHandsOver(t *testing.T) {
+	var processes []*process
+	stalled := map[*process]*atomic.Bool{}
+	for _, config := range testConfigs(t, 3, 0) {
+		config.ReplaceAfter = 0
+		isStalled := &atomic.Bool{}
+		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(stallingDisk(t.Context(), isStalled)))
+		processes, stalled[p] = append(processes, p), isStalled
+	}
+	propose(t, processes, "before")
+	old := leaderOf(t, processes)
+	stalled[old].Store(true)
+	start := time.Now()
+	eventually(t, "a command is committed while the disk stalls", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*testTick)
+		defer cancel()
+		for _, p := range processes {
+			if _, err := p.Propose(ctx, []byte("during")); err == nil {
+				return true
+			}
+		}
+		return false
+	})
+	if took := time.Since(start); took > 60*testTick {
+		t.Errorf("nothing was committed for %v", took)
+	}
+	if _, self := old.Leader(); self {
+		t.Error("the member whose disk stalls still leads")
+	}
+	stalled[old].Store(false)
+	eventually(t, "the member has caught up", func() bool {
+		return cmp.Equal(leaderOf(t, processes).commandLog.all(), old.commandLog.all())
+	})
+}
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -49,6 +49,8 @@
 	// maxCatchUpTicks limits the missed ticks that are processed after a pause; after a longer one all leases have
 	// expired anyway.
 	maxCatchUpTicks = 100
+	// maxWriteTicks is how long a write may take at a leader before it hands over the leadership.
+	maxWriteTicks = 8
 	// maxMessageBatch limits the messages processed before the next Ready.
 	maxMessageBatch = 64
 )
@@ -134,6 +136,7 @@
 	}
 	s.retryReads()
 	s.repair()
+	s.handOver()
 	s.logSilence(s.core.Status())
 	s.publish()
 }
@@ -162,6 +165,19 @@
 	}
 }
 
+// handOver transfers the leadership if the disk does not complete a write. The group can commit without this member's disk, but this
+// member applies, and answers for, only what is on it.
+func (s *stepper) handOver() {
+	age := s.WriteAge()
+	status := s.core.Status()
+	if age < maxWriteTicks*s.tick || status.Role != consensus.RoleLeader {
+		return
+	}
+	if err := s.transfer(status); err == nil {
+		s.log.Info("handing over the leadership, as the disk does not complete a write", "member", s.id, "ms", age.Milliseconds())
+	}
+}
+
 func (s *stepper) propose(p *proposal) {
 	if !p.claimed.CompareAndSwap(false, true) {
 		return
