Let the log wait for a disk that refuses writes, and go on

Cause: a single refused write stopped a member of the log for good. Its disk had room again seconds later, but nothing opened the storage again. Each disk that was full once took one more member away, and the third of five ended the quorum for ever.

Change: the writer repeats a refused write every 0.1 s. Nothing that depends on the write is sent or applied before it is on disk, exactly as during a slow sync; a leader hands over as it does then. Writes are repeated in parts that the storage makes durable at once: a batch that is appended again after a later one would write an older term. A process that starts with a full disk opens its log and waits, too. Files of failed writes are closed.

--- a/quorum/write.go
+++ b/quorum/write.go
@@ -16,7 +16,11 @@
 	snapshot *consensus.Snapshot
 }
 
-// writeLoop makes pending writes durable with one fsync per batch; an error stops the member.
+// diskRetryInterval is the pause between two attempts to write to a disk that refuses writes.
+const diskRetryInterval = 100 * time.Millisecond
+
+// writeLoop makes pending writes durable with one fsync per batch. While the disk refuses a write it is repeated, and everything that
+// depends on it waits.
 func (l *Log) writeLoop(ctx context.Context) error {
 	for {
 		select {
@@ -25,12 +29,11 @@
 		case first := <-l.writes:
 			startTime := time.Now()
 			l.writingSince.Store(&startTime)
-			sequence, err := l.writeBatch(l.collectWrites(first))
+			sequence, err := l.writeGroup(ctx, l.collectWrites(first))
+			if ctx.Err() != nil {
+				return nil
+			}
 			if err != nil {
-				var failed storage.ErrFailed
-				if errors.As(err, &failed) {
-					l.observeFailure(failed)
-				}
 				return err
 			}
 			l.writingSince.Store(nil)
@@ -61,20 +64,70 @@
 	return group
 }
 
-func (l *Log) writeBatch(group []write) (sequence uint64, err error) {
-	var batches []storage.Batch
-	for _, w := range group {
-		if w.snapshot == nil {
-			batches, sequence = append(batches, w.batch), w.sequence
-			continue
-		}
-		if err := l.store.Append(batches...); err != nil {
+// writeGroup makes a group of writes durable and returns the last sequence among them, or an error once the context has ended.
+func (l *Log) writeGroup(ctx context.Context, group []write) (sequence uint64, err error) {
+	for len(group) > 0 {
+		part := repeatablePart(group)
+		if err := l.writeUntilDurable(ctx, part); err != nil {
 			return 0, err
 		}
-		if err := l.store.SaveSnapshot(*w.snapshot); err != nil {
-			return 0, err
+		sequence = max(sequence, part[len(part)-1].sequence)
+		group = group[len(part):]
+	}
+	return sequence, nil
+}
+
+// repeatablePart returns the first writes of a group that the storage makes durable at once, so that they can be repeated together.
+func repeatablePart(group []write) []write {
+	if group[0].snapshot != nil {
+		return group[:1]
+	}
+	for i, w := range group[1:] {
+		if w.snapshot != nil || w.batch.Install != nil {
+			return group[:i+1]
+		}
+	}
+	return group
+}
+
+// writeUntilDurable repeats a write for as long as the disk refuses it; it fails with the last error if the context ends before.
+func (l *Log) writeUntilDurable(ctx context.Context, part []write) error {
+	err := l.write(part)
+	if err == nil {
+		return nil
+	}
+	since := time.Now()
+	for attempts := 1; ; attempts++ {
+		var failed storage.ErrFailed
+		if !errors.As(err, &failed) {
+			return err
+		}
+		l.observeFailure(failed)
+		if attempts == 1 {
+			l.log.Error(err, "the disk refuses writes; the log waits", "member", l.id)
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(diskRetryInterval):
+		}
+		if err = l.store.Recover(); err == nil {
+			err = l.write(part)
 		}
-		batches = nil
+		if err == nil {
+			l.log.Info("the disk takes writes again", "member", l.id, "ms", time.Since(since).Milliseconds(), "attempts", attempts)
+			return nil
+		}
+	}
+}
+
+func (l *Log) write(part []write) error {
+	if part[0].snapshot != nil {
+		return l.store.SaveSnapshot(*part[0].snapshot)
+	}
+	batches := make([]storage.Batch, len(part))
+	for i, w := range part {
+		batches[i] = w.batch
 	}
-	return sequence, l.store.Append(batches...)
+	return l.store.Append(batches...)
 }
--- a/storage/append.go
+++ b/storage/append.go
@@ -8,7 +8,7 @@
 )
 
 // Append makes batches durable in the given order, with one fsync unless a batch installs a snapshot. Once it fails with
-// ErrFailed, every later call fails too.
+// ErrFailed, every later call fails too, until Recover succeeds. A batch must not be appended again once a later one is durable.
 func (s *Storage) Append(batches ...Batch) error {
 	if s.failure != nil {
 		return s.failure
--- a/storage/error.go
+++ b/storage/error.go
@@ -37,7 +37,7 @@
 	return errors.As(err, &e)
 }
 
-// ErrFailed is returned once a storage operation has failed; from then on nothing is written or acknowledged.
+// ErrFailed is returned once a storage operation has failed; nothing is written or acknowledged until Storage.Recover succeeds.
 type ErrFailed struct {
 	Step  string
 	File  string
@@ -46,7 +46,7 @@
 
 // Error implements error.
 func (e ErrFailed) Error() string {
-	return "storage is dead since " + e.Step + " of " + e.File + ": " + e.Cause.Error()
+	return "storage has failed at " + e.Step + " of " + e.File + ": " + e.Cause.Error()
 }
 
 func (e ErrFailed) Unwrap() error { return e.Cause }
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -53,6 +53,7 @@
 	unlock       func() error
 
 	failure   error
+	closed    bool
 	hardState consensus.HardState
 	// snapshotIndex is the index of the latest snapshot; closedSegments are in ascending order.
 	snapshotIndex  uint64
@@ -84,20 +85,18 @@
 // WithSegmentBytes sets the size from which a new segment is started.
 func WithSegmentBytes(size int64) Option { return func(s *Storage) { s.segmentBytes = size } }
 
-// Open locks and reads a data directory. It fails with ErrLocked, with ErrNoIdentity if the directory is empty, or with
-// ErrCorrupt.
+// Open locks and reads a data directory. It fails with ErrLocked, with ErrNoIdentity if the directory is empty, with ErrCorrupt, or
+// with ErrFailed if it cannot be read. If the disk refuses writes, Append fails until Recover succeeds.
 func Open(dir string, options ...Option) (*Storage, State, error) {
 	s := newStorage(dir, options)
 	if err := s.lock(); err != nil {
 		return nil, State{}, err
 	}
 	state, err := s.load()
-	if err == nil {
-		err = s.startSegment()
-	}
 	if err != nil {
 		return nil, State{}, s.closeWithError(err)
 	}
+	_ = s.startSegment() // Append returns the failure
 	return s, state, nil
 }
 
@@ -174,9 +173,11 @@
 		return s.fail("creating", name, err)
 	}
 	if _, err := f.Write(appendRecord(nil, payload)); err != nil {
+		_ = f.Close()
 		return s.fail("writing", name, err)
 	}
 	if err := f.Sync(); err != nil {
+		_ = f.Close()
 		return s.fail("syncing", name, err)
 	}
 	if err := f.Close(); err != nil {
@@ -212,6 +213,7 @@
 
 // Close releases the data directory; data that was not synced has not been acknowledged either.
 func (s *Storage) Close() {
+	s.closed = true
 	if s.activeFile.Close != nil {
 		_ = s.activeFile.Close()
 	}
@@ -235,7 +237,7 @@
 // Syncs returns the number of syncs of appended records.
 func (s *Storage) Syncs() uint64 { return s.syncCount }
 
-// fail records the first failure, after which every operation fails.
+// fail records the first failure, after which every operation fails until Recover succeeds.
 func (s *Storage) fail(step, file string, cause error) error {
 	if s.failure == nil {
 		s.failure = ErrFailed{Step: step, File: file, Cause: cause}
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -204,6 +204,106 @@
 	}
 }
 
+// TestRecoverRepeatsFailedOperation fails each disk operation in turn, and one of the operations of Recover, and repeats what failed.
+func TestRecoverRepeatsFailedOperation(t *testing.T) {
+	for _, cause := range []error{syscall.EIO, syscall.ENOSPC} {
+		for failIn := range 60 {
+			for failAgainIn := range 9 {
+				testRecoverRepeatsFailedOperation(t, cause, failIn, failAgainIn, false)
+				testRecoverRepeatsFailedOperation(t, cause, failIn, failAgainIn, true)
+			}
+		}
+	}
+}
+
+func testRecoverRepeatsFailedOperation(t *testing.T, cause error, failIn, failAgainIn int, installs bool) {
+	d := newFaultDisk(uint64(failIn*100 + failAgainIn))
+	s := create(t, d)
+	d.failIn, d.cause = failIn, cause
+	failedAgain := false
+	repeat := func(operation func() error) {
+		t.Helper()
+		for operation() != nil {
+			d.clearFaults()
+			if !failedAgain {
+				d.failIn, failedAgain = failAgainIn, true
+			}
+			for s.Recover() != nil {
+				d.clearFaults()
+			}
+		}
+	}
+	want := storage.State{Identity: testIdentity, Hard: consensus.HardState{Term: 3, Vote: 7}}
+	for i := uint64(1); i <= 8; i++ {
+		term := 1 + i/4
+		repeat(func() error { return s.Append(newBatch(term, newEntry(term, i, "data"))) })
+		if i%3 == 0 {
+			want.Snapshot = consensus.Snapshot{Index: i, Term: term}
+			repeat(func() error { return s.SaveSnapshot(want.Snapshot) })
+		}
+	}
+	want.Entries = []consensus.Entry{newEntry(2, 7, "data"), newEntry(3, 8, "data")}
+	if installs {
+		want.Snapshot, want.Hard = consensus.Snapshot{Index: 20, Term: 5}, consensus.HardState{Term: 5, Vote: 7}
+		want.Entries = []consensus.Entry{newEntry(5, 21, "n"), newEntry(5, 22, "n")}
+		repeat(func() error {
+			return s.Append(storage.Batch{Install: &want.Snapshot, Hard: &want.Hard, Entries: want.Entries[:1]})
+		})
+		repeat(func() error { return s.Append(newBatch(5, want.Entries[1])) })
+	}
+	s.Close()
+	if err := s.Recover(); !storage.IsErrFailed(err) {
+		t.Errorf("a closed storage recovered: %v", err)
+	}
+	d.crash()
+	_, state := reopen(t, d)
+	if diff := cmp.Diff(want, state); diff != "" {
+		t.Errorf("%v, operations %d and %d: %s", cause, failIn, failAgainIn, diff)
+	}
+}
+
+// TestPowerLossDuringRecoveryKeepsAcknowledgedEntries loses power after Recover has failed at two operations.
+func TestPowerLossDuringRecoveryKeepsAcknowledgedEntries(t *testing.T) {
+	for seed := range uint64(2) {
+		for failIn := range 30 {
+			for first := range 9 {
+				for second := range 9 {
+					testPowerLossDuringRecovery(t, seed, failIn, first, second)
+				}
+			}
+		}
+	}
+}
+
+func testPowerLossDuringRecovery(t *testing.T, seed uint64, failIn, first, second int) {
+	d := newFaultDisk(seed)
+	s := create(t, d)
+	must(t, s.Append(newBatch(1, newEntry(1, 1, "data"))))
+	d.failIn = failIn
+	acknowledged := uint64(1)
+	var err error
+	for err == nil {
+		if err = s.Append(newBatch(1, newEntry(1, acknowledged+1, "data"))); err == nil {
+			acknowledged++
+			if acknowledged%3 == 0 {
+				err = s.SaveSnapshot(consensus.Snapshot{Index: acknowledged, Term: 1})
+			}
+		}
+	}
+	for _, operation := range []int{first, second} {
+		d.clearFaults()
+		d.failIn = operation
+		_ = s.Recover()
+	}
+	s.Close()
+	d.crash()
+	_, state := reopen(t, d)
+	last := state.Snapshot.Index + uint64(len(state.Entries))
+	if last < acknowledged || last > acknowledged+1 {
+		t.Errorf("seed %d, operations %d, %d and %d: %d entries left, %d acknowledged", seed, failIn, first, second, last, acknowledged)
+	}
+}
+
 // TestCrashKeepsAcknowledgedEntries appends, crashes at a random disk operation and reopens, repeatedly.
 func TestCrashKeepsAcknowledgedEntries(t *testing.T) {
 	for seed := range uint64(200) {
