Replace a voter whose disk takes nothing for as long as a silent one

With the log waiting for its disk, a voter whose disk stays full or broken still answers heartbeats. A standby took the place of silent voters only, so such a voter would have counted for the quorum for ever; before, its member had stopped and was replaced after ReplaceAfter.

A leader now also tracks since when each peer lacks entries and has acknowledged none; a voter is replaced if that, or its silence, lasts for ReplaceAfter, and a learner has caught up. A replaced voter whose disk recovers joins as a learner, as one that was silent does.

Evidence: TestStandbyReplacesVoterWhoseDiskStaysFull failed without the change ('condition not met in time: the standby is a voter in its place') and passes 10 of 10 times with the race detector; two cases in TestRepairChanges.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -79,7 +79,7 @@
 	c.leaderContactTick = c.tick
 	c.peers = map[uint64]*progress{}
 	for _, peer := range c.peerIDs() {
-		c.peers[peer] = &progress{next: c.log.lastIndex() + 1, lastReceivedTick: c.tick}
+		c.peers[peer] = &progress{next: c.log.lastIndex() + 1, lastReceivedTick: c.tick, progressTick: c.tick}
 	}
 	c.appendAsLeader(Entry{Kind: EntryEmpty})
 	c.broadcastHeartbeat()
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -23,6 +23,8 @@
 	ackedHeartbeatTick, ackedRound uint64
 	// lastReceivedTick is when the last message arrived, echoTick is the peer's own tick in its last reply.
 	lastReceivedTick, echoTick uint64
+	// progressTick is when the peer last acknowledged entries, or when it began to lack some.
+	progressTick uint64
 
 	snapshot       Snapshot
 	snapshotOffset uint64
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -6,9 +6,9 @@
 
 // NextRepair returns the next membership change that a leader should make, or false if there is none. A learner that
 // rejoined with a new ID under the name of a voter replaces that voter. A standby learner, or a former voter that
-// rejoined as a learner, replaces a voter that has been silent for replaceAfter ticks; 0 disables this. The silent
-// voter is removed first, once a learner that has caught up is available: promoting the learner first would require
-// more live voters than before, and a second failure would lose the quorum.
+// rejoined as a learner, replaces a voter that has been silent, or has acknowledged none of the entries that it lacks, for
+// replaceAfter ticks; 0 disables this. That voter is removed first, once a learner that has caught up is available: promoting the
+// learner first would require more live voters than before, and a second failure would lose the quorum.
 func NextRepair(s Status, replaceAfter uint64) (Change, bool) {
 	if s.Role != RoleLeader || !s.ConfigurationCommitted {
 		return Change{}, false
@@ -18,8 +18,8 @@
 	if voters < target {
 		return Change{Kind: ChangePromote, Member: learner.Member}, promotable
 	}
-	silent, ok := longestSilentVoter(s, replaceAfter)
-	return Change{Kind: ChangeRemove, Member: silent.Member}, ok && (promotable || voters > target)
+	lost, ok := longestLostVoter(s, replaceAfter)
+	return Change{Kind: ChangeRemove, Member: lost.Member}, ok && (promotable || voters > target)
 }
 
 // promotableLearner returns a learner that has caught up, preferably one that is not a standby.
@@ -33,18 +33,21 @@
 	return found, found.ID != 0
 }
 
-// longestSilentVoter returns the replaceable voter that has been silent for longest.
-func longestSilentVoter(s Status, replaceAfter uint64) (PeerStatus, bool) {
+// longestLostVoter returns the replaceable voter that has been silent or stalled for longest.
+func longestLostVoter(s Status, replaceAfter uint64) (PeerStatus, bool) {
 	var longest PeerStatus
 	for _, p := range s.Peers {
-		replaceable := hasReplacement(s, p) || replaceAfter > 0 && p.SilentTicks >= replaceAfter
-		if p.Voter && p.ID != s.ID && replaceable && p.SilentTicks >= longest.SilentTicks {
+		replaceable := hasReplacement(s, p) || replaceAfter > 0 && p.lostTicks() >= replaceAfter
+		if p.Voter && p.ID != s.ID && replaceable && p.lostTicks() >= longest.lostTicks() {
 			longest = p
 		}
 	}
 	return longest, longest.ID != 0
 }
 
+// lostTicks is how long a peer has been of no use for the quorum.
+func (p PeerStatus) lostTicks() uint64 { return max(p.SilentTicks, p.StalledTicks) }
+
 // hasReplacement reports whether a member that has caught up joined after a silent voter under the voter's name.
 func hasReplacement(s Status, voter PeerStatus) bool {
 	joinedEarlier := true
--- a/consensus/repair_test.go
+++ b/consensus/repair_test.go
@@ -14,6 +14,9 @@
 	voter := func(id uint64, name string, silent uint64) consensus.PeerStatus {
 		return consensus.PeerStatus{Member: consensus.Member{ID: id, Name: name, Voter: true}, SilentTicks: silent, CaughtUp: silent == 0}
 	}
+	stalled := func(id uint64, name string, ticks uint64) consensus.PeerStatus {
+		return consensus.PeerStatus{Member: consensus.Member{ID: id, Name: name, Voter: true}, StalledTicks: ticks}
+	}
 	learner := func(id uint64, name string, standing, caughtUp bool) consensus.PeerStatus {
 		return consensus.PeerStatus{Member: consensus.Member{ID: id, Name: name, Standing: standing}, CaughtUp: caughtUp}
 	}
@@ -32,6 +35,8 @@
 		"rejoined member precedes standby":  {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), learner(4, "d", true, true), learner(5, "c", false, true)}, promote, 5},
 		"wiped member replaces itself":      {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 20), learner(5, "c", false, true)}, remove, 3},
 		"former voter replaces another":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", false, true)}, remove, 3},
+		"stalled voter is removed":          {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), stalled(3, "c", 100), learner(4, "d", true, true)}, remove, 3},
+		"voter stalled for too short":       {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), stalled(3, "c", 99), learner(4, "d", true, true)}, 0, 0},
 		"two live members of one name":      {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(5, "c", false, true)}, 0, 0},
 	}
 	for name, test := range tests {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -7,6 +7,11 @@
 	if c.role != RoleLeader {
 		c.failInvariant("only leaders append their own entries", c.log.lastIndex(), "")
 	}
+	for _, p := range c.peers {
+		if p.match == c.log.lastIndex() {
+			p.progressTick = c.tick
+		}
+	}
 	e.Term, e.Index = c.term, c.log.lastIndex()+1
 	c.log.append(e)
 	if e.Kind == EntryConfiguration {
@@ -22,7 +27,7 @@
 	peers := map[uint64]*progress{}
 	for _, peer := range c.peerIDs() {
 		if peers[peer] = c.peers[peer]; peers[peer] == nil {
-			peers[peer] = &progress{next: c.log.lastIndex(), lastReceivedTick: c.tick}
+			peers[peer] = &progress{next: c.log.lastIndex(), lastReceivedTick: c.tick, progressTick: c.tick}
 		}
 	}
 	c.peers = peers
@@ -105,6 +110,9 @@
 	if m.Index < p.match || m.Index == p.match && p.state == PeerReplicating {
 		return
 	}
+	if m.Index > p.match {
+		p.progressTick = c.tick
+	}
 	p.match = m.Index
 	p.releaseInflight(m.Index)
 	if p.state != PeerReplicating {
--- a/consensus/snapshot.go
+++ b/consensus/snapshot.go
@@ -24,7 +24,7 @@
 	if m.Offset == p.snapshotOffset && m.Offset != 0 {
 		return // duplicate reply; a lost chunk is resent with a later heartbeat
 	}
-	p.snapshotOffset = m.Offset
+	p.snapshotOffset, p.progressTick = m.Offset, c.tick
 	c.sendChunk(m.From, p)
 }
 
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -7,6 +7,8 @@
 	Match uint64
 	// SilentTicks is the time since the last message from the peer.
 	SilentTicks uint64
+	// StalledTicks is the time since a peer that lacks entries last acknowledged any, or 0 if it holds all of them.
+	StalledTicks uint64
 	// CaughtUp reports whether a learner may be promoted to voter.
 	CaughtUp bool
 }
@@ -39,6 +41,9 @@
 			peer.Match, peer.CaughtUp = c.log.stable, true
 		} else if p := c.peers[m.ID]; p != nil {
 			peer.State, peer.Match, peer.SilentTicks = p.state, p.match, c.tick-p.lastReceivedTick
+			if p.match < c.log.lastIndex() {
+				peer.StalledTicks = c.tick - p.progressTick
+			}
 			peer.CaughtUp = c.caughtUp(m.ID)
 		}
 		s.Peers = append(s.Peers, peer)
--- a/quorum/full_disk_test.go
+++ b/quorum/full_disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -138,3 +139,32 @@
 		return cmp.Equal(leaderOf(t, processes).commandLog.all(), old.commandLog.all())
 	})
 }
+
+func TestStandbyReplacesVoterWhoseDiskStaysFull(t *testing.T) {
+	runInBubble(t, testStandbyReplacesVoterWhoseDiskStaysFull)
+}
+
+func testStandbyReplacesVoterWhoseDiskStaysFull(t *testing.T) {
+	var processes []*process
+	full := map[*process]*atomic.Bool{}
+	for _, config := range testConfigs(t, 3, 1) {
+		isFull := &atomic.Bool{}
+		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(fillableDisk(isFull)))
+		processes, full[p] = append(processes, p), isFull
+	}
+	propose(t, processes, "before")
+	leader := leaderOf(t, processes)
+	eventually(t, "the standby learner", func() bool { return len(leader.Members()) == 4 })
+	follower := processes[indexOfFollower(processes, leader, 1)]
+	full[follower].Store(true)
+	propose(t, processes, "during")
+	eventually(t, "the standby is a voter in its place", func() bool {
+		names := voterNames(leader)
+		return len(names) == 3 && slices.Contains(names, "m3") && !slices.Contains(names, follower.config.Name)
+	})
+	full[follower].Store(false)
+	propose(t, processes, "after")
+	eventually(t, "the member has caught up", func() bool {
+		return cmp.Equal([]string{"before", "during", "after"}, follower.commandLog.all())
+	})
+}
