Bound the messages that a member holds back while its disk refuses writes

Each heartbeat and entry adds a reply that waits for the write in progress. Messages beyond 4096 that wait to be sent, and beyond 4096 for one write, are dropped; the core repeats what matters, as after a loss on the network.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -18,6 +18,9 @@
 	UncommittedEntries int
 	// PendingReads limits the reads that wait for a quorum.
 	PendingReads int
+	// QueuedMessages limits the messages that wait to be sent, and those that wait for one write; others are dropped, as by a
+	// network.
+	QueuedMessages int
 	// ApplyBytes limits the committed entry data of one Ready.
 	ApplyBytes int
 	// TrailingEntries and TrailingBytes limit the entries kept in the log before a snapshot, for peers that lag behind.
@@ -29,7 +32,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		AppendBytes: 256 << 10, InflightMessages: 64, InflightBytes: 4 << 20, ChunkBytes: 256 << 10,
-		UncommittedEntries: 4096, PendingReads: 1024, ApplyBytes: 1 << 20, TrailingEntries: 1000, TrailingBytes: 16 << 20,
+		UncommittedEntries: 4096, PendingReads: 1024, QueuedMessages: 4096, ApplyBytes: 1 << 20, TrailingEntries: 1000, TrailingBytes: 16 << 20,
 	}
 }
 
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -181,6 +181,31 @@
 	}
 }
 
+func TestMessagesHeldForARefusingDiskAreBounded(t *testing.T) {
+	c := newCore(t, consensus.HardState{Term: 4}, logEntries(1, 2))
+	advanceTicks(c, 10)
+	drainReady(c)
+	limit := consensus.DefaultLimits().QueuedMessages
+	append3 := consensus.Message{Kind: consensus.KindAppend, From: second, To: self, Term: 5, Index: 3, LogTerm: 2}
+	c.Step(append3)
+	r, _ := c.Ready()
+	for range 10 * limit {
+		c.Step(append3)
+		c.Ready()
+	}
+	for range 10 * limit {
+		c.Step(append3)
+	}
+	c.Persisted(r.Sequence)
+	if got := len(drainReady(c)); got == 0 || got > 2*limit {
+		t.Errorf("%d messages were held, want at most %d", got, 2*limit)
+	}
+	c.Step(append3)
+	if replies := messagesOfKind(drainReady(c), consensus.KindAppendReply); len(replies) != 1 {
+		t.Errorf("replies after the disk has recovered: %+v", replies)
+	}
+}
+
 // TestVotesDoNotProveQuorum checks that only a heartbeat reply proves a quorum: a voter may grant another vote right
 // away.
 func TestVotesDoNotProveQuorum(t *testing.T) {
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -56,6 +56,9 @@
 	if m.Term == 0 {
 		m.Term = c.term
 	}
+	if len(c.outbox.queued) >= c.config.Limits.QueuedMessages {
+		return
+	}
 	c.outbox.queued = append(c.outbox.queued, m)
 }
 
@@ -91,8 +94,9 @@
 	for _, m := range o.queued {
 		mustWait := len(o.pendingWrites) > 0 && (m.requiresDurability() || o.issuedHard != o.persistedHard)
 		if mustWait {
-			last := &o.pendingWrites[len(o.pendingWrites)-1]
-			last.messages = append(last.messages, m)
+			if last := &o.pendingWrites[len(o.pendingWrites)-1]; len(last.messages) < c.config.Limits.QueuedMessages {
+				last.messages = append(last.messages, m)
+			}
 			continue
 		}
 		c.release(m)
