Apply committed entries before they are on a member's own disk

Callers saw: while a steward's disk was full or stalled, changes sent to it and reads of the configuration failed after 900 ms, and the endpoints that it holds got no orders ('no orders issued without a quorum: context deadline exceeded'), although a quorum had every entry.

Cause: a member applied an entry only once it was on its own disk. A read waits until everything committed is applied.

Change: what a quorum holds is applied at once.

Evidence: TestMemberWhoseDiskStallsReadsAndAnswers, with the leader's and a follower's disk, failed before ('the command's outcome is unknown: context deadline exceeded', 'no quorum: context deadline exceeded') and passes 10 of 10 times with -race. TestLeaderWhoseDiskStallsHandsOver committed by the next leader before; now the old one answers at once, so the test waits for the handover.

--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -106,11 +106,12 @@
 
 func (c *Core) takeCommitted(r *Ready) {
 	r.Restore, c.outbox.restore = c.outbox.restore, nil
-	end := min(c.log.committed, c.log.stable)
-	if end <= c.log.applying {
+	// What a quorum holds may be applied before it is on this disk, but not before the snapshot that precedes it is restored.
+	installing := c.log.stable < c.log.baseIndex
+	if c.log.committed <= c.log.applying || installing {
 		return
 	}
-	r.Committed = c.log.slice(c.log.applying+1, end, c.config.Limits.ApplyBytes)
+	r.Committed = c.log.slice(c.log.applying+1, c.log.committed, c.config.Limits.ApplyBytes)
 	c.log.applying += uint64(len(r.Committed))
 }
 
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -165,8 +165,8 @@
 	}
 }
 
-// handOver transfers the leadership if the disk does not complete a write. The group can commit without this member's disk, but this
-// member applies, and answers for, only what is on it.
+// handOver transfers the leadership if the disk does not complete a write. The group can commit without this member's disk, but the
+// writes that wait for it are bounded.
 func (s *stepper) handOver() {
 	age := s.WriteAge()
 	status := s.core.Status()
