--- a/gateway/link.go
+++ b/gateway/link.go
@@ -178,6 +178,7 @@
 	if g.resumption.receivers[steward] == nil {
 		g.resumption.receivers[steward] = newStartReceiver()
 	}
+	g.resumption.heardAt = time.Now()
 	if s.GetSoftware() != nil {
 		g.resumption.committed[steward] = stream.SoftwareFromWire(s.GetSoftware())
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -20,8 +20,12 @@
 	// startWriteTimeout limits how long the first event of a stream is held back until its start has been written to the connections of
 	// all stewards. It is far below the time to a first event; a steward that does not read may use it up.
 	startWriteTimeout = 20 * time.Millisecond
-	// originTimeout bounds the stewards' answers to where a stream began.
-	originTimeout = 300 * time.Millisecond
+	// originTimeout bounds the stewards' answers to where a stream began. While none has proven the committed software versions, as during an
+	// election, the wait goes on up to originProofTimeout if the gateway is in touch with a steward.
+	originTimeout      = 300 * time.Millisecond
+	originProofTimeout = 1200 * time.Millisecond
+	// maxStewardSilence is how long ago a gateway in touch with a steward heard from it: heartbeatInterval of package steward and a margin.
+	maxStewardSilence = 700 * time.Millisecond
 	// originRetryAfter is the Retry-After value if a steward did not say where a stream began; it may be about to answer again.
 	originRetryAfter = 250 * time.Millisecond
 	// unknownStreamReason is the reason of refusals of streams whose start is unknown.
@@ -38,8 +42,9 @@
 	committed map[string]stream.Software
 	// reported are the services whose starts are reported to stewards.
 	reported map[string]bool
-	// receivers are the connected stewards.
+	// receivers are the connected stewards, heardAt is when the last snapshot came from one.
 	receivers map[string]*startReceiver
+	heardAt   time.Time
 	// waiting counts the resumed streams that wait for an endpoint of their version that holds their model.
 	waiting map[resumedNeed]int
 	// missing counts those for which no endpoint of their version holds their model.
@@ -329,7 +334,7 @@
 	return true
 }
 
-// onlyOrigin returns the only version at which a stream of unknown start can have begun: a steward with a proven quorum must name it,
+// onlyOrigin returns the only version at which a stream of unknown start can have begun: a steward must prove that the log names it alone,
 // and neither another steward nor this gateway may know of a further one. A gateway with an old view may not have heard of it.
 func (t *transaction) onlyOrigin(answers originAnswers) (origin stream.Origin, known bool) {
 	t.mu.Lock()
@@ -349,7 +354,7 @@
 type originAnswers struct {
 	origin stream.Origin
 	known  bool
-	// versions are the committed versions that any steward named, sorted; proven is set if a steward had proven a quorum.
+	// versions are the committed versions that any steward named, sorted; proven is set if one named all that were committed before the query.
 	versions []string
 	proven   bool
 	// asked and answered count the stewards.
@@ -378,7 +383,7 @@
 
 // askOrigins asks stewards where a stream began.
 func (t *transaction) askOrigins(ctx context.Context, stewards []string, id uint64) originAnswers {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	ctx, cancel := context.WithTimeout(ctx, originProofTimeout)
 	defer cancel()
 	replies := make(chan *wirepb.OriginReply, len(stewards))
 	query := &wirepb.OriginQuery{Stream: id, Service: t.service}
@@ -391,12 +396,18 @@
 			replies <- reply
 		}()
 	}
-	answers := originAnswers{asked: len(stewards)}
-	for range stewards {
-		if reply := <-replies; reply != nil {
-			answers.add(reply)
+	answers, late, timeout := originAnswers{asked: len(stewards)}, false, time.After(originTimeout)
+	for left := len(stewards); left > 0; {
+		select {
+		case reply := <-replies:
+			left--
+			if reply != nil {
+				answers.add(reply)
+			}
+		case <-timeout:
+			late = true
 		}
-		if answers.known {
+		if answers.known || late && (answers.proven || !t.inTouch()) {
 			cancel() // the others need not answer
 		}
 	}
@@ -405,6 +416,13 @@
 	return answers
 }
 
+// inTouch reports whether a steward has been heard of lately.
+func (g *Gateway) inTouch() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.resumption.heardAt) <= maxStewardSilence
+}
+
 // sendStarts queues starts of streams for a steward and reports whether it did. The channel is closed when they have been written.
 func (g *Gateway) sendStarts(steward string, starts *wirepb.StreamStarts) (written <-chan struct{}, sent bool) {
 	return g.stewardLinks.SendWithReceipt(steward, &wirepb.Frame{Body: &wirepb.Frame_StreamStarts{StreamStarts: starts}})
@@ -412,6 +430,6 @@
 
 // callForOrigin asks a steward where a stream began.
 func (g *Gateway) callForOrigin(ctx context.Context, steward string, query *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
-	reply, err := g.pool.Call(ctx, steward, &wirepb.Frame{Body: &wirepb.Frame_OriginQuery{OriginQuery: query}}, originTimeout)
+	reply, err := g.pool.Call(ctx, steward, &wirepb.Frame{Body: &wirepb.Frame_OriginQuery{OriginQuery: query}}, originProofTimeout)
 	return reply.GetOriginReply(), err
 }
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -320,3 +320,60 @@
 		})
 	}
 }
+
+// TestUnknownStreamWaitsForProof guards against streams of unknown start that are refused while the stewards elect a leader, and against a
+// wait for stewards that can't be reached.
+func TestUnknownStreamWaitsForProof(t *testing.T) {
+	only := &wirepb.OriginReply{Versions: []string{"v1"}, Proven: true}
+	tests := map[string]struct {
+		// silent is how long the gateway has heard of no steward.
+		silent time.Duration
+		// delays are the times until the stewards answer, 0 for never.
+		delays   []time.Duration
+		reply    *wirepb.OriginReply
+		wantOK   bool
+		wantTook time.Duration
+	}{
+		"leader":                          {delays: []time.Duration{time.Millisecond, 2 * time.Millisecond}, reply: only, wantOK: true, wantTook: 2 * time.Millisecond},
+		"election":                        {delays: []time.Duration{900 * time.Millisecond, 901 * time.Millisecond}, reply: only, wantOK: true, wantTook: 900 * time.Millisecond},
+		"no election in time":             {delays: []time.Duration{1100 * time.Millisecond}, reply: &wirepb.OriginReply{Versions: []string{"v1"}}, wantTook: 1100 * time.Millisecond},
+		"one steward stands still":        {delays: []time.Duration{0, time.Millisecond}, reply: only, wantOK: true, wantTook: originTimeout},
+		"all stewards stand still":        {delays: []time.Duration{0, 0}, wantTook: originProofTimeout},
+		"gateway cut off for some time":   {silent: 2 * maxStewardSilence, delays: []time.Duration{0, 0}, wantTook: originTimeout},
+		"gateway heard of no steward yet": {silent: time.Hour, delays: []time.Duration{0, 0}, wantTook: originTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil })
+				var stewards []string
+				for n := range test.delays {
+					stewards = append(stewards, strconv.Itoa(n))
+				}
+				b.SetStewards(stewards)
+				b.askOrigin = func(ctx context.Context, steward string, _ *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
+					n, _ := strconv.Atoi(steward)
+					if test.delays[n] == 0 {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					select {
+					case <-time.After(test.delays[n]):
+						return test.reply, nil
+					case <-ctx.Done():
+						return nil, ctx.Err()
+					}
+				}
+				if test.silent < time.Hour {
+					b.applySnapshot("0", &wirepb.Snapshot{})
+				}
+				time.Sleep(test.silent)
+				b.setEndpoints(softwareEndpoint("w1", "v1"))
+				got := b.takeUp(t.Context(), "r0")
+				if (got.Status == 200) != test.wantOK || got.Took != test.wantTook {
+					t.Errorf("%+v", got)
+				}
+			})
+		})
+	}
+}
