Hold back a version that only the platform's list shows

Callers: a gateway that hears of no leader reads the platform's list and began streams at a new version before the leader had committed it. The starts of a gateway that is cut off reach no steward.

Cause: the leader publishes an endpoint only after its version is committed, but the list bypassed that. Class: a second path to the same data without the rule of the first.

Change: from the list, a gateway takes endpoints of versions that it has used within the last minute or a connected steward names, the others 2 s after the list first showed their version. The leader reads the list twice a second and commits in less than 1 s. A gateway that knows no version of a service takes all. A version that is held back counts as one that the service runs: starts are reported, and unknown streams are refused.

--- a/gateway/link.go
+++ b/gateway/link.go
@@ -87,7 +87,9 @@
 	if time.Since(g.endpointsUpdatedAt) <= maxEndpointsAge {
 		return
 	}
-	g.log.Info("using endpoints from the platform's list", "count", len(listed), "unread", unparsed)
+	all := len(listed)
+	listed = g.withoutNewVersionsLocked(listed, time.Now())
+	g.log.Info("using endpoints from the platform's list", "count", len(listed), "ofNewVersions", all-len(listed), "unread", unparsed)
 	for i, state := range listed {
 		known := g.endpoints[state.ID]
 		listed[i].Holder, listed[i].Limit = known.Holder, known.Limit // the list does not contain them
@@ -206,7 +208,7 @@
 	if !view.Apply(s, now) || !s.GetProven() || len(view.States) == 0 {
 		return
 	}
-	g.endpointsUpdatedAt, g.leaderView = now, view
+	g.endpointsUpdatedAt, g.leaderView, g.resumption.listedSince = now, view, nil
 	g.setEndpointsLocked(slices.Collect(maps.Values(view.States)), now)
 }
 
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -28,6 +28,9 @@
 	maxStewardSilence = 700 * time.Millisecond
 	// originRetryAfter is the Retry-After value if a steward did not say where a stream began; it may be about to answer again.
 	originRetryAfter = 250 * time.Millisecond
+	// uncommittedVersionDelay is how long a gateway without a leader leaves the endpoints of a version alone that its list shows for the first
+	// time: a leader that others hear of reads the list twice a second and commits a change in less than a second.
+	uncommittedVersionDelay = 2 * time.Second
 	// unknownStreamReason is the reason of refusals of streams whose start is unknown.
 	unknownStreamReason = "it is not known where its stream began"
 	// resumedLoadDelay is the time from the report of a waiting resumed stream to the load order, plus the time until gateways see the model.
@@ -40,6 +43,8 @@
 	versions stream.Versions
 	// committed are the services with several committed software versions, by the connected steward that said so.
 	committed map[string]stream.Software
+	// listedSince are the versions that only the platform's list has shown since a leader was heard of, with the time when it first did.
+	listedSince map[stream.Origin]time.Time
 	// reported are the services whose starts are reported to stewards.
 	reported map[string]bool
 	// receivers are the connected stewards, heardAt is when the last snapshot came from one.
@@ -81,11 +86,16 @@
 }
 
 // severalVersionsLocked reports whether a service runs several software versions, or has run them within the last minute, by this gateway's
-// view or by the stewards' log.
+// view, the platform's list or the stewards' log.
 func (g *Gateway) severalVersionsLocked(service string, now time.Time) bool {
 	if len(g.resumption.versions.Of(service, now)) > 1 {
 		return true
 	}
+	for o := range g.resumption.listedSince {
+		if o.Service == service {
+			return true // besides the one that is used
+		}
+	}
 	for _, committed := range g.resumption.committed {
 		if len(committed.Versions(service)) > 1 {
 			return true
@@ -94,6 +104,40 @@
 	return false
 }
 
+// withoutNewVersionsLocked returns the endpoints of the platform's list that may be used. Those of a version that neither a steward nor the
+// list has shown for long are left out: no stream may begin at a version that the stewards' log does not name. A gateway that knows no
+// version of a service takes all.
+func (g *Gateway) withoutNewVersionsLocked(listed []endpoint.State, now time.Time) []endpoint.State {
+	r, since := &g.resumption, map[stream.Origin]time.Time{}
+	var usable []endpoint.State
+	for _, state := range listed {
+		o := stream.Origin{Service: state.Service, Software: state.Software}
+		if !g.mayBeCommittedLocked(o, now) {
+			first, known := r.listedSince[o]
+			if !known {
+				first = now
+			}
+			if since[o] = first; now.Sub(first) < uncommittedVersionDelay {
+				continue
+			}
+		}
+		usable = append(usable, state)
+	}
+	r.listedSince = since
+	return usable
+}
+
+// mayBeCommittedLocked reports whether a version is one that a steward has named or that was used before, or the first one of its service.
+func (g *Gateway) mayBeCommittedLocked(o stream.Origin, now time.Time) bool {
+	for _, committed := range g.resumption.committed {
+		if committed.Allows(o) {
+			return true
+		}
+	}
+	versions := g.resumption.versions.Of(o.Service, now)
+	return len(versions) == 0 || slices.Contains(versions, o.Software) || o.Software == "" && len(versions) == 1
+}
+
 // resumedWait is what a resumed stream waits for while its service runs several software versions.
 type resumedWait int
 
