Keep the version of streams taken up under an old table

Cause: the gateway looked up where a stream began only if its own table had the route as resumable, but forwarded Last-Event-Id anyway.

Evidence, before: --- FAIL: TestTakenUpStreamKeepsItsVersionWhereTableIsOld/begun_elsewhere resume_test.go:402: ran at "w2", {Status:200 ...} (w2 runs v1, the stream began at v2)

Change: the look-up is made for every stream route. Where a client sends Last-Event-Id on a route whose streams may not be resumed, the request goes on as before while the service runs one version, and is refused if it runs several.

After: the test and package gateway pass with -race.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -377,3 +377,34 @@
 		})
 	}
 }
+
+// TestTakenUpStreamKeepsItsVersionWhereTableIsOld guards against a gateway whose table does not say yet that a route's streams may be
+// resumed, and that lets them go on at any version.
+func TestTakenUpStreamKeepsItsVersionWhereTableIsOld(t *testing.T) {
+	tests := map[string]struct {
+		reply *wirepb.OriginReply
+		want  string
+	}{
+		"begun elsewhere": {&wirepb.OriginReply{Known: true, Service: "engines", Software: "v2"}, "v2"},
+		"unknown":         {&wirepb.OriginReply{Versions: []string{"v1", "v2"}, Proven: true}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil },
+					softwareEndpoint("w1", "v1"), softwareEndpoint("w2", "v1"), softwareEndpoint("w3", "v2"))
+				b.SetStewards([]string{"steward"})
+				b.askOrigin = func(context.Context, string, *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
+					return test.reply, nil
+				}
+				for n := range 20 {
+					id := "again" + strconv.Itoa(n)
+					got := b.do(t.Context(), "/draft/a", testModel, Request{ID: id, Resumes: "r0", LastEvent: "1", ClientTimeout: 8 * time.Second})
+					if ran := b.endpointOf(id); (test.want == "") != got.Refused || ran != "" && softwareOf(ran) != test.want {
+						t.Errorf("ran at %q, %+v", ran, got)
+					}
+				}
+			})
+		})
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -300,7 +300,7 @@
 
 // run attempts the request until it has been answered, refused or ended.
 func (t *transaction) run(ctx context.Context) {
-	if t.request.LastEvent != "" && t.route.Resumable && (!t.mayResume() || !t.findOrigin(ctx)) {
+	if t.request.LastEvent != "" && t.route.Kind == route.KindStream && (!t.mayResume() || !t.findOrigin(ctx)) {
 		return
 	}
 	for {
