Let a resumed stream wait for the view to show its version

Callers: a stream that had begun elsewhere at a new version was refused with a Retry-After of 2 s or more by a gateway whose view did not show that version yet, such as one that had just been resumed after a freeze.

Cause: a version without endpoints in the view was taken for one that is gone, although a steward's answer had just named it.

Evidence, before: --- FAIL: TestStreamBegunAtNewVersionWaitsForItsEndpoint/view_is_late {Status:503 Refused:true ... After:2.413090742s Took:0s}

A version that was seen and is gone is refused at once as before.

--- a/gateway/release_test.go
+++ b/gateway/release_test.go
@@ -50,7 +50,13 @@
 	told bool
 
 	mu     sync.Mutex
-	starts map[uint64]stream.Origin
+	starts map[uint64]reportedStart
+}
+
+// reportedStart is where a stream began, and when the stewards were told.
+type reportedStart struct {
+	stream.Origin
+	told time.Duration
 }
 
 const (
@@ -126,10 +132,10 @@
 			reply.Versions = append(reply.Versions, "v2")
 		}
 		r.mu.Lock()
-		origin, known := r.starts[query.GetStream()]
+		start, known := r.starts[query.GetStream()]
 		r.mu.Unlock()
-		if known {
-			reply.Known, reply.Proven, reply.Service, reply.Software = true, false, origin.Service, origin.Software
+		if known && r.now() >= start.told {
+			reply.Known, reply.Proven, reply.Service, reply.Software = true, false, start.Service, start.Software
 		}
 	}
 	return reply, nil
@@ -142,7 +148,7 @@
 		defer r.mu.Unlock()
 		for _, group := range message.GetGroups() {
 			for _, id := range group.GetStreams() {
-				r.starts[id] = stream.Origin{Service: group.GetService(), Software: group.GetSoftware()}
+				r.starts[id] = reportedStart{stream.Origin{Service: group.GetService(), Software: group.GetSoftware()}, r.now()}
 			}
 		}
 	}
@@ -151,24 +157,29 @@
 
 // snapshot is what the leader publishes.
 func (r *release) snapshot() *wirepb.Snapshot {
-	snapshot := &wirepb.Snapshot{Leads: true, Proven: true, HasEndpoints: true, Complete: true, Gateways: 2}
+	snapshot := &wirepb.Snapshot{Leads: true, Proven: true, HasEndpoints: true, Complete: true, Gateways: 2, Software: r.software()}
 	for _, state := range r.endpoints(r.now() >= r.commits) {
 		snapshot.Endpoints = append(snapshot.Endpoints, state.ToWire())
 	}
-	if r.now() >= r.commits {
-		snapshot.Software = committedSnapshot("v1", "v2").GetSoftware()
-	}
 	return snapshot
 }
 
-// publish sends the leader's snapshots to the gateway, and a follower's without endpoints.
+// software is what stewards tell of the committed versions.
+func (r *release) software() *wirepb.SoftwareTable {
+	if r.now() < r.commits {
+		return nil
+	}
+	return committedSnapshot("v1", "v2").GetSoftware()
+}
+
+// publish sends the leader's snapshots to both gateways, and a follower's without endpoints to the one that is out of step.
 func (r *release) publish(ctx context.Context) {
 	const interval, thawDelay = 100 * time.Millisecond, 20 * time.Millisecond
 	var waiting []*wirepb.Snapshot
 	for ; ctx.Err() == nil; time.Sleep(interval) {
 		r.peer.applySnapshot("leader", r.snapshot())
 		if r.reaches("follower") && !r.stopped() {
-			r.applySnapshot("follower", &wirepb.Snapshot{Proven: true, Gateways: 2})
+			r.applySnapshot("follower", &wirepb.Snapshot{Proven: true, Gateways: 2, Software: r.software()})
 		}
 		if !r.reaches("leader") {
 			continue
@@ -197,7 +208,7 @@
 // play starts the gateway and calls a function every takeUpEvery, until 1 s after the gateway is back and the version is committed, with the
 // stream's number in its own goroutine.
 func (r *release) play(t *testing.T, each func(n int)) {
-	r.began, r.starts = time.Now(), map[uint64]stream.Origin{}
+	r.began, r.starts = time.Now(), map[uint64]reportedStart{}
 	r.testGateway = newTestGateway(t, func(context.Context, Call) (*Response, error) {
 		r.awaitThaw()
 		return streamResponse(3, io.EOF), nil
@@ -235,10 +246,14 @@
 	if at >= r.commits && n%2 == 0 {
 		origin.Software = "v2"
 	}
-	if at >= r.commits && r.told {
+	if r.told {
+		const interval = 100 * time.Millisecond // at which earlier starts are reported once several versions are known
 		r.mu.Lock()
-		r.starts[xxhash.Sum64String(id)] = origin
-		r.mu.Unlock()
+		defer r.mu.Unlock()
+		r.starts[xxhash.Sum64String(id)] = reportedStart{origin, max(at, r.commits+interval)}
+		if at >= r.commits {
+			r.starts[xxhash.Sum64String(id)] = reportedStart{origin, at}
+		}
 	}
 	return id, origin
 }
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -31,6 +31,9 @@
 	// uncommittedVersionDelay is how long a gateway without a leader leaves the endpoints of a version alone that its list shows for the first
 	// time: a leader that others hear of reads the list twice a second and commits a change in less than a second.
 	uncommittedVersionDelay = 2 * time.Second
+	// maxViewDelay is how long a stream that began elsewhere at a version which this gateway has not seen waits for an endpoint of it: the
+	// leader publishes changes at once, and all of its view several times a second.
+	maxViewDelay = 300 * time.Millisecond
 	// unknownStreamReason is the reason of refusals of streams whose start is unknown.
 	unknownStreamReason = "it is not known where its stream began"
 	// resumedLoadDelay is the time from the report of a waiting resumed stream to the load order, plus the time until gateways see the model.
@@ -375,6 +378,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.origin, t.service = &origin, origin.Service
+	now := time.Now()
+	if source == originAtSteward && origin.Software != "" && !slices.Contains(t.resumption.versions.Of(origin.Service, now), origin.Software) {
+		t.viewDue = now.Add(maxViewDelay)
+	}
 	return true
 }
 
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -408,3 +408,42 @@
 		})
 	}
 }
+
+// TestStreamBegunAtNewVersionWaitsForItsEndpoint guards against a stream that is refused because the steward's answer names a version which
+// the gateway's view does not show yet.
+func TestStreamBegunAtNewVersionWaitsForItsEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		// seen is set if the gateway has seen the version, shownAfter is when its view shows an endpoint of it.
+		seen       bool
+		shownAfter time.Duration
+		wantTook   time.Duration
+		wantOK     bool
+	}{
+		"view is late":       {false, 100 * time.Millisecond, 100 * time.Millisecond, true},
+		"view does not come": {false, time.Hour, maxViewDelay, false},
+		"endpoints are gone": {true, time.Hour, 0, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				old, added := softwareEndpoint("w1", "v1"), softwareEndpoint("w3", "v2")
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil })
+				if test.seen {
+					b.setEndpoints(old, added)
+				}
+				b.setEndpoints(old)
+				b.SetStewards([]string{"steward"})
+				b.askOrigin = func(context.Context, string, *wirepb.OriginQuery) (*wirepb.OriginReply, error) {
+					return &wirepb.OriginReply{Known: true, Service: "engines", Software: "v2"}, nil
+				}
+				shown := time.AfterFunc(test.shownAfter, func() { b.setEndpoints(old, added) })
+				defer shown.Stop()
+				got := b.takeUp(t.Context(), "r0")
+				// The wait ends with a look at the endpoints, at most retryInterval late.
+				if (got.Status == 200) != test.wantOK || got.Took < test.wantTook || got.Took >= test.wantTook+retryInterval || test.wantOK && b.calls[0].Endpoint != "w3" {
+					t.Errorf("%+v", got)
+				}
+			})
+		})
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -102,6 +102,8 @@
 	streamStarted    bool
 	// origin is where the stream began, nil for one that hasn't; it is guarded by the gateway's mutex.
 	origin *stream.Origin
+	// viewDue is until when an endpoint of the stream's version is expected to appear, if the gateway has seen none.
+	viewDue time.Time
 	// resumedWait is what the transaction waits for as a resumed stream, resumedWaitSince since when. Both are guarded by the gateway's mutex.
 	resumedWait      resumedWait
 	resumedWaitSince time.Time
@@ -422,6 +424,8 @@
 	left := t.nextResponseDue().Sub(now)
 	paused := found.pausedUntil.Sub(now)
 	switch {
+	case t.origin != nil && !found.softwareServes && now.Before(t.viewDue):
+		return "", 0
 	case t.origin != nil && !found.softwareServes:
 		return "no endpoint runs the software version that began its stream", withJitter(versionRetryAfter)
 	case !found.modelHeld && !found.pausedUntil.IsZero() && paused > left && (loadTime == 0 || loadTime > left):
