Give up the endpoints of a steward whose disk stays broken

A steward whose log waits for its disk follows the leader until 64 writes wait; then it cannot verify that it still holds its endpoints and gives no orders, but it went on reporting, so the leader kept them with it for as long as the disk was broken.

It reports no longer once a write has taken 10 s. The leader then assigns its endpoints to others, as those of a silent steward, with the wait for its lease. Shorter outages move nothing.

Evidence: TestStewardWhoseDiskStaysBrokenGivesUpItsEndpoints failed before ('reported to 127.0.0.1:1 with a disk that has taken nothing for 15s').

--- a/steward/hold.go
+++ b/steward/hold.go
@@ -19,6 +19,9 @@
 	holderReportInterval = 100 * time.Millisecond
 	// holderReportTimeout bounds a report to the leader. A lost report needs no retry, as the next one carries the same state.
 	holderReportTimeout = 500 * time.Millisecond
+	// maxDiskOutage is how long the disk may take for a write before this steward no longer reports to the leader, which then gives its
+	// endpoints to others: the log stops following the leader once too many writes wait.
+	maxDiskOutage = 10 * time.Second
 )
 
 // heldEndpoint is an endpoint held by this steward.
@@ -176,13 +179,13 @@
 }
 
 // reportToLeader reports the held endpoints to the leader: those with unreported changes, or all of them if the leader is not the
-// one that was reported to last. It returns the leader's address, or "" if the report failed.
+// one that was reported to last. It returns the leader's address, or "" if there was no report or it failed.
 func (s *Steward) reportToLeader(ctx context.Context, lastLeader string) string {
 	address, self := s.quorumLog.Leader()
 	if self {
 		address = s.config.Address
 	}
-	if address == "" {
+	if address == "" || s.quorumLog.WriteAge() > maxDiskOutage {
 		return ""
 	}
 	report := &wirepb.HolderReport{Steward: s.config.Address}
