Sync what a killed process left before a steward relies on it

The next process read it, relied on it and never synced it; a later loss of power dropped it behind records that were synced, and the directory was called corrupt.

Change: Open syncs the last segment and the directory before it returns.

--- a/storage/filesystem.go
+++ b/storage/filesystem.go
@@ -14,9 +14,10 @@
 	// Lock acquires a lock that is released when the process ends; it fails with ErrLocked.
 	Lock func(name string) (unlock func() error, err error)
 	// Create creates an empty file; it fails if the file exists.
-	Create   func(name string) (File, error)
-	Read     func(name string) ([]byte, error)
-	List     func(dir string) ([]string, error)
+	Create func(name string) (File, error)
+	Read   func(name string) ([]byte, error)
+	List   func(dir string) ([]string, error)
+	// Truncate sets the size of a file and syncs it.
 	Truncate func(name string, size int64) error
 	Rename   func(from, to string) error
 	Remove   func(name string) error
--- a/storage/load.go
+++ b/storage/load.go
@@ -10,7 +10,7 @@
 	"burdocksaddle/wirepb"
 )
 
-// load reads the data directory, truncates a torn tail of the last segment and rejects any other corruption.
+// load reads the data directory, truncates a torn tail of the last segment and rejects any other corruption. What it returns is durable.
 func (s *Storage) load() (State, error) {
 	names, err := s.files.List(s.dir)
 	if err != nil {
@@ -29,7 +29,10 @@
 		return State{}, err
 	}
 	s.hardState = state.Hard
-	return state, s.removeTemporaryFiles(names)
+	if err := s.removeTemporaryFiles(names); err != nil {
+		return State{}, err
+	}
+	return state, s.syncDir()
 }
 
 func (s *Storage) loadIdentity(names []string) (Identity, error) {
@@ -151,11 +154,12 @@
 		}
 		offset += int64(headerBytes + len(payload))
 	}
-	if complete {
+	if !last {
 		return int64(end), 0, nil
 	}
+	// A process that was killed may have left records that it had written but not synced.
 	if err := s.files.Truncate(s.path(name), int64(end)); err != nil {
-		return 0, 0, s.fail("truncating", name, err)
+		return 0, 0, s.fail("syncing", name, err)
 	}
 	return int64(end), int64(len(data) - end), nil
 }
--- a/storage/soak_node_test.go
+++ b/storage/soak_node_test.go
@@ -109,8 +109,13 @@
 	n.process()
 }
 
-// crash ends the process at once; the disk may lose what was not synced.
-func (n *node) crash() {
+// crash ends the process at once; the disk loses power and may lose what was not synced.
+func (n *node) crash() { n.end(n.disk.crash) }
+
+// kill ends the process at once; its files stay as they are.
+func (n *node) kill() { n.end(n.disk.clearFaults) }
+
+func (n *node) end(afterwards func()) {
 	if !n.up {
 		return
 	}
@@ -123,7 +128,7 @@
 		n.sim.counts["crashes during writes"]++
 	}
 	n.store.Close()
-	n.disk.crash()
+	afterwards()
 	for _, c := range n.writes {
 		c.unknown()
 	}
--- a/storage/soak_test.go
+++ b/storage/soak_test.go
@@ -92,8 +92,13 @@
 	}
 	switch s.random.IntN(9) {
 	case 0, 1:
-		s.counts["crashes"]++
-		n.crash()
+		if s.chance(400) {
+			s.counts["kills"]++
+			n.kill()
+		} else {
+			s.counts["crashes"]++
+			n.crash()
+		}
 		s.after(s.between(50, 4000), n.start)
 	case 2:
 		if n.up {
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -332,6 +332,42 @@
 	}
 }
 
+// TestRecordsOfKilledProcessOutliveLaterPowerLoss kills a process at each operation, which keeps its files as they are, starts the
+// next one, and loses power.
+func TestRecordsOfKilledProcessOutliveLaterPowerLoss(t *testing.T) {
+	for seed := range uint64(20) {
+		for failIn := range 40 {
+			testRecordsOfKilledProcess(t, seed, failIn)
+		}
+	}
+}
+
+func testRecordsOfKilledProcess(t *testing.T, seed uint64, failIn int) {
+	d := newFaultDisk(seed)
+	s := create(t, d)
+	d.failIn = failIn
+	for i := uint64(1); s.Append(newBatch(1, newEntry(1, i, "data"))) == nil; i++ {
+		if i%3 == 0 && s.SaveSnapshot(consensus.Snapshot{Index: i, Term: 1}) != nil {
+			break
+		}
+	}
+	s.Close()
+	d.clearFaults()
+	s, relied := reopen(t, d)
+	last := relied.Snapshot.Index + uint64(len(relied.Entries))
+	acknowledged := last
+	if seed%2 == 0 {
+		acknowledged++
+		must(t, s.Append(newBatch(1, newEntry(1, acknowledged, "next"))))
+	}
+	s.Close()
+	d.crash()
+	_, state := reopen(t, d)
+	if got := state.Snapshot.Index + uint64(len(state.Entries)); got != acknowledged || state.Hard.Term < relied.Hard.Term {
+		t.Errorf("seed %d, killed at operation %d: %d entries left, the process after it had read %d and appended %d", seed, failIn, got, last, acknowledged-last)
+	}
+}
+
 // TestCrashDuringSnapshotInstall crashes after a leader's snapshot was written but before the record after it, with the
 // old log shorter and longer than the snapshot. The old log must be discarded, and later appends must be readable.
 func TestCrashDuringSnapshotInstall(t *testing.T) {
