Keep names that are not UTF-8 out of messages to stewards

A request for an adapter whose attempt ID was not UTF-8 was refused.

Cause: headers may carry any byte from 0x80 on, but protobuf refuses to encode strings that are not UTF-8.

The headers are forwarded as they came, and responses are still compared with the ID as it came.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -212,7 +213,8 @@
 // loadAdapter asks the endpoint's holder to load an adapter and waits until it should be available.
 func (g *Gateway) loadAdapter(ctx context.Context, target endpoint.State, q *Request) bool {
 	frame := &wirepb.Frame{Body: &wirepb.Frame_AdapterCall{AdapterCall: &wirepb.AdapterCall{
-		Endpoint: target.ID, Address: target.Address, Service: target.Service, Model: q.Model, Adapter: q.Adapter, Request: q.ID,
+		Endpoint: target.ID, Address: target.Address, Service: target.Service, Model: q.Model, Adapter: q.Adapter,
+		Request: strings.ToValidUTF8(q.ID, "\uFFFD"),
 	}}}
 	g.count(metricAdapters)
 	reply, err := g.pool.Call(ctx, target.Holder, frame, adapterCallTimeout)
