Send requests that were refused again over new connections

Callers: a request that must be executed once at most, was refused and was then sent to the same endpoint again could be answered 503, or go to a second endpoint, although the endpoint executed it, if that wrote the refusal once more on another kept connection.

Cause: a connection carries an ID only once, since a copy of the refusal has the ID of the second attempt as well. But the second attempt could use an idle connection that had carried other requests only.

Change: such an attempt gets a new connection, on which no earlier response can be in flight. Requests that may be repeated still use idle ones. What it costs in connections was not measured; attempts after a refusal are limited by the retry budget.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,8 +29,10 @@
 	stream := t.route.Kind == route.KindStream
 	idleTimer := t.watchdog(cancel, t.firstResponseTimeout(), c.endpoint.Name)
 	defer idleTimer.Stop()
+	again := !t.route.Repeatable() && slices.Contains(t.sentTo, c.state.Address)
+	t.sentTo = append(t.sentTo, c.state.Address)
 	response, err := t.send(attemptCtx, Call{
-		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Remaining: time.Until(t.deadline),
+		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Again: again, Remaining: time.Until(t.deadline),
 		LastEvent: t.lastEvent, Stream: stream, Urgency: t.urgency(), Team: t.team.Name, HasTeams: t.table.Teams != nil,
 	})
 	if err != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -53,6 +53,8 @@
 	// Endpoint and Address identify the endpoint that is to execute the request.
 	Endpoint string
 	Address  string
+	// Again is set if the endpoint was sent the request before and a copy of that response must not be taken for this one.
+	Again bool
 	// Remaining is the time left for the complete response.
 	Remaining time.Duration
 	LastEvent string
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -98,8 +98,10 @@
 	retryTokenTaken  bool
 	stalledEndpoints []string
 	avoid            []string
-	lastEvent        string
-	streamStarted    bool
+	// sentTo are the addresses of the endpoints that were sent the request.
+	sentTo        []string
+	lastEvent     string
+	streamStarted bool
 	// origin is where the stream began, nil for one that hasn't; it is guarded by the gateway's mutex.
 	origin *stream.Origin
 	// viewDue is until when an endpoint of the stream's version is expected to appear, if the gateway has seen none.
