--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -364,3 +366,34 @@
 		}
 	})
 }
+
+// TestRefusalOfAnotherOrderKeepsLimit answers orders that are carried out with refusals of earlier ones: the holder must neither exceed the
+// endpoint's limit nor stop loading.
+func TestRefusalOfAnotherOrderKeepsLimit(t *testing.T) {
+	refusals := []scaling.Outcome{scaling.OutcomeConflict, scaling.OutcomeFenced, scaling.OutcomeRefused}
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			e, faulty := newEngine(t, endpoint.Model{Name: "m1", Adapters: []string{"a1"}}), true
+			h := newHolder(t, e, WithSendOrder(func(ctx context.Context, s endpoint.State, o scaling.Order, fence uint64) (scaling.Outcome, error) {
+				outcome, err := e.handleOrder(ctx, s, o, fence)
+				if faulty && random.IntN(3) == 0 {
+					return refusals[random.IntN(len(refusals))], err
+				}
+				return outcome, err
+			}))
+			defer startHolder(t, h)()
+			for range 60 {
+				loadAdapter(h, "a"+strconv.Itoa(random.IntN(9)))
+				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+			}
+			faulty = false
+			time.Sleep(2 * time.Second)
+			loadAdapter(h, "last")
+			time.Sleep(2 * time.Second)
+			if held := e.adapters(); !slices.Contains(held, "last") {
+				t.Errorf("seed %d: %v loaded", seed, held)
+			}
+		})
+	}
+}
