Accept calls again after failed accepts

A process that ran out of file descriptors for a moment took no new connections from its peers any more. The first failed accept ended the accept loop, which then waited for its open sessions before it reported its end: their clients kept them open, the listener stayed open and unread, and neither the process nor its supervisor noticed. All roles are concerned: stewards, control members, agents.

Failed accepts are now repeated with a growing pause. If none succeeds for 10 s, or the listener is closed, the server closes its sessions and reports the error, which ends the process.

--- a/wire/server.go
+++ b/wire/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -15,6 +16,10 @@
 	firstFrameTimeout = 5 * time.Second
 	replyTimeout      = 5 * time.Second
 	maxSessions       = 4096
+	// minAcceptDelay and maxAcceptDelay bound the pause after a failed accept. Accepts that fail for acceptPatience end the server.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
+	acceptPatience = 10 * time.Second
 )
 
 // Handlers holds the handler of each type of call; calls with a nil handler are closed without a reply.
@@ -42,7 +47,8 @@
 	Quota        func(context.Context, *wirepb.QuotaRequest) *wirepb.Frame
 }
 
-// Serve accepts sessions until the context ends. The returned channel receives one value: the error that stopped it, or nil.
+// Serve accepts sessions until the context ends. The returned channel receives one value once all sessions have ended: the error that
+// stopped it, or nil. Accepts that fail for a while, as without a free file descriptor, don't stop it.
 func Serve(ctx context.Context, listener net.Listener, handlers Handlers) <-chan error {
 	ended := make(chan error, 1)
 	go func() { ended <- serve(ctx, listener, handlers) }()
@@ -50,19 +56,35 @@
 }
 
 func serve(ctx context.Context, listener net.Listener, handlers Handlers) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = listener.Close()
+	})
 	var sessions sync.WaitGroup
-	defer sessions.Wait()
+	defer func() {
+		cancel()
+		<-closed
+		sessions.Wait()
+	}()
 	slots := make(chan struct{}, maxSessions)
+	var failure acceptFailure
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return nil
 		}
 		if err != nil {
-			return err
+			if !failure.wait(ctx, err) {
+				return err
+			}
+			continue
 		}
+		failure = acceptFailure{}
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -76,6 +98,28 @@
 	}
 }
 
+// acceptFailure is a series of failed accepts.
+type acceptFailure struct {
+	began time.Time
+	delay time.Duration
+}
+
+// wait pauses after a failed accept and reports whether the next one may succeed.
+func (f *acceptFailure) wait(ctx context.Context, err error) bool {
+	if f.began.IsZero() {
+		*f = acceptFailure{began: time.Now(), delay: minAcceptDelay}
+	}
+	if errors.Is(err, net.ErrClosed) || time.Since(f.began) >= acceptPatience {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.delay):
+	}
+	f.delay = min(2*f.delay, maxAcceptDelay)
+	return true
+}
+
 func serveSession(ctx context.Context, conn net.Conn, handlers Handlers) {
 	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
