Wait for the end of a steward's former stream before a new one

The end of the first then counted as the loss of the steward: the gateway dropped the steward's endpoint states while the second stream went on. If the connection had broken in between, the second stream stayed open, and the steward sends complete states only at its start: the gateway ignored all later changes and used the platform's list for as long as that stream and leader lasted.

A new stream now begins once the former one has ended. Before, of the streams and losses that a subscriber sees:

stream 1, + stream 2, lost, stream 2

uplink three times and gateway once pass with the race detector.

--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -39,7 +39,8 @@
 	// configured are the stewards' addresses in the settings, discovered those in the last snapshot of a steward with a proven
 	// quorum.
 	configured, discovered []string
-	links                  map[string]*link
+	// links are the streams that are open or have not ended yet, by address.
+	links map[string]*link
 }
 
 // link is the stream to one steward.
@@ -166,12 +167,16 @@
 		linkCtx, cancel := context.WithCancel(ctx)
 		l := &link{address: address, cancel: cancel, frames: make(chan queuedFrame, sendQueueLength)}
 		u.links[address] = l
-		streams.Go(func() { u.maintain(linkCtx, l) })
+		streams.Go(func() {
+			u.maintain(linkCtx, l)
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			delete(u.links, address)
+		})
 	}
 	for address, l := range u.links {
 		if !slices.Contains(wanted, address) {
 			l.cancel()
-			delete(u.links, address)
 		}
 	}
 }
