--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -29,7 +30,7 @@
 	ended   <-chan error
 }
 
-func startNode(t *testing.T, callTime, balancer time.Duration) *testNode {
+func startNode(t *testing.T, callTime, balancer time.Duration, changes ...func(*setting.Settings)) *testNode {
 	t.Helper()
 	n := &testNode{service: standin.NewService(t.Context(), standin.CallTime(callTime))}
 	server := httptest.NewServer(n.service)
@@ -41,6 +42,9 @@
 	s.Advertise, s.Controls, s.Control.Bootstrap = s.Listen, []string{s.Listen}, []string{"all=" + s.Listen}
 	s.Entry.BalancerMS = balancer.Milliseconds()
 	s.Agent.Endpoint, s.Agent.Service, s.Agent.EndpointURL, s.Agent.Kind = "desk-1", "desk", server.URL, string(setting.KindPlain)
+	for _, change := range changes {
+		change(&s)
+	}
 	first := catalog.Catalog{
 		Services: []catalog.Service{{Name: "desk", Kind: catalog.KindPlain}},
 		Presets:  []catalog.Preset{{Name: "Ordinary", IdleWeight: 1}}, Preset: "Ordinary",
@@ -148,6 +152,30 @@
 	}
 }
 
+// TestEndOfPartEndsProcess guards against a process that goes on without one of its parts, so that nothing starts it again: its peers can't
+// call it any more.
+func TestEndOfPartEndsProcess(t *testing.T) {
+	var peers net.Listener
+	s := startNode(t, 0, 0, func(s *setting.Settings) {
+		listener, _ := reserved.Load(s.Listen)
+		peers = listener.(net.Listener)
+	})
+	if status, refusal := s.book("before"); status != http.StatusOK {
+		t.Errorf("a booking got %d, %s", status, refusal)
+	}
+	if err := peers.Close(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-s.ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("the process ended with %v", err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the process did not end")
+	}
+}
+
 // TestSecondSignalAbortsStop checks that a graceful shutdown waits for a request that never ends, until the abort context ends.
 func TestSecondSignalAbortsStop(t *testing.T) {
 	s := startNode(t, 0, 0)
