Count log lines that the output failed to take as dropped

While the output of a process took no lines, as with a full disk, they were lost without a trace: neither the metric nor a later line told so, and the error only came up at the end of the process. They now count as dropped, and a line says so once the output takes lines again.

TestLinesOfFailedWritesAreReported failed before:

0 lines counted as dropped, output [""], want 30 and a line that tells it

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -61,7 +61,7 @@
 	return logr.FromSlogHandler(&handler{writer: w, level: slog.Level(-verbosity)})
 }
 
-// Dropped returns the number of lines dropped so far.
+// Dropped returns the number of lines dropped so far, with those that the output failed to take.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
 // Written returns the number of lines taken from the queue for the output so far.
@@ -81,19 +81,27 @@
 	defer report.Stop()
 	var batch bytes.Buffer
 	var firstErr error
-	reported := uint64(0)
+	// reported is how many dropped lines the lines in the batch report, delivered how many those that were written did.
+	reported, delivered, batched := uint64(0), uint64(0), uint64(0)
 	flushBatch := func() {
-		if batch.Len() > 0 {
-			if _, err := w.out.Write(batch.Bytes()); err != nil && firstErr == nil {
+		if batch.Len() == 0 {
+			return
+		}
+		if _, err := w.out.Write(batch.Bytes()); err != nil {
+			if firstErr == nil {
 				firstErr = err // returned when Run ends, since the only log output is the one that failed
 			}
-			batch.Reset()
+			w.dropped.Add(batched)
+			reported = delivered
 		}
+		delivered, batched = reported, 0
+		batch.Reset()
 	}
 	for {
 		select {
 		case line := <-w.queue:
 			batch.Write(line)
+			batched++
 			w.written.Add(1)
 			if batch.Len() >= maxBatchBytes {
 				flushBatch()
@@ -110,6 +118,7 @@
 		case <-ctx.Done():
 			for len(w.queue) > 0 {
 				batch.Write(<-w.queue)
+				batched++
 			}
 			flushBatch()
 			return firstErr
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,6 +121,42 @@
 	})
 }
 
+// failingOutput fails to take lines until it is healed.
+type failingOutput struct {
+	output
+	healed atomic.Bool
+}
+
+func (o *failingOutput) Write(data []byte) (int, error) {
+	if !o.healed.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return o.output.Write(data)
+}
+
+// TestLinesOfFailedWritesAreReported guards against lines that are lost without a trace because the output failed for a while.
+func TestLinesOfFailedWritesAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &failingOutput{}
+		w := New(out)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := w.Run(ctx)
+		for range 30 {
+			w.Logger(0).Info("request ended")
+			time.Sleep(100 * time.Millisecond)
+		}
+		out.healed.Store(true)
+		time.Sleep(2 * time.Second)
+		if w.Dropped() != 30 || !strings.Contains(strings.Join(out.lines(), "\n"), "total=30") {
+			t.Errorf("%d lines counted as dropped, output %q, want 30 and a line that tells it", w.Dropped(), out.lines())
+		}
+		cancel()
+		if err := <-ended; !errors.Is(err, syscall.ENOSPC) {
+			t.Error(err)
+		}
+	})
+}
+
 // BenchmarkLine measures the cost of a log call for an enabled and for a disabled level.
 func BenchmarkLine(b *testing.B) {
 	for name, log := range map[string]logr.Logger{"on": New(io.Discard).Logger(0), "off": New(io.Discard).Logger(-1)} {
