End a command although nobody reads its log

A process whose part has ended, as a steward whose disk failed, waited for its last log lines without a limit. If nobody read its output, it stayed, did nothing, and was not started again. It now waits for 1 s. A blocked standard error, to which the program then prints why it ended, still holds it up.

TestWithLogEndsWithBlockedOutput failed before:

it has not ended after 10 s

--- a/cmd/log_test.go
+++ b/cmd/log_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
@@ -43,3 +45,35 @@
 		t.Errorf("%v, %d bytes", err, out.Len())
 	}
 }
+
+// blockedOutput takes no lines.
+type blockedOutput struct{ unblocked chan struct{} }
+
+func (o blockedOutput) Write(data []byte) (int, error) {
+	<-o.unblocked
+	return len(data), nil
+}
+
+// TestWithLogEndsWithBlockedOutput guards against a process whose part has ended but that stays, since nobody reads its log.
+func TestWithLogEndsWithBlockedOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := blockedOutput{make(chan struct{})}
+		failed, ended := errors.New("failed"), make(chan error, 1)
+		go func() {
+			ended <- withLog(t.Context(), out, 0, func(_ *logging.Writer, log logr.Logger) error {
+				log.Info("one")
+				time.Sleep(time.Second)
+				return failed
+			})
+		}()
+		select {
+		case err := <-ended:
+			if !errors.Is(err, failed) {
+				t.Errorf("it ended with %v", err)
+			}
+		case <-time.After(10 * time.Second):
+			t.Error("it has not ended after 10 s")
+		}
+		close(out.unblocked)
+	})
+}
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
@@ -57,16 +58,30 @@
 	return abort, cancel
 }
 
-// withLog calls run with a logger that writes to out, and returns once all lines are written.
+// logFlushTimeout limits how long a command waits at its end for its last log lines to be written.
+const logFlushTimeout = time.Second
+
+// withLog calls run with a logger that writes to out, and returns once all lines are written or out has blocked for logFlushTimeout.
 func withLog(ctx context.Context, out io.Writer, verbosity int, run func(*logging.Writer, logr.Logger) error) error {
 	writer := logging.New(out)
 	writeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	written := writer.Run(writeCtx)
 	err := run(writer, writer.Logger(verbosity))
 	stop()
-	return errors.Join(err, <-written)
+	select {
+	case writeErr := <-written:
+		return errors.Join(err, writeErr)
+	case <-time.After(logFlushTimeout):
+		return errors.Join(err, ErrLogBlocked{})
+	}
 }
 
+// ErrLogBlocked is returned if the last log lines could not be written in time.
+type ErrLogBlocked struct{}
+
+// Error implements error.
+func (ErrLogBlocked) Error() string { return "the log output is blocked; the last lines are lost" }
+
 func printf(c *cli.Command, format string, values ...any) {
 	_, _ = fmt.Fprintf(c.Root().Writer, format, values...)
 }
