Pass the demand of models to the planner in an order

The leader summed the entries' demands in the order in which a map was read, and the policy decides in that order about models of the same rank and learns of their idle gaps in it, with a history that weighs later gaps more. By the code the same reports can lead to other decisions; the test shows the order of the demands only.

TestDemandsHaveAnOrder failed before at the first repeat, 2 of 2 runs (m4, m0, m3, ... and m0, m3, ...). control passes with the race detector.

--- a/control/demand.go
+++ b/control/demand.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"burdocksaddle/placement"
@@ -56,7 +58,7 @@
 }
 
 // demandByModel sums the demand of all entries by model, so that a burst spread over many entries is planned
-// as a whole.
+// as a whole. The models are sorted by name.
 func (p *planner) demandByModel(now time.Time) []placement.Demand {
 	indexByModel := map[string]int{}
 	var totals []placement.Demand
@@ -81,6 +83,7 @@
 			}
 		}
 	}
+	slices.SortFunc(totals, func(a, b placement.Demand) int { return cmp.Compare(a.Model, b.Model) })
 	return totals
 }
 
