Read the cache events of an engine that was started again

An engine counts its cache events from 1 in each run. After a restart of the engine alone, its agent went on asking for events after the last number of the former run, and entries ignored lower numbers, so that routing learned nothing of the new cache until the engine had counted beyond the old one. After the engine failed to answer, the agent now reads all events; if they end before the last one known, it adds that to the numbers of the new run, so that entries see rising ones.

A restart between two polls that shows no error is still missed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,6 +50,8 @@
 	cacheEvents         []*wirepb.CacheEvent
 	dispatchedSincePoll bool
 	idlePolls           int
+	// engineInterrupted is set once the engine has failed to answer, until its cache events have been read completely.
+	engineInterrupted bool
 	// State last reported by the engine and the platform.
 	adapters          adapterState
 	cachedCheckpoints []*wirepb.CachedCheckpoint
--- a/agent/engine_http.go
+++ b/agent/engine_http.go
@@ -23,7 +23,13 @@
 }
 
 func (a *Agent) getEngine(ctx context.Context, path string, result any) error {
-	return a.doJSON(ctx, http.MethodGet, a.settings.Agent.EndpointURL+path, nil, result)
+	err := a.doJSON(ctx, http.MethodGet, a.settings.Agent.EndpointURL+path, nil, result)
+	if err != nil {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.engineInterrupted = true
+	}
+	return err
 }
 
 // doJSON sends a request with a timeout and decodes the JSON response into result, unless that is nil. It returns
--- a/agent/events.go
+++ b/agent/events.go
@@ -22,12 +22,13 @@
 	go func() {
 		tick := time.NewTicker(eventPollInterval)
 		defer tick.Stop()
-		for last := uint64(0); ctx.Err() == nil; {
+		var position eventPosition
+		for ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
 			case <-tick.C:
 				if a.servesModels() && a.shouldPollEvents() {
-					last = a.fetchCacheEvents(ctx, last)
+					position = a.fetchCacheEvents(ctx, position)
 				}
 			}
 		}
@@ -51,22 +52,42 @@
 // maxIdlePolls is the number of further polls after the engine became idle, since cache events arrive with a delay.
 const maxIdlePolls = 20
 
-func (a *Agent) fetchCacheEvents(ctx context.Context, last uint64) uint64 {
+// eventPosition is how far an engine's cache events were read. An engine that is started again counts from 1 again; base is added to its
+// sequence numbers, so that the agent's rise all the time.
+type eventPosition struct{ last, base uint64 }
+
+// fetchCacheEvents reads the events after a position and returns the next one. After the engine failed to answer, it reads all of them, since
+// the engine may have been started again.
+func (a *Agent) fetchCacheEvents(ctx context.Context, position eventPosition) eventPosition {
+	a.mu.Lock()
+	after, interrupted := position.last, a.engineInterrupted
+	a.mu.Unlock()
+	if interrupted {
+		after = 0
+	}
 	var events []engineapi.CacheEvent
-	if err := a.getEngine(ctx, engineapi.PathEvents+"?after="+strconv.FormatUint(last, 10), &events); err != nil {
-		return last
+	if err := a.getEngine(ctx, engineapi.PathEvents+"?after="+strconv.FormatUint(after, 10), &events); err != nil {
+		return position
 	}
 	if len(events) == 0 {
-		return last
+		return position
+	}
+	newest := events[len(events)-1].Sequence
+	if newest < position.last {
+		position.last, position.base = 0, position.base+position.last
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.engineInterrupted = false
 	for _, event := range events {
-		a.cacheEvents = append(a.cacheEvents, &wirepb.CacheEvent{
-			Sequence: event.Sequence, Model: event.Model, Prefix: event.Prefix, Dropped: event.Dropped,
-		})
+		if event.Sequence > position.last {
+			a.cacheEvents = append(a.cacheEvents, &wirepb.CacheEvent{
+				Sequence: position.base + event.Sequence, Model: event.Model, Prefix: event.Prefix, Dropped: event.Dropped,
+			})
+		}
 	}
 	// Copy the slice, since replies being sent still reference the old one.
 	a.cacheEvents = append([]*wirepb.CacheEvent(nil), a.cacheEvents[max(0, len(a.cacheEvents)-maxCacheEvents):]...)
-	return events[len(events)-1].Sequence
+	position.last = newest
+	return position
 }
