Learn the speed of the store in the order of the loads

Where several loads ended between two rounds of the planner, their times were recorded in the order in which a map was read. Both the speed and the number of concurrent loads that the leader takes the store to bear depend on that order: after six loads of 2 to 12 s the expected time of a load of 1000 MB was 1629, 2158 or 3318 s, with one or two slots. They are now recorded in the order of the decisions.

TestLoadTimesAreRecordedInOrder failed before at the first repeat, 3 of 3 runs:

It passes now, as do control and placement with the race detector.

--- a/control/plan.go
+++ b/control/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -154,7 +156,7 @@
 			concurrentLoads++
 		}
 	}
-	for id := range p.pendingLoads {
+	for _, id := range slices.Sorted(maps.Keys(p.pendingLoads)) {
 		replica, ok := machine.fleet.Replica(id)
 		if !ok || replica.State != fleet.Loaded || replica.Attempts > 0 {
 			continue
