Let a leader commit changes again after one was late

A change of the holders, of the quarantine or of the software versions that took longer than 900 ms could be the last one that a steward ever committed: the result of a commit that timed out was passed on under the context that had just ended, so that it was dropped about every other time, and the mark of a commit in progress stayed, also in later terms. Without assignments, endpoints of a lost steward keep it as their holder and get no orders.

--- a/steward/assign.go
+++ b/steward/assign.go
@@ -53,9 +53,9 @@
 	}
 	l.assigning = true
 	l.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+		commitCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		defer cancel()
-		err := l.propose(ctx, &wirepb.StewardChange{Holders: next.ChangeFrom(current)})
+		err := l.propose(commitCtx, &wirepb.StewardChange{Holders: next.ChangeFrom(current)})
 		l.postResult(ctx, func() {
 			l.assigning = false
 			if err != nil {
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -83,9 +83,9 @@
 	}
 	l.quarantining = true
 	l.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+		commitCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		defer cancel()
-		err := l.propose(ctx, &wirepb.StewardChange{Quarantine: next.ToWire()})
+		err := l.propose(commitCtx, &wirepb.StewardChange{Quarantine: next.ToWire()})
 		l.postResult(ctx, func() {
 			l.quarantining = false
 			if err != nil {
--- a/steward/software.go
+++ b/steward/software.go
@@ -24,9 +24,9 @@
 	}
 	l.committingSoftware = true
 	l.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+		commitCtx, cancel := context.WithTimeout(ctx, changeTimeout)
 		defer cancel()
-		err := l.propose(ctx, &wirepb.StewardChange{Software: next.ToWire()})
+		err := l.propose(commitCtx, &wirepb.StewardChange{Software: next.ToWire()})
 		l.postResult(ctx, func() {
 			l.committingSoftware = false
 			if err != nil {
