Stop a member whose data directory is gone

A log that waits for its disk waited for ever when the data directory had been removed or its disk exchanged under the process: a part that is out for good while the process goes on. Found by a node whose directory was removed: it used to end, and with the waiting log it did not within 20 s.

Recover fails with ErrCorrupt if the member's identity is missing, which ends the member and with it the process. The next process starts as a new member, as after the loss of a disk.

Evidence: TestMemberWhoseDirectoryIsGoneStops failed before ('stopped with <nil>, want ErrCorrupt').

--- a/quorum/full_disk_test.go
+++ b/quorum/full_disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -202,3 +203,39 @@
 		stalled[p].Store(false)
 	}
 }
+
+func TestMemberWhoseDirectoryIsGoneStops(t *testing.T) {
+	runInBubble(t, testMemberWhoseDirectoryIsGoneStops)
+}
+
+func testMemberWhoseDirectoryIsGoneStops(t *testing.T) {
+	var full atomic.Bool
+	config := testConfigs(t, 1, 0)[0]
+	l, err := quorum.Open(config, quorum.WithTick(testTick), quorum.WithFileSystem(fillableDisk(&full)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	ended := l.Run(ctx)
+	eventually(t, "leadership", func() bool { _, self := l.Leader(); return self })
+	if err := os.RemoveAll(config.DataDir); err != nil {
+		t.Fatal(err)
+	}
+	full.Store(true)
+	_, _ = l.Propose(ctx, []byte("a")) // its outcome is unknown
+	if err := <-ended; !storage.IsErrCorrupt(err) {
+		t.Errorf("stopped with %v, want ErrCorrupt", err)
+	}
+	full.Store(false)
+	again, err := quorum.Open(config, quorum.WithTick(testTick))
+	if err != nil {
+		t.Fatalf("start without a directory: %v", err)
+	}
+	ctx, cancel = context.WithCancel(t.Context())
+	ended = again.Run(ctx)
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/quorum/write.go
+++ b/quorum/write.go
@@ -90,7 +90,8 @@
 	return group
 }
 
-// writeUntilDurable repeats a write for as long as the disk refuses it; it fails with the last error if the context ends before.
+// writeUntilDurable repeats a write for as long as the disk refuses it; it fails with the last error if the context ends before, or if
+// the data directory is gone.
 func (l *Log) writeUntilDurable(ctx context.Context, part []write) error {
 	err := l.write(part)
 	if err == nil {
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // Recover makes a storage that has failed usable again: it discards what the failed operation wrote and starts a new segment, so that the
-// operation can be repeated. It fails with ErrFailed and can be called again then.
+// operation can be repeated. It fails with ErrFailed and can be called again then, or with ErrCorrupt if the data directory is gone.
 func (s *Storage) Recover() error {
 	if s.failure == nil || s.closed {
 		return s.failure
@@ -26,6 +26,10 @@
 	if err != nil {
 		return s.fail("listing", s.dir, err)
 	}
+	if !slices.Contains(names, identityName) {
+		s.failure = ErrCorrupt{File: s.path(identityName), Reason: "file is missing"}
+		return s.failure
+	}
 	if err := s.removeTemporaryFiles(names); err != nil {
 		return err
 	}
