Make no membership change that the live members cannot commit

Callers would lose the configuration for as long as one machine is away: a change of the voters is in effect at once, so one that needs a voter that is gone, or whose disk is full, can neither be committed nor followed by another.

Change: a leader proposes a change only if the members that are live now, heard of within 5 ticks and not stalled, are a quorum of the voters after it.

--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -4,11 +4,15 @@
 // Otherwise two live members with the same name would keep replacing each other.
 const replacementSilenceTicks = 20
 
+// liveSilenceTicks is how long a member may be silent and still count as live, which is two heartbeats and a half.
+const liveSilenceTicks = 5
+
 // NextRepair returns the next membership change that a leader should make, or false if there is none. A learner that
 // rejoined with a new ID under the name of a voter replaces that voter. A standby learner, or a former voter that
 // rejoined as a learner, replaces a voter that has been silent, or has acknowledged none of the entries that it lacks, for
 // replaceAfter ticks; 0 disables this. That voter is removed first, once a learner that has caught up is available: promoting the
-// learner first would require more live voters than before, and a second failure would lose the quorum.
+// learner first would require more live voters than before, and a second failure would lose the quorum. A change that the live members
+// cannot commit is not made: it is in effect at once, and no other could follow it.
 func NextRepair(s Status, replaceAfter uint64) (Change, bool) {
 	if s.Role != RoleLeader || !s.ConfigurationCommitted {
 		return Change{}, false
@@ -16,10 +20,31 @@
 	voters, target := len(s.Configuration.Voters()), int(s.Configuration.Target)
 	learner, promotable := promotableLearner(s)
 	if voters < target {
-		return Change{Kind: ChangePromote, Member: learner.Member}, promotable
+		change := Change{Kind: ChangePromote, Member: learner.Member}
+		return change, promotable && s.canCommit(change)
 	}
 	lost, ok := longestLostVoter(s, replaceAfter)
-	return Change{Kind: ChangeRemove, Member: lost.Member}, ok && (promotable || voters > target)
+	change := Change{Kind: ChangeRemove, Member: lost.Member}
+	return change, ok && (promotable || voters > target) && s.canCommit(change)
+}
+
+// canCommit reports whether the live members are a quorum of the voters after a change.
+func (s Status) canCommit(change Change) bool {
+	voters, live := 0, 0
+	for _, p := range s.Peers {
+		votes := p.Voter
+		if p.ID == change.Member.ID {
+			votes = change.Kind == ChangePromote
+		}
+		if !votes {
+			continue
+		}
+		voters++
+		if p.ID == s.ID || p.lostTicks() <= liveSilenceTicks {
+			live++
+		}
+	}
+	return 2*live > voters
 }
 
 // promotableLearner returns a learner that has caught up, preferably one that is not a standby.
--- a/consensus/repair_test.go
+++ b/consensus/repair_test.go
@@ -37,6 +37,9 @@
 		"former voter replaces another":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), learner(4, "d", false, true)}, remove, 3},
 		"stalled voter is removed":          {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), stalled(3, "c", 100), learner(4, "d", true, true)}, remove, 3},
 		"voter stalled for too short":       {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), stalled(3, "c", 99), learner(4, "d", true, true)}, 0, 0},
+		"no removal without a quorum left":  {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 6), voter(3, "c", 100), learner(4, "d", true, true)}, 0, 0},
+		"no removal while others stall":     {[]consensus.PeerStatus{voter(1, "a", 0), stalled(2, "b", 6), voter(3, "c", 100), learner(4, "d", true, true)}, 0, 0},
+		"promotion restores the quorum":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 100), learner(4, "d", true, true)}, promote, 4},
 		"two live members of one name":      {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(5, "c", false, true)}, 0, 0},
 	}
 	for name, test := range tests {
