Write a commit index only with the entries that it covers

Found by the review of this work. A storage that recovered from a refused write started its new segment with the hard state of the refused batch, whose commit index may cover entries that this batch replaces. A process that ended before the batch was repeated would have applied the replaced entries after its restart, which were never committed: an older configuration could have come back.

Change: the hard state is taken over once its record is on disk. Also found by the review: if a disk takes small writes and refuses large ones, each attempt left a segment with nothing but the hard state; such a segment is removed now while an earlier one holds the same.

Evidence: TestRecoveredStorageCommitsNothingThatTheRefusedBatchReplaces failed before ('entry 2 of term 1 is committed after a restart with {Term:2 Vote:0 Commit:3}'), TestNearlyFullDiskIsNotFilledWithSegments too ('100 refused attempts left 100 more files').

--- a/storage/append.go
+++ b/storage/append.go
@@ -44,19 +44,21 @@
 		s.lastIndex = install.Index
 	}
 	var entries []consensus.Entry
+	hard := s.hardState
 	for _, batch := range group {
 		if batch.Hard != nil {
-			s.hardState = *batch.Hard
+			hard = *batch.Hard
 		}
 		entries = replaceTail(entries, batch.Entries)
 	}
-	record.Hard, record.Entries = hardStateToWire(s.hardState), consensus.EntriesToWire(entries)
+	record.Hard, record.Entries = hardStateToWire(hard), consensus.EntriesToWire(entries)
 	if len(entries) > 0 {
 		s.lastIndex = entries[len(entries)-1].Index
 	}
 	if err := s.writeRecord(record); err != nil {
 		return err
 	}
+	s.hardState = hard // never on disk before the entries that its commit index covers
 	if group[0].Install != nil {
 		return s.removeCoveredBySnapshot()
 	}
@@ -88,6 +90,7 @@
 	}
 	s.syncCount++
 	s.activeSize += int64(len(data))
+	s.redundant = false
 	return nil
 }
 
@@ -112,6 +115,7 @@
 	if err := s.writeRecord(&wirepb.LogRecord{Hard: hardStateToWire(s.hardState), RestartAfter: s.restartAfter}); err != nil {
 		return err
 	}
+	s.redundant = s.restartAfter == 0
 	s.restartAfter = 0
 	return s.syncDir()
 }
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -15,7 +15,8 @@
 	return s.startSegment()
 }
 
-// discardUnsynced truncates the active segment to its synced records, or removes it if there are none. A record whose sync has failed must
+// discardUnsynced truncates the active segment to its synced records, or removes it if they are not needed, so that repeated failures don't
+// leave a file each. A record whose sync has failed must
 // not be read again: the operating system may have dropped it although it still returns it.
 func (s *Storage) discardUnsynced() error {
 	if s.activeFile.Close != nil {
@@ -36,8 +37,8 @@
 	if s.activeName == "" {
 		return nil
 	}
-	created := slices.Contains(names, s.activeName)
-	if created && s.activeSize == 0 {
+	remove := s.activeSize == 0 || s.redundant && len(s.closedSegments) > 0
+	if created := slices.Contains(names, s.activeName); created && remove {
 		err = s.files.Remove(s.path(s.activeName))
 	} else if created {
 		err = s.files.Truncate(s.path(s.activeName), s.activeSize)
@@ -49,7 +50,7 @@
 	if err := s.syncDir(); err != nil {
 		return err
 	}
-	if s.activeSize == 0 {
+	if remove {
 		s.activeNumber--
 	} else {
 		s.closedSegments = append(s.closedSegments, closedSegment{name: s.activeName, lastIndex: s.lastIndex, size: s.activeSize})
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -62,9 +62,11 @@
 	activeName     string
 	activeNumber   uint64
 	activeSize     int64
-	snapshotSize   int64
-	lastIndex      uint64
-	syncCount      uint64
+	// redundant is set while the active segment holds nothing that the segments before it do not hold.
+	redundant    bool
+	snapshotSize int64
+	lastIndex    uint64
+	syncCount    uint64
 	// restartAfter is the index of a snapshot that replaced the log while older segments still contain its entries.
 	restartAfter uint64
 }
--- a/storage/storage_test.go
+++ b/storage/storage_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -262,6 +263,73 @@
 	}
 }
 
+// TestRecoveredStorageCommitsNothingThatTheRefusedBatchReplaces ends the process, or the power, before the batch is repeated.
+func TestRecoveredStorageCommitsNothingThatTheRefusedBatchReplaces(t *testing.T) {
+	for _, powerLoss := range []bool{false, true} {
+		d := newFaultDisk(1)
+		s := create(t, d)
+		must(t, s.Append(storage.Batch{
+			Hard: &consensus.HardState{Term: 1, Commit: 1}, Entries: []consensus.Entry{newEntry(1, 1, "committed"), newEntry(1, 2, "replaced"), newEntry(1, 3, "replaced")},
+		}))
+		d.failIn = 0
+		replacement := storage.Batch{Hard: &consensus.HardState{Term: 2, Commit: 3}, Entries: []consensus.Entry{newEntry(2, 2, "committed"), newEntry(2, 3, "committed")}}
+		if err := s.Append(replacement); !storage.IsErrFailed(err) {
+			t.Fatal(err)
+		}
+		d.clearFaults()
+		must(t, s.Recover())
+		s.Close()
+		if powerLoss {
+			d.crash()
+		}
+		_, state := reopen(t, d)
+		for _, e := range state.Entries {
+			if e.Index <= state.Hard.Commit && string(e.Data) == "replaced" {
+				t.Errorf("power loss %v: entry %d of term %d is committed after a restart with %+v", powerLoss, e.Index, e.Term, state.Hard)
+			}
+		}
+	}
+}
+
+func TestNearlyFullDiskIsNotFilledWithSegments(t *testing.T) {
+	d := newFaultDisk(1)
+	files := d.files()
+	create := files.Create
+	const maxBytes = 1000
+	files.Create = func(name string) (storage.File, error) {
+		f, err := create(name)
+		write := f.Write
+		f.Write = func(p []byte) (int, error) {
+			if len(p) > maxBytes {
+				return 0, syscall.ENOSPC
+			}
+			return write(p)
+		}
+		return f, err
+	}
+	s, err := storage.Create(dataDir, testIdentity, storage.WithFileSystem(files))
+	must(t, err)
+	must(t, s.Append(newBatch(1, newEntry(1, 1, "x"))))
+	must(t, s.SaveSnapshot(consensus.Snapshot{Index: 1, Term: 1}))
+	before := len(d.visible)
+	for range 100 {
+		if err := s.Append(newBatch(1, newEntry(1, 2, strings.Repeat("x", maxBytes)))); !storage.IsErrFailed(err) {
+			t.Fatal(err)
+		}
+		must(t, s.Recover())
+	}
+	if grown := len(d.visible) - before; grown > 1 {
+		t.Errorf("100 refused attempts left %d more files", grown)
+	}
+	must(t, s.Append(newBatch(1, newEntry(1, 2, "y"))))
+	s.Close()
+	d.crash()
+	_, state := reopen(t, d)
+	if diff := cmp.Diff([]consensus.Entry{newEntry(1, 2, "y")}, state.Entries); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestPowerLossDuringRecoveryKeepsAcknowledgedEntries loses power after Recover has failed at two operations.
 func TestPowerLossDuringRecoveryKeepsAcknowledgedEntries(t *testing.T) {
 	for seed := range uint64(2) {
