--- a/quorum/full_disk_test.go
+++ b/quorum/full_disk_test.go
@@ -239,3 +239,116 @@
 		t.Error(err)
 	}
 }
+
+// slowDisk returns a file system whose syncs take the given time.
+func slowDisk(delay *atomic.Int64) storage.FileSystem {
+	disk := storage.OSFileSystem()
+	create := disk.Create
+	disk.Create = func(name string) (storage.File, error) {
+		f, err := create(name)
+		sync := f.Sync
+		f.Sync = func() error {
+			time.Sleep(time.Duration(delay.Load()))
+			return sync()
+		}
+		return f, err
+	}
+	return disk
+}
+
+func TestGroupOfSlowDisksKeepsItsLeader(t *testing.T) {
+	for _, ticks := range []int64{2, 4, 5, 6, 7, 9, 15, 25} {
+		t.Run(fmt.Sprint(ticks), func(t *testing.T) {
+			runInBubble(t, func(t *testing.T) { testGroupOfSlowDisksKeepsItsLeader(t, ticks) })
+		})
+	}
+}
+
+func testGroupOfSlowDisksKeepsItsLeader(t *testing.T, ticks int64) {
+	var processes []*process
+	delay := &atomic.Int64{}
+	for _, config := range testConfigs(t, 3, 0) {
+		config.ReplaceAfter = 0
+		processes = append(processes, startOn(t, config, sharedNetwork, quorum.WithFileSystem(slowDisk(delay))))
+	}
+	propose(t, processes, "before")
+	leader := leaderOf(t, processes)
+	term := leader.Term()
+	delay.Store(ticks * int64(testTick))
+	const span = 600
+	ctx, cancel := context.WithTimeout(t.Context(), span*testTick)
+	defer cancel()
+	committed := int64(0)
+	for ctx.Err() == nil {
+		if _, err := leader.Propose(ctx, []byte("during")); err == nil {
+			committed++
+		} else {
+			time.Sleep(testTick)
+		}
+	}
+	if diff := cmp.Diff(term, leader.Term()); diff != "" || committed < span/(2*ticks) {
+		t.Errorf("%d commits in %d ticks, terms: %s", committed, span, diff)
+	}
+}
+
+func TestMemberThatLacksEntriesProvesNoQuorum(t *testing.T) {
+	runInBubble(t, testMemberThatLacksEntriesProvesNoQuorum)
+}
+
+func testMemberThatLacksEntriesProvesNoQuorum(t *testing.T) {
+	processes, full := startOnFillableDisks(t, 3)
+	propose(t, processes, "before")
+	leader := leaderOf(t, processes)
+	i := indexOfFollower(processes, leader, 1)
+	follower := processes[i]
+	full[i].Store(true)
+	for range 200 {
+		propose(t, processes, "during")
+		time.Sleep(testTick)
+		if age := follower.QuorumProofAge(); follower.Applied() < leader.Applied() && age < 20*testTick {
+			t.Fatalf("a member that has applied %d of %d entries has a proof %v old", follower.Applied(), leader.Applied(), age)
+		}
+	}
+	full[i].Store(false)
+	eventually(t, "a fresh proof", func() bool { return follower.QuorumProofAge() < 10*testTick && follower.Applied() == leader.Applied() })
+}
+
+func TestRepairDoesNotDependOnAnotherFullDisk(t *testing.T) {
+	runInBubble(t, testRepairDoesNotDependOnAnotherFullDisk)
+}
+
+func testRepairDoesNotDependOnAnotherFullDisk(t *testing.T) {
+	var processes []*process
+	full := map[*process]*atomic.Bool{}
+	for _, config := range testConfigs(t, 3, 1) {
+		isFull := &atomic.Bool{}
+		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(fillableDisk(isFull)))
+		processes, full[p] = append(processes, p), isFull
+	}
+	propose(t, processes, "before")
+	leader := leaderOf(t, processes)
+	eventually(t, "the standby learner", func() bool { return len(leader.Members()) == 4 })
+	time.Sleep(20 * testTick)
+	for _, p := range processes[:3] {
+		full[p].Store(p != leader)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*testTick)
+	defer cancel()
+	_, _ = leader.Propose(ctx, []byte("during")) // its outcome is unknown
+	time.Sleep(200 * testTick)
+	back := processes[indexOfFollower(processes, leader, 1)]
+	if second := processes[indexOfFollower(processes, leader, 2)]; !slices.Contains(voterNames(leader), second.config.Name) {
+		back = second // the leader has removed it, and must not have
+	}
+	full[back].Store(false)
+	start := time.Now()
+	eventually(t, "a commit once two of three voters take writes", func() bool {
+		one, stop := context.WithTimeout(t.Context(), 10*testTick)
+		defer stop()
+		_, err := leaderOf(t, processes).Propose(one, []byte("after"))
+		return err == nil
+	})
+	if took := time.Since(start); took > 60*testTick {
+		t.Errorf("the first commit took %v", took)
+	}
+}
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -39,10 +39,11 @@
 }
 
 // QuorumProofAge returns the age of the last proof of a quorum known to this member, or NoProof. A follower uses the
-// proof of its leader, which is no older than the last reply of this member that the leader has answered.
+// proof of its leader, which is no older than the last reply of this member that the leader has answered. A member whose disk does
+// not complete a write has no proof, as its leader soon sends it no more entries.
 func (l *Log) QuorumProofAge() time.Duration {
 	v := l.published.Load()
-	if l.Stopped() {
+	if l.Stopped() || l.WriteAge() > maxWriteTicks*l.tick {
 		return NoProof
 	}
 	age := v.status.ProofAge
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -49,8 +49,9 @@
 	// maxCatchUpTicks limits the missed ticks that are processed after a pause; after a longer one all leases have
 	// expired anyway.
 	maxCatchUpTicks = 100
-	// maxWriteTicks is how long a write may take at a leader before it hands over the leadership.
-	maxWriteTicks = 8
+	// maxWriteTicks is how long after the others a leader may have an entry on its disk before it hands over the leadership, and how long a
+	// write may take at a member that proves a quorum.
+	maxWriteTicks = 20
 	// maxMessageBatch limits the messages processed before the next Ready.
 	maxMessageBatch = 64
 )
@@ -68,6 +69,9 @@
 	pendingWrites                []write
 	pendingTasks                 []applyTask
 	wasLeader                    bool
+	// awaitedIndex is a committed entry that is not known to be on this member's disk, awaitedSince the tick at which it was committed.
+	awaitedIndex uint64
+	awaitedSince int64
 	// silentVoters are the voters that this leader has logged as silent.
 	silentVoters map[uint64]bool
 }
@@ -165,16 +169,19 @@
 	}
 }
 
-// handOver transfers the leadership if the disk does not complete a write. The group can commit without this member's disk, but the
-// writes that wait for it are bounded.
+// handOver transfers the leadership if the others have committed an entry for long that is not on this member's disk. The group can
+// commit without it, but the writes that wait for it are bounded. Where all disks are slow, another leader would be no better.
 func (s *stepper) handOver() {
-	age := s.WriteAge()
 	status := s.core.Status()
-	if age < maxWriteTicks*s.tick || status.Role != consensus.RoleLeader {
+	if status.Role != consensus.RoleLeader || status.Stable >= s.awaitedIndex {
+		s.awaitedIndex, s.awaitedSince = status.Committed, s.ticks
+		return
+	}
+	if s.ticks-s.awaitedSince < maxWriteTicks {
 		return
 	}
 	if err := s.transfer(status); err == nil {
-		s.log.Info("handing over the leadership, as the disk does not complete a write", "member", s.id, "ms", age.Milliseconds())
+		s.log.Info("handing over the leadership, as the disk does not complete a write", "member", s.id, "ms", s.WriteAge().Milliseconds())
 	}
 }
 
--- a/quorum/write.go
+++ b/quorum/write.go
@@ -16,8 +16,12 @@
 	snapshot *consensus.Snapshot
 }
 
-// diskRetryInterval is the pause between two attempts to write to a disk that refuses writes.
-const diskRetryInterval = 100 * time.Millisecond
+const (
+	// diskRetryInterval is the pause between two attempts to write to a disk that refuses writes.
+	diskRetryInterval = 100 * time.Millisecond
+	// attemptsPerLogLine is the number of refused attempts for each log line.
+	attemptsPerLogLine = 100
+)
 
 // writeLoop makes pending writes durable with one fsync per batch. While the disk refuses a write it is repeated, and everything that
 // depends on it waits.
@@ -104,8 +108,8 @@
 			return err
 		}
 		l.observeFailure(failed)
-		if attempts == 1 {
-			l.log.Error(err, "the disk refuses writes; the log waits", "member", l.id)
+		if attempts%attemptsPerLogLine == 1 {
+			l.log.Error(err, "the disk refuses writes; the log waits", "member", l.id, "ms", time.Since(since).Milliseconds())
 		}
 		select {
 		case <-ctx.Done():
