Check in the fault test that configurations are acknowledged after the recovery

Config judges what was acknowledged and what is read back. A cluster that acknowledges nothing any more, as after the incident of the stopped members, broke no check of its own as long as the stewards answered reads.

Change requires that a configuration is acknowledged after the recovery.

--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -70,6 +70,7 @@
 	{"Holder", checkHolder, true},
 	{"Limit", checkLimit, true},
 	{"Config", checkConfig, true},
+	{"Change", checkChange, true},
 	{"InForce", checkInForce, true},
 	{"Recover", checkRecover, true},
 	{"Leaving", checkLeaving, false},
@@ -247,6 +248,23 @@
 	return judged, broken
 }
 
+// checkChange checks that configurations are acknowledged again after the recovery.
+func checkChange(o observations) (judged int, broken []string) {
+	acked := 0
+	for _, c := range o.changes {
+		if c.sent.After(o.recoveredBy) || c.acked.After(o.recoveredBy) {
+			judged++
+		}
+		if c.acked.After(o.recoveredBy) {
+			acked++
+		}
+	}
+	if acked == 0 {
+		broken = append(broken, fmt.Sprintf("of %d configurations sent after the recovery none was acknowledged", judged))
+	}
+	return judged, broken
+}
+
 // contactTime is how long a gateway and all stewards must have been without a fault for a gateway to count as connected.
 const contactTime = 3 * time.Second
 
