Inject full disks in the fault test

The fault test could not find it, as it had no full disk.

A full disk is a soft RLIMIT_FSIZE of 0 for the steward's process, set with prlimit and raised again afterwards, without root. So processes log through pipes now. Half of the full disks first take some bytes more, so that a record may be torn.

Each seed draws from its own stream: the disk of each steward fills up once, one after the other, and one fault more (at the leader, a restart on a full disk, all stewards killed while it is full, two disks at once on the large shape). A start that ends on a full disk is repeated; an exit of a process that had logged its start stays an error. Full disks within the tolerance excuse no gateway in InForce, Keys and the others.

Not shown: that the runs pass on code that goes on after a full disk, since there was none yet.

--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -286,7 +286,14 @@
 // excused reports whether a fault affected a gateway or a steward during an outcome or in the contactTime before.
 func (o observations) excused(gateway string, outcome standin.Outcome) bool {
 	from, until := outcome.Sent.Add(-contactTime), outcome.Done
-	return o.disturbed(gateway, from, until) || slices.ContainsFunc(o.stewards, func(steward string) bool { return o.disturbed(steward, from, until) })
+	return o.disturbed(gateway, from, until) || o.unstable(from, until)
+}
+
+// unstable reports whether a fault of a steward in a period may have affected others.
+func (o observations) unstable(from, until time.Time) bool {
+	return slices.ContainsFunc(o.stewards, func(steward string) bool {
+		return slices.ContainsFunc(o.disturbances[steward], func(p period) bool { return !p.ownOnly && p.overlaps(from, until) })
+	})
 }
 
 // minServedRatio is the share of requests that must succeed after recovery; the platform requires only a quarter of it.
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -62,6 +62,9 @@
 	killed bool
 	// logOffset is the length of the log when the process was started.
 	logOffset int
+	// fullDisks is the number of faults that fill the VM's disk now; startOnFullDisk is set if the disk was full while the process started.
+	fullDisks       int
+	startOnFullDisk bool
 }
 
 // platformCluster is a cluster of gateway and steward processes and of endpoint stand-ins on loopback addresses.
@@ -94,22 +97,28 @@
 	resumedAt map[string][]time.Time
 	// disturbances are the times in which a VM's process or connections were subject to a fault, by the VM's bindAddress.
 	disturbances map[string][]period
+	// disks are the full disks.
+	disks fullDisks
 }
 
-// period is a span of time.
-type period struct{ from, until time.Time }
+// period is a span of time in which a fault affected a VM; ownOnly is set if it affected only what this VM itself does.
+type period struct {
+	from, until time.Time
+	ownOnly     bool
+}
 
 func (p period) overlaps(from, until time.Time) bool {
 	return p.from.Before(until) && from.Before(p.until)
 }
 
-// disturb records that a fault affected VMs from the given time until now.
-func (c *platformCluster) disturb(names []string, from time.Time) {
+// disturb records that a fault affected VMs from the beginning of a period until now.
+func (c *platformCluster) disturb(names []string, p period) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	p.until = time.Now()
 	for _, name := range names {
 		address := c.vms[name].bindAddress
-		c.disturbances[address] = append(c.disturbances[address], period{from, time.Now()})
+		c.disturbances[address] = append(c.disturbances[address], p)
 	}
 }
 
@@ -124,7 +133,7 @@
 	}
 	c := &platformCluster{
 		t: t, shape: shape, binary: binary, dir: dir, network: newProxyNetwork(), port: 7380, vms: map[string]*vm{}, subnet: 10 + (os.Getpid()+int(clusterNumber.Add(1)))%200,
-		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{},
+		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{}, disks: fullDisks{now: map[string]int{}},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for n := range shape.engines {
@@ -334,7 +343,12 @@
 	v := c.vms[name]
 	env := append([]string{"BURDOCKSADDLE_NODE_FILE=" + filepath.Join(v.dir, "node.json")}, c.env...)
 	v.logOffset, v.killed = len(c.log(name)), false
-	v.process = startProcessEnv(c.t, c.binary, c.dir, name, env, v.role)
+	v.startOnFullDisk = v.fullDisks > 0
+	command := []string{c.binary, v.role}
+	if v.startOnFullDisk {
+		command = []string{"sh", "-c", `ulimit -S -f 0 && exec "$0" "$1"`, c.binary, v.role}
+	}
+	v.process = startProcessEnv(c.t, command[0], c.dir, name, env, command[1:]...)
 }
 
 // log returns the output of all processes that ran on a VM.
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -40,10 +40,12 @@
 	endpoint int
 	// limit is the limit that an endpoint names, in requests a second.
 	limit float64
+	// room is how many bytes a full disk takes before it refuses writes.
+	room int64
 }
 
 func (f fault) String() string {
-	return fmt.Sprintf("%v %s %s %s %v", f.at.Round(time.Millisecond), f.kind, f.vm, f.other, f.duration.Round(time.Millisecond))
+	return fmt.Sprintf("%v %s %s %s %v", f.at.Round(time.Millisecond), f.kind, f.vm, f.other+strings.Join(f.vms, "+"), f.duration.Round(time.Millisecond))
 }
 
 // faultKinds are the kinds to draw from. Kinds that stop processes are listed several times, so that they come in series; all
@@ -106,11 +108,11 @@
 // affected returns the VMs whose process or connections a fault affects.
 func (c *platformCluster) affected(f fault) []string {
 	switch f.kind {
-	case "wipe disks":
+	case "wipe disks", "full disks":
 		return f.vms
 	case "kill all":
 		return c.names
-	case "kill all stewards":
+	case "kill all stewards", "full disk, then all stewards killed":
 		return c.names[:c.shape.stewards]
 	case "partition", "one-way partition", "delay":
 		if f.kind == "delay" || f.vm == f.other {
@@ -124,9 +126,18 @@
 	return []string{f.vm}
 }
 
+// ownFaults are the kinds of faults of a steward that excuse no gateway, as the other stewards have a quorum.
+var ownFaults = []string{"full disk", "full disks", "full disk of the leader"}
+
 // inject injects a fault, undoes it after its duration and returns when it is undone.
 func (c *platformCluster) inject(f fault) {
-	defer c.disturb(c.affected(f), time.Now())
+	if f.kind == "full disk of the leader" {
+		f.vm = c.leader(f.vm)
+	}
+	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind)})
+	if c.injectFullDisks(f) {
+		return
+	}
 	switch f.kind {
 	case "kill":
 		c.restart([]string{f.vm}, f.duration, nil)
@@ -303,19 +314,8 @@
 
 // appendTornWrite appends a partial write to a steward's newest segment, as a power loss may leave of a write that was not synced.
 func (c *platformCluster) appendTornWrite(v *vm) {
-	var newest string
-	var newestTime time.Time
-	err := filepath.WalkDir(v.dataDir, func(path string, entry os.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || !strings.HasPrefix(entry.Name(), "segment-") {
-			return err
-		}
-		info, err := entry.Info()
-		if err == nil && info.ModTime().After(newestTime) {
-			newest, newestTime = path, info.ModTime()
-		}
-		return err
-	})
-	if err != nil || newest == "" {
+	newest, _ := newestSegment(v.dataDir)
+	if newest == "" {
 		return // nothing has been written yet
 	}
 	file, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0o600)
@@ -329,8 +329,9 @@
 	}
 }
 
-// runFaults runs a cluster under load, injects the faults and returns the violations found, by check name.
-func runFaults(t *testing.T, shape clusterShape, binary string, seed uint64, faults []fault, env ...string) map[string][]string {
+// runFaults runs a cluster under load, injects the faults and returns the violations found, by check name, and how many full disks
+// refused writes.
+func runFaults(t *testing.T, shape clusterShape, binary string, seed uint64, faults []fault, env ...string) (broken map[string][]string, refusingDisks int) {
 	t.Helper()
 	c := newPlatformCluster(t, shape, binary, env...)
 	load := startPlatformLoad(c, seed)
@@ -371,8 +372,11 @@
 	}
 	o := load.observations(recoveredBy)
 	broken, judged := o.runChecks()
-	t.Logf("seed %d: %d requests, %d served, %d configurations sent, %d configuration reads; judged: %v", seed, len(o.outcomes), load.servedSince(loadStart), len(o.changes), len(o.configReads), judged)
-	return broken
+	if c.disks.filled > 0 && c.disks.refusing == 0 {
+		t.Error("no full disk refused a write")
+	}
+	t.Logf("seed %d: %d requests, %d served, %d configurations sent, %d configuration reads, %d of %d full disks refused writes; judged: %v", seed, len(o.outcomes), load.servedSince(loadStart), len(o.changes), len(o.configReads), c.disks.refusing, c.disks.filled, judged)
+	return broken, c.disks.refusing
 }
 
 // platformRegressionSeeds are seeds that failed before, with the cause of the failure; every run on their shape includes them, those
@@ -414,14 +418,26 @@
 	for seed := first; seed < first+seeds; seed++ {
 		selected = append(selected, seed)
 	}
+	if shapeName == shapeLarge {
+		t.Run("quorum lost after three of five disks were full in turn", func(t *testing.T) {
+			t.Parallel()
+			var faults []fault
+			for n := range 3 {
+				faults = append(faults, fault{at: time.Duration(1+3*n) * time.Second, kind: "full disk", vm: stewardName(n), duration: 2 * time.Second})
+			}
+			broken, refusingDisks := runFaults(t, shape, binary, 1, faults)
+			if reportBroken(t, broken); refusingDisks != len(faults) {
+				t.Errorf("%d of %d full disks refused writes", refusingDisks, len(faults))
+			}
+		})
+	}
 	for _, seed := range selected {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			faults := slices.Concat(randomFaults(rand.New(rand.NewPCG(seed, 1)), shape), randomNotices(rand.New(rand.NewPCG(seed, 2)), shape),
-				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape))
-			for name, broken := range runFaults(t, shape, binary, seed, faults) {
-				t.Errorf("%s: %d violations, the first ones: %s", name, len(broken), strings.Join(broken[:min(3, len(broken))], "; "))
-			}
+				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape), randomDisks(rand.New(rand.NewPCG(seed, 5)), shape))
+			broken, _ := runFaults(t, shape, binary, seed, faults)
+			reportBroken(t, broken)
 			if t.Failed() {
 				t.Logf("to reproduce: make faults SEEDS=1 FIRST=%d; faults: %v", seed, faults)
 			}
@@ -429,6 +445,13 @@
 	}
 }
 
+func reportBroken(t *testing.T, broken map[string][]string) {
+	t.Helper()
+	for name, violations := range broken {
+		t.Errorf("%s: %d violations, the first ones: %s", name, len(violations), strings.Join(violations[:min(3, len(violations))], "; "))
+	}
+}
+
 // Environment variables: faultsEnv enables the tests that run real processes, raceEnv builds the binary with the race detector.
 // A race then halts the process. shapeEnv selects a shape.
 const (
@@ -481,7 +504,7 @@
 	for _, check := range checks {
 		t.Run(check.name, func(t *testing.T) {
 			t.Parallel()
-			broken := runFaults(t, smallShape, binary, 1, faults, "BURDOCKSADDLE_BREAK="+check.name)
+			broken, _ := runFaults(t, smallShape, binary, 1, faults, "BURDOCKSADDLE_BREAK="+check.name)
 			if len(broken[check.name]) == 0 {
 				t.Errorf("the check reported no violation; other checks: %v", broken)
 			}
@@ -491,7 +514,7 @@
 	t.Run("Voters", func(t *testing.T) {
 		t.Parallel()
 		lost := []fault{{at: 5 * time.Second, kind: "wipe disks", vms: []string{stewardName(0), stewardName(1)}, duration: maxDowntime / 2}}
-		if broken := runFaults(t, largeShape, binary, 1, lost, "BURDOCKSADDLE_BREAK=Voters"); len(broken["Config"]) == 0 {
+		if broken, _ := runFaults(t, largeShape, binary, 1, lost, "BURDOCKSADDLE_BREAK=Voters"); len(broken["Config"]) == 0 {
 			t.Errorf("check Config reported no violation; other checks: %v", broken)
 		}
 	})
--- a/e2e/platform_trouble_test.go
+++ b/e2e/platform_trouble_test.go
@@ -101,8 +101,7 @@
 
 // outOfTouch reports whether a fault affected a gateway or any steward shortly before the given time.
 func (o observations) outOfTouch(gateway string, at time.Time) bool {
-	return o.disturbed(gateway, at.Add(-contactTime), at) ||
-		slices.ContainsFunc(o.stewards, func(steward string) bool { return o.disturbed(steward, at.Add(-contactTime), at) })
+	return o.disturbed(gateway, at.Add(-contactTime), at) || o.unstable(at.Add(-contactTime), at)
 }
 
 // Of an endpoint's limit, limitSlack times and limitExtra requests more are allowed in limitWindow.
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,9 @@
 	exited  <-chan error
 }
 
+// pipedOutput hides from os/exec that output goes to a file, so that the process gets a pipe.
+type pipedOutput struct{ io.Writer }
+
 // startProcess starts the binary and appends its output to NAME.log in dir.
 func startProcess(t *testing.T, binary, dir, name string, args ...string) *process {
 	t.Helper()
@@ -32,18 +36,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = log.Close() }()
 	command := exec.CommandContext(context.WithoutCancel(t.Context()), binary, args...)
-	command.Stdout, command.Stderr = log, log
+	// The output passes through a pipe, as a limit on file sizes would apply to the log.
+	output := pipedOutput{log}
+	command.Stdout, command.Stderr = output, output
 	command.Env = append(os.Environ(), env...)
 	// The kernel kills the process if the test binary dies, so that a panic leaves no processes behind.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
+		_ = log.Close()
 		t.Fatal(err)
 	}
 	exited := make(chan error, 1)
 	go func() {
-		exited <- command.Wait()
+		err := command.Wait()
+		_ = log.Close()
+		exited <- err
 		close(exited)
 	}()
 	return &process{name: name, command: command, exited: exited}
