--- a/quorum/full_disk_test.go
+++ b/quorum/full_disk_test.go
@@ -16,37 +16,56 @@
 	"burdocksaddle/storage"
 )
 
-// fillableDisk returns a file system that refuses every write while full is set; a part of the data is written before.
-func fillableDisk(full *atomic.Bool) storage.FileSystem {
+// diskFault is what is wrong with the disk of a member.
+type diskFault struct {
+	// full makes every write fail after a part of its data, stalled keeps syncs from returning.
+	full, stalled atomic.Bool
+	// delay is how long a sync takes.
+	delay atomic.Int64
+}
+
+// files returns the operating system's file system with the faults. Stalls end with the context.
+func (f *diskFault) files(ctx context.Context) storage.FileSystem {
 	disk := storage.OSFileSystem()
 	create := disk.Create
 	disk.Create = func(name string) (storage.File, error) {
-		f, err := create(name)
-		write := f.Write
-		f.Write = func(p []byte) (int, error) {
-			if !full.Load() {
+		file, err := create(name)
+		write, sync := file.Write, file.Sync
+		file.Write = func(p []byte) (int, error) {
+			if !f.full.Load() {
 				return write(p)
 			}
 			n, _ := write(p[:len(p)/2])
 			return n, syscall.ENOSPC
 		}
-		return f, err
+		file.Sync = func() error {
+			time.Sleep(time.Duration(f.delay.Load()))
+			for f.stalled.Load() && ctx.Err() == nil {
+				time.Sleep(testTick)
+			}
+			return sync()
+		}
+		return file, err
 	}
 	return disk
 }
 
-// startOnFillableDisks starts a group of voters and returns a switch for each that fills its disk.
-func startOnFillableDisks(t *testing.T, voters int) ([]*process, []*atomic.Bool) {
+// startWithDiskFaults starts voters and standby learners, commits a command and returns the leader and the disk fault of each.
+func startWithDiskFaults(t *testing.T, voters, standing int) (processes []*process, leader *process, disks map[*process]*diskFault) {
 	t.Helper()
-	var processes []*process
-	var full []*atomic.Bool
-	for _, config := range testConfigs(t, voters, 0) {
-		config.ReplaceAfter = 0
-		isFull := &atomic.Bool{}
-		full = append(full, isFull)
-		processes = append(processes, startOn(t, config, sharedNetwork, quorum.WithFileSystem(fillableDisk(isFull))))
+	disks = map[*process]*diskFault{}
+	for _, config := range testConfigs(t, voters, standing) {
+		if standing == 0 {
+			config.ReplaceAfter = 0
+		}
+		disk := &diskFault{}
+		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(disk.files(t.Context())))
+		processes, disks[p] = append(processes, p), disk
 	}
-	return processes, full
+	propose(t, processes, "before")
+	leader = leaderOf(t, processes)
+	eventually(t, "all members", func() bool { return len(leader.Members()) == voters+standing })
+	return processes, leader, disks
 }
 
 func TestQuorumSurvivesDisksThatWereFullInTurn(t *testing.T) {
@@ -58,10 +77,9 @@
 }
 
 func testQuorumSurvivesDisksThatWereFullInTurn(t *testing.T, voters int) {
-	processes, full := startOnFillableDisks(t, voters)
-	propose(t, processes, "before")
-	for i := range processes {
-		full[i].Store(true)
+	processes, _, disks := startWithDiskFaults(t, voters, 0)
+	for i, p := range processes {
+		disks[p].full.Store(true)
 		ctx, cancel := context.WithTimeout(t.Context(), 100*testTick)
 		for j := 0; ctx.Err() == nil; j++ {
 			// The outcome of a command during the fault may be unknown.
@@ -69,7 +87,7 @@
 			time.Sleep(testTick)
 		}
 		cancel()
-		full[i].Store(false)
+		disks[p].full.Store(false)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
@@ -84,40 +102,13 @@
 	}
 }
 
-// stallingDisk returns a file system whose syncs do not return while stalled is set and the context has not ended.
-func stallingDisk(ctx context.Context, stalled *atomic.Bool) storage.FileSystem {
-	disk := storage.OSFileSystem()
-	create := disk.Create
-	disk.Create = func(name string) (storage.File, error) {
-		f, err := create(name)
-		sync := f.Sync
-		f.Sync = func() error {
-			for stalled.Load() && ctx.Err() == nil {
-				time.Sleep(testTick)
-			}
-			return sync()
-		}
-		return f, err
-	}
-	return disk
-}
-
 func TestLeaderWhoseDiskStallsHandsOver(t *testing.T) {
 	runInBubble(t, testLeaderWhoseDiskStallsHandsOver)
 }
 
 func testLeaderWhoseDiskStallsHandsOver(t *testing.T) {
-	var processes []*process
-	stalled := map[*process]*atomic.Bool{}
-	for _, config := range testConfigs(t, 3, 0) {
-		config.ReplaceAfter = 0
-		isStalled := &atomic.Bool{}
-		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(stallingDisk(t.Context(), isStalled)))
-		processes, stalled[p] = append(processes, p), isStalled
-	}
-	propose(t, processes, "before")
-	old := leaderOf(t, processes)
-	stalled[old].Store(true)
+	processes, old, disks := startWithDiskFaults(t, 3, 0)
+	disks[old].stalled.Store(true)
 	start := time.Now()
 	eventually(t, "a command is committed while the disk stalls", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*testTick)
@@ -133,7 +124,7 @@
 		t.Errorf("nothing was committed for %v", took)
 	}
 	eventually(t, "another member leads", func() bool { _, self := old.Leader(); return !self })
-	stalled[old].Store(false)
+	disks[old].stalled.Store(false)
 	eventually(t, "the member has caught up", func() bool {
 		return cmp.Equal(leaderOf(t, processes).commandLog.all(), old.commandLog.all())
 	})
@@ -144,24 +135,15 @@
 }
 
 func testStandbyReplacesVoterWhoseDiskStaysFull(t *testing.T) {
-	var processes []*process
-	full := map[*process]*atomic.Bool{}
-	for _, config := range testConfigs(t, 3, 1) {
-		isFull := &atomic.Bool{}
-		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(fillableDisk(isFull)))
-		processes, full[p] = append(processes, p), isFull
-	}
-	propose(t, processes, "before")
-	leader := leaderOf(t, processes)
-	eventually(t, "the standby learner", func() bool { return len(leader.Members()) == 4 })
+	processes, leader, disks := startWithDiskFaults(t, 3, 1)
 	follower := processes[indexOfFollower(processes, leader, 1)]
-	full[follower].Store(true)
+	disks[follower].full.Store(true)
 	propose(t, processes, "during")
 	eventually(t, "the standby is a voter in its place", func() bool {
 		names := voterNames(leader)
 		return len(names) == 3 && slices.Contains(names, "m3") && !slices.Contains(names, follower.config.Name)
 	})
-	full[follower].Store(false)
+	disks[follower].full.Store(false)
 	propose(t, processes, "after")
 	eventually(t, "the member has caught up", func() bool {
 		return cmp.Equal([]string{"before", "during", "after"}, follower.commandLog.all())
@@ -173,19 +155,11 @@
 }
 
 func testMemberWhoseDiskStallsReadsAndAnswers(t *testing.T) {
-	var processes []*process
-	stalled := map[*process]*atomic.Bool{}
-	for _, config := range testConfigs(t, 3, 0) {
-		isStalled := &atomic.Bool{}
-		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(stallingDisk(t.Context(), isStalled)))
-		processes, stalled[p] = append(processes, p), isStalled
-	}
-	propose(t, processes, "before")
-	leader := leaderOf(t, processes)
+	processes, leader, disks := startWithDiskFaults(t, 3, 0)
 	follower := processes[indexOfFollower(processes, leader, 1)]
 	for _, p := range []*process{leader, follower} {
 		eventually(t, "everything is on disk", func() bool { return p.WriteAge() == 0 })
-		stalled[p].Store(true)
+		disks[p].stalled.Store(true)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*testTick)
 		if _, err := leader.Propose(ctx, []byte("during")); err != nil {
 			t.Errorf("a leader of three with one disk that stalls answered %v", err)
@@ -200,7 +174,7 @@
 			t.Error(diff)
 		}
 		cancel()
-		stalled[p].Store(false)
+		disks[p].stalled.Store(false)
 	}
 }
 
@@ -209,9 +183,9 @@
 }
 
 func testMemberWhoseDirectoryIsGoneStops(t *testing.T) {
-	var full atomic.Bool
+	disk := &diskFault{}
 	config := testConfigs(t, 1, 0)[0]
-	l, err := quorum.Open(config, quorum.WithTick(testTick), quorum.WithFileSystem(fillableDisk(&full)))
+	l, err := quorum.Open(config, quorum.WithTick(testTick), quorum.WithFileSystem(disk.files(t.Context())))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,12 +196,11 @@
 	if err := os.RemoveAll(config.DataDir); err != nil {
 		t.Fatal(err)
 	}
-	full.Store(true)
+	disk.full.Store(true)
 	_, _ = l.Propose(ctx, []byte("a")) // its outcome is unknown
 	if err := <-ended; !storage.IsErrCorrupt(err) {
 		t.Errorf("stopped with %v, want ErrCorrupt", err)
 	}
-	full.Store(false)
 	again, err := quorum.Open(config, quorum.WithTick(testTick))
 	if err != nil {
 		t.Fatalf("start without a directory: %v", err)
@@ -240,22 +213,6 @@
 	}
 }
 
-// slowDisk returns a file system whose syncs take the given time.
-func slowDisk(delay *atomic.Int64) storage.FileSystem {
-	disk := storage.OSFileSystem()
-	create := disk.Create
-	disk.Create = func(name string) (storage.File, error) {
-		f, err := create(name)
-		sync := f.Sync
-		f.Sync = func() error {
-			time.Sleep(time.Duration(delay.Load()))
-			return sync()
-		}
-		return f, err
-	}
-	return disk
-}
-
 func TestGroupOfSlowDisksKeepsItsLeader(t *testing.T) {
 	for _, ticks := range []int64{2, 4, 5, 6, 7, 9, 15, 25} {
 		t.Run(fmt.Sprint(ticks), func(t *testing.T) {
@@ -265,16 +222,11 @@
 }
 
 func testGroupOfSlowDisksKeepsItsLeader(t *testing.T, ticks int64) {
-	var processes []*process
-	delay := &atomic.Int64{}
-	for _, config := range testConfigs(t, 3, 0) {
-		config.ReplaceAfter = 0
-		processes = append(processes, startOn(t, config, sharedNetwork, quorum.WithFileSystem(slowDisk(delay))))
-	}
-	propose(t, processes, "before")
-	leader := leaderOf(t, processes)
+	_, leader, disks := startWithDiskFaults(t, 3, 0)
 	term := leader.Term()
-	delay.Store(ticks * int64(testTick))
+	for _, disk := range disks {
+		disk.delay.Store(ticks * int64(testTick))
+	}
 	const span = 600
 	ctx, cancel := context.WithTimeout(t.Context(), span*testTick)
 	defer cancel()
@@ -296,12 +248,9 @@
 }
 
 func testMemberThatLacksEntriesProvesNoQuorum(t *testing.T) {
-	processes, full := startOnFillableDisks(t, 3)
-	propose(t, processes, "before")
-	leader := leaderOf(t, processes)
-	i := indexOfFollower(processes, leader, 1)
-	follower := processes[i]
-	full[i].Store(true)
+	processes, leader, disks := startWithDiskFaults(t, 3, 0)
+	follower := processes[indexOfFollower(processes, leader, 1)]
+	disks[follower].full.Store(true)
 	for range 200 {
 		propose(t, processes, "during")
 		time.Sleep(testTick)
@@ -309,7 +258,7 @@
 			t.Fatalf("a member that has applied %d of %d entries has a proof %v old", follower.Applied(), leader.Applied(), age)
 		}
 	}
-	full[i].Store(false)
+	disks[follower].full.Store(false)
 	eventually(t, "a fresh proof", func() bool { return follower.QuorumProofAge() < 10*testTick && follower.Applied() == leader.Applied() })
 }
 
@@ -318,19 +267,10 @@
 }
 
 func testRepairDoesNotDependOnAnotherFullDisk(t *testing.T) {
-	var processes []*process
-	full := map[*process]*atomic.Bool{}
-	for _, config := range testConfigs(t, 3, 1) {
-		isFull := &atomic.Bool{}
-		p := startOn(t, config, sharedNetwork, quorum.WithFileSystem(fillableDisk(isFull)))
-		processes, full[p] = append(processes, p), isFull
-	}
-	propose(t, processes, "before")
-	leader := leaderOf(t, processes)
-	eventually(t, "the standby learner", func() bool { return len(leader.Members()) == 4 })
+	processes, leader, disks := startWithDiskFaults(t, 3, 1)
 	time.Sleep(20 * testTick)
 	for _, p := range processes[:3] {
-		full[p].Store(p != leader)
+		disks[p].full.Store(p != leader)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*testTick)
 	defer cancel()
@@ -340,7 +280,7 @@
 	if second := processes[indexOfFollower(processes, leader, 2)]; !slices.Contains(voterNames(leader), second.config.Name) {
 		back = second // the leader has removed it, and must not have
 	}
-	full[back].Store(false)
+	disks[back].full.Store(false)
 	start := time.Now()
 	eventually(t, "a commit once two of three voters take writes", func() bool {
 		one, stop := context.WithTimeout(t.Context(), 10*testTick)
