--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -12,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,6 +233,10 @@
 		}
 	}
 	e, err := standin.Start(config)
+	// A process that is being started may keep the closed listener of the endpoint's predecessor open until it is executed.
+	for end := time.Now().Add(maxStartTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end) && sleepContext(c.ctx, pollInterval); {
+		e, err = standin.Start(config)
+	}
 	if err != nil {
 		c.t.Fatal(err)
 	}
