--- a/quorum/write.go
+++ b/quorum/write.go
@@ -68,7 +68,7 @@
 	return group
 }
 
-// writeGroup makes a group of writes durable and returns the last sequence among them, or an error once the context has ended.
+// writeGroup makes a group of writes durable and returns the last sequence among them. Its errors are those of writeUntilDurable.
 func (l *Log) writeGroup(ctx context.Context, group []write) (sequence uint64, err error) {
 	for len(group) > 0 {
 		part := repeatablePart(group)
--- a/storage/recover.go
+++ b/storage/recover.go
@@ -16,8 +16,8 @@
 }
 
 // discardUnsynced truncates the active segment to its synced records, or removes it if they are not needed, so that repeated failures don't
-// leave a file each. A record whose sync has failed must
-// not be read again: the operating system may have dropped it although it still returns it.
+// leave a file each. A record whose sync has failed must not be read again: the operating system may have dropped it although it still
+// returns it.
 func (s *Storage) discardUnsynced() error {
 	if s.activeFile.Close != nil {
 		_ = s.activeFile.Close() // what it may report as lost is discarded
@@ -44,7 +44,7 @@
 		err = s.files.Truncate(s.path(s.activeName), s.activeSize)
 	}
 	if err != nil {
-		return s.fail("discarding the end", s.activeName, err)
+		return s.fail("discarding", s.activeName, err)
 	}
 	// A later segment must not outlast the removal or the name of this one.
 	if err := s.syncDir(); err != nil {
