Keep connections open at a stop while requests are on them

Cause: http.Server.Shutdown closes each connection that counts as idle. net/http counts a connection as idle until it has read the whole head of a request, and drops a request that it reads after that without a response. Requests that arrive around that moment are lost; on a slow machine those that wait for the processor, too. And a stopping gateway took every request until then, whatever it could still complete.

Change: package graceful closes a connection only from its own read loop, after a last read of what has arrived. While it stops, a gateway takes only requests that it can complete, and sends nothing once it ends requests.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,9 +55,10 @@
 	// pendingCrashes are broken attempts for runCrashChecks.
 	pendingCrashes chan pendingCrash
 
-	metrics  *metrics.Set
-	table    atomic.Pointer[route.Table]
-	draining atomic.Bool
+	metrics *metrics.Set
+	table   atomic.Pointer[route.Table]
+	// stopsAt is when the gateway ends its requests, nil unless it is stopping.
+	stopsAt atomic.Pointer[time.Time]
 	// pendingCtx is cancelled to refuse the requests that wait for an endpoint, activeCtx to end all active requests.
 	pendingCtx, activeCtx       context.Context
 	cancelPending, cancelActive context.CancelFunc
@@ -87,7 +88,9 @@
 	demands    map[string]*demand
 	// meanStreamDurations holds the mean time from the first event of a stream to its end, by service.
 	meanStreamDurations map[string]time.Duration
-	currentLeader       string
+	// answerTimes holds how long requests take, by route.
+	answerTimes   map[string]answerTime
+	currentLeader string
 	// leaderSince is when currentLeader became known.
 	leaderSince time.Time
 	// turnQueues are the requests that wait for turns at endpoints with a limit, in the order of their arrival.
@@ -155,7 +158,7 @@
 	g := &Gateway{
 		config: config, log: logr.Discard(), metrics: metrics.NewSet(), pool: pool, endpoints: map[string]endpoint.State{}, absentUntil: map[modelLocation]time.Time{}, stewardViews: map[string]*endpoint.SubscriberView{}, leaderView: &endpoint.SubscriberView{},
 		notices: endpoint.NewNotices(config.DrainTime),
-		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, turnGateways: map[turnQueue]int{}, meanStreamDurations: map[string]time.Duration{},
+		changed: make(chan struct{}), reportDemandNow: make(chan struct{}, 1), budgets: map[string]*routing.Budget{}, demands: map[string]*demand{}, turnQueues: map[turnQueue][]*transaction{}, turnGateways: map[turnQueue]int{}, meanStreamDurations: map[string]time.Duration{}, answerTimes: map[string]answerTime{},
 		router: routing.New(config.DataCentre, rand.IntN), crashes: newCrashRecord(), resumption: newResumption(), paces: map[paceKey]*observedPace{}, pendingCrashes: make(chan pendingCrash, maxPendingCrashes),
 		hasStopped: func(context.Context, string) bool { return false },
 	}
@@ -182,7 +185,7 @@
 func (g *Gateway) HealthStatus() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.draining.Load() || g.table.Load() == nil || len(g.endpoints) == 0 {
+	if g.Draining() || g.table.Load() == nil || len(g.endpoints) == 0 {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
@@ -201,22 +204,6 @@
 	return 0
 }
 
-// Drain makes the readiness probe fail so that no new connections arrive; requests are still served.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-	g.log.Info("draining", "active", g.Active())
-}
-
-// RefuseWaiting refuses the requests that wait for an endpoint and all later ones, because another gateway can serve them
-// sooner.
-func (g *Gateway) RefuseWaiting() { g.cancelPending() }
-
-// CancelActive ends every active request with a final response.
-func (g *Gateway) CancelActive() { g.cancelActive() }
-
-// Draining reports whether the gateway is shutting down.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
-
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int {
 	g.mu.Lock()
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -226,6 +226,7 @@
 	}
 	g.table.Store(table)
 	g.tableUpdatedAt = time.Now()
+	g.keepAnswerTimesLocked(table)
 	fields := []any{
 		"version", table.Version, "steward", received.Steward, "routes", len(table.Routes), "bytes", len(received.Raw),
 		"transferredBytes", received.TransferredBytes, "ms", received.Took.Milliseconds(),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -161,6 +161,11 @@
 		clientTimeout = min(clientTimeout, request.ClientTimeout)
 	}
 	t.deadline = t.arrivedAt.Add(clientTimeout - min(responseMargin, clientTimeout/10))
+	if !t.completesBeforeStop(time.Now()) {
+		t.refuse(otherGatewayRetryAfter, stoppingReason)
+		t.recordOutcome()
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.activeCtx, cancel)()
@@ -176,6 +181,9 @@
 	}
 	defer t.unregister()
 	t.run(ctx)
+	if t.outcome == outcomeAnswered {
+		t.recordAnswerTime(time.Now())
+	}
 	t.recordOutcome()
 	g.log.Info("request ended", t.withTeam("id", request.ID, "key", formatKey(t.request.Key), "route", t.route.Name, "model", request.Model, "adapter", request.Adapter,
 		"outcome", t.outcome, "endpoint", t.endpoint, "software", t.software, "resumes", request.Resumes, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
@@ -217,6 +225,8 @@
 			return routed{}, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Reason: reason}
 		}
 		select {
+		case <-g.pendingCtx.Done():
+			return routed{}, &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: otherGatewayRetryAfter, Reason: stoppingReason}
 		case <-changed:
 		case <-time.After(left):
 		case <-ctx.Done():
@@ -357,6 +367,10 @@
 // acquireEndpoint waits for an endpoint; it returns false if the request was refused or its client has disconnected.
 func (t *transaction) acquireEndpoint(ctx context.Context) (choice, bool) {
 	for {
+		if ctx.Err() != nil || t.activeCtx.Err() != nil {
+			t.giveUp("no endpoint in time", defaultRetryAfter)
+			return choice{}, false
+		}
 		t.mu.Lock()
 		now := time.Now()
 		chosen, found, ok := t.chooseLocked(t.request, t.service, t.origin, t.avoid, now)
@@ -408,7 +422,7 @@
 		}
 		select {
 		case <-t.pendingCtx.Done():
-			t.giveUp("this gateway is about to stop", otherGatewayRetryAfter)
+			t.giveUp(stoppingReason, otherGatewayRetryAfter)
 			return choice{}, false
 		case <-changed:
 		case <-time.After(retryInterval):
--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -5,14 +5,21 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 )
 
+// lastReadTime is how long the last read on an idle connection may take before it is closed; it returns bytes that have arrived already.
+const lastReadTime = time.Millisecond
+
 type connState int
 
 const (
 	stateIdle connState = iota
 	// stateBusy is the state from the first byte of a request to the end of its response.
 	stateBusy
+	// stateInterrupted is the state of an idle connection whose read was interrupted, stateLastRead that during the last read.
+	stateInterrupted
+	stateLastRead
 )
 
 // conn is a connection that knows whether a request is on it.
@@ -20,22 +27,40 @@
 	net.Conn
 	server *Server
 
-	mu    sync.Mutex
-	state connState
+	mu        sync.Mutex
+	state     connState
+	idleSince time.Time
 	// responded is set once a byte of the response to the current request has been written, left once the client has closed.
 	responded, left, closed bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.recordRead(n, err) {
+			return n, err
+		}
+	}
+}
+
+// recordRead records the result of a read and reports whether the read must be repeated.
+func (c *conn) recordRead(n int, err error) (again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.left = c.left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-	if n > 0 && c.state != stateBusy {
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	c.left = c.left || err != nil && !timedOut
+	switch {
+	case n > 0 && c.state != stateBusy:
+		if c.state != stateIdle {
+			_ = c.SetReadDeadline(c.server.headerDeadline())
+		}
 		c.state, c.responded = stateBusy, false
+	case n == 0 && timedOut && c.state == stateInterrupted:
+		c.state = stateLastRead
+		return c.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
 	}
-	return n, err
+	return false
 }
 
 // Write implements net.Conn.
@@ -79,5 +104,16 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = stateIdle
+	c.state, c.idleSince = stateIdle, time.Now()
+}
+
+// interrupt makes the connection close if it has been idle since the given time and nothing has arrived on it. The connection's
+// own goroutine closes it, so that no request is read meanwhile.
+func (c *conn) interrupt(idleSince time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateInterrupted || c.state == stateIdle && !c.idleSince.After(idleSince) {
+		c.state = stateInterrupted
+		_ = c.SetReadDeadline(time.Now()) // fails only if the connection is closed
+	}
 }
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -4,21 +4,30 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// Server is an HTTP server that counts the connections that it closes with a request on them.
+// pollInterval is how often idle connections are looked for.
+const pollInterval = 25 * time.Millisecond
+
+// Server is an HTTP server whose connections close only while no request is on them.
 type Server struct {
 	http       *http.Server
 	unanswered atomic.Int64
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
 }
 
 // New returns a Server that serves as configured in server, which must not be used otherwise.
 func New(server *http.Server) *Server {
-	s := &Server{http: server}
+	s := &Server{http: server, conns: map[*conn]struct{}{}}
 	configured := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		c.(*conn).recordState(state)
+		s.recordState(c.(*conn), state)
 		if configured != nil {
 			configured(c, state)
 		}
@@ -26,27 +35,71 @@
 	return s
 }
 
-// Serve accepts connections until the server is closed, and returns http.ErrServerClosed then.
+// Serve accepts connections until the server stops accepting or is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
 	return s.http.Serve(trackingListener{listener, s})
 }
 
+// StopAccepting closes the listener; open connections are still served.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close() // it accepts nothing any more, whatever the error
+	}
+}
+
+// headerDeadline returns until when the head of a request that begins now must have arrived, zero for no limit.
+func (s *Server) headerDeadline() time.Time {
+	if s.http.ReadHeaderTimeout <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(s.http.ReadHeaderTimeout)
+}
+
 // Unanswered returns how many connections the server has closed that had a request without a response and a client that waited for it.
 func (s *Server) Unanswered() int64 { return s.unanswered.Load() }
 
-// Shutdown stops the server as http.Server does.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// CloseIdle closes connections once they have been idle for the given time, until none is left or the context ends. The server accepts
+// new connections and requests meanwhile; a handler that sets "Connection: close" ends its connection.
+func (s *Server) CloseIdle(ctx context.Context, idle time.Duration) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for s.interruptIdle(time.Now().Add(-idle)) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
 
 // Close closes the listeners and all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
-// recordState records what the server does with the connection.
-func (c *conn) recordState(state http.ConnState) {
+// interruptIdle interrupts the connections that have been idle since the given time, and returns how many connections are open.
+func (s *Server) interruptIdle(idleSince time.Time) (open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.interrupt(idleSince)
+	}
+	return len(s.conns)
+}
+
+func (s *Server) recordState(c *conn, state http.ConnState) {
 	switch state {
 	case http.StateActive:
 		c.setBusy()
 	case http.StateIdle:
 		c.setIdle()
+	case http.StateHijacked, http.StateClosed:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
 	}
 }
 
@@ -62,5 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: accepted, server: l.server}, nil
+	c := &conn{Conn: accepted, server: l.server, idleSince: time.Now()}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	l.server.conns[c] = struct{}{}
+	return c, nil
 }
