Estimate by mean and deviation which requests a stopping gateway can complete

The longest recent time of a route refused too many: sizes of streams vary by a factor of ten, so a gateway that was asked to stop turned 40% of the long streams away though one in fifty would have been cut.

Change: a request is taken if the mean time of its route and 2.5 mean deviations fit into the rest of the grace period.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,23 +6,35 @@
 	"burdocksaddle/route"
 )
 
+const stoppingReason = "this gateway is about to stop"
+
 const (
-	// answerTimeWeight is the weight of a shorter answer in an answerTime.
-	answerTimeWeight = 0.01
-	// answerTimeMargin is the factor by which the rest of the grace period must exceed a route's answerTime for a request to be taken.
-	answerTimeMargin = 1.25
-	stoppingReason   = "this gateway is about to stop"
+	// answerTimeWeight is the weight of the latest answer in an answerTime.
+	answerTimeWeight = 1.0 / 32
+	// maxDeviations is how many mean deviations above the mean few answers exceed.
+	maxDeviations = 2.5
 )
 
-// answerTime follows the longest of the recent times from a request's arrival to the end of its response.
-type answerTime time.Duration
+// answerTime estimates the time from a request's arrival to the end of its response.
+type answerTime struct {
+	mean, deviation time.Duration
+}
 
 // With returns the answerTime after another answer.
 func (a answerTime) With(took time.Duration) answerTime {
-	if took >= time.Duration(a) {
-		return answerTime(took)
+	if a == (answerTime{}) {
+		return answerTime{took, took / 2}
+	}
+	difference := took - a.mean
+	return answerTime{
+		mean:      a.mean + time.Duration(answerTimeWeight*float64(difference)),
+		deviation: a.deviation + time.Duration(answerTimeWeight*float64(difference.Abs()-a.deviation)),
 	}
-	return a - answerTime(answerTimeWeight*float64(time.Duration(a)-took))
+}
+
+// longest returns the time that few answers exceed.
+func (a answerTime) longest() time.Duration {
+	return a.mean + time.Duration(maxDeviations*float64(a.deviation))
 }
 
 // Drain makes the readiness probe fail so that no new connections arrive. Requests are still served if they can be completed by the given time.
@@ -42,7 +54,7 @@
 func (g *Gateway) Draining() bool { return g.stopsAt.Load() != nil }
 
 // completesBeforeStop reports whether the response to a request will be complete before the gateway stops, by the times that recent requests
-// of its route took.
+// of its route took, or its time limit.
 func (t *transaction) completesBeforeStop(now time.Time) bool {
 	stopsAt := t.stopsAt.Load()
 	if stopsAt == nil {
@@ -52,7 +64,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if expected, ok := t.answerTimes[t.route.Name]; ok {
-		left = min(left, time.Duration(answerTimeMargin*float64(expected)))
+		left = min(left, expected.longest())
 	}
 	return now.Add(left).Before(*stopsAt)
 }
