End a planned stop with status 0 if the listener closes twice

A gateway that was asked to stop exited with status 1 in one of nine stops of the fault test: "close tcp ...: use of closed network connection".

Change: the listener closes once and returns the same result again. TestCloseAfterStopAcceptingSucceeds failed before.

--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -188,3 +188,22 @@
 		t.Errorf("%d requests handled, %d answered, %d unanswered", handled.Load(), answered.Load(), server.Unanswered())
 	}
 }
+
+// TestCloseAfterStopAcceptingSucceeds guards against a stop that fails since the listener is closed already.
+func TestCloseAfterStopAcceptingSucceeds(t *testing.T) {
+	for range 500 {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := New(&http.Server{ReadHeaderTimeout: testTimeout})
+		ended := make(chan error, 1)
+		go func() { ended <- server.Serve(listener) }()
+		dial(t, listener.Addr().String())
+		server.waitForConns(t, 1)
+		if err := errors.Join(server.StopAccepting(), server.Close()); err != nil {
+			t.Fatal(err)
+		}
+		<-ended // as the listener was closed first, an error
+	}
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -18,7 +18,7 @@
 	unanswered atomic.Int64
 
 	mu       sync.Mutex
-	listener net.Listener
+	listener *trackingListener
 	conns    map[*conn]struct{}
 }
 
@@ -37,19 +37,21 @@
 
 // Serve accepts connections until the server stops accepting or is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	tracking := &trackingListener{Listener: listener, server: s}
 	s.mu.Lock()
-	s.listener = listener
+	s.listener = tracking
 	s.mu.Unlock()
-	return s.http.Serve(trackingListener{listener, s})
+	return s.http.Serve(tracking)
 }
 
 // StopAccepting closes the listener; open connections are still served.
-func (s *Server) StopAccepting() {
+func (s *Server) StopAccepting() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listener != nil {
-		_ = s.listener.Close() // it accepts nothing any more, whatever the error
+	if s.listener == nil {
+		return nil
 	}
+	return s.listener.Close()
 }
 
 // headerDeadline returns until when the head of a request that begins now must have arrived, zero for no limit.
@@ -106,11 +108,19 @@
 // trackingListener adds the connections that it accepts to a server.
 type trackingListener struct {
 	net.Listener
-	server *Server
+	server   *Server
+	once     sync.Once
+	closeErr error
+}
+
+// Close implements net.Listener; it may be called several times.
+func (l *trackingListener) Close() error {
+	l.once.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
 }
 
 // Accept implements net.Listener.
-func (l trackingListener) Accept() (net.Conn, error) {
+func (l *trackingListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
