Check in the fault test that no request is lost

Requests that ended without an answer at a gateway that was stopped in calm went unnoticed: of what the platform's rules call lost, the fault test judged only streams that callers take up, and any request only after the recovery.

Check Lost: at a gateway without an unplanned fault from 3 s before a request to its end, a request that was passed on, or held for more than 200 ms, gets a complete answer, also while the gateway stops or reloads. Excused are broken runs of endpoints, the time limit, callers that leave, and runs in the last sixth of the grace period. A request that was not passed on must be answered, too, unless it crosses the close of an idle connection or opens one more than 2 s after SIGTERM. Each run logs how many requests ended in each way.

--- a/e2e/platform_check_test.go
+++ b/e2e/platform_check_test.go
@@ -51,6 +51,9 @@
 	stewards     []string
 	gateways     []string
 	disturbances map[string][]period
+	// stops are the times from a SIGTERM to the exit of the process, by the address from which it sent; grace is the longest that one may take.
+	stops map[string][]period
+	grace time.Duration
 	// senders are the addresses from which gateways send, by those to which callers send.
 	senders map[string]string
 	// recoveredBy is the deadline for recovery after the last fault.
@@ -67,6 +70,7 @@
 }{
 	{"Once", checkOnce, true},
 	{"Refusals", checkRefusals, false},
+	{"Lost", checkLost, true},
 	{"Answers", checkAnswers, true},
 	{"Asked", checkAsked, true},
 	{"Holder", checkHolder, true},
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -97,16 +97,18 @@
 	allEndpoints []*standin.Endpoint
 	// resumedAt holds the times at which each VM's suspended process was resumed.
 	resumedAt map[string][]time.Time
-	// disturbances are the times in which a VM's process or connections were subject to a fault, by the VM's bindAddress.
-	disturbances map[string][]period
+	// disturbances are the times in which a VM's process or connections were subject to a fault, stops those from a SIGTERM to the exit of
+	// its process, both by the VM's bindAddress.
+	disturbances, stops map[string][]period
 	// disks are the full disks.
 	disks fullDisks
 }
 
-// period is a span of time in which a fault affected a VM; ownOnly is set if it affected only what this VM itself does.
+// period is a span of time in which a fault affected a VM; ownOnly is set if it affected only what this VM itself does, planned if it was
+// planned work, during which no request may be lost.
 type period struct {
-	from, until time.Time
-	ownOnly     bool
+	from, until      time.Time
+	ownOnly, planned bool
 }
 
 func (p period) overlaps(from, until time.Time) bool {
@@ -135,7 +137,7 @@
 	}
 	c := &platformCluster{
 		t: t, shape: shape, binary: binary, dir: dir, network: newProxyNetwork(), port: 7380, vms: map[string]*vm{}, subnet: 10 + (os.Getpid()+int(clusterNumber.Add(1)))%200,
-		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{}, disks: fullDisks{now: map[string]int{}},
+		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{}, stops: map[string][]period{}, disks: fullDisks{now: map[string]int{}},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for n := range shape.engines {
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -134,7 +134,7 @@
 	if f.kind == "full disk of the leader" {
 		f.vm = c.leader(f.vm)
 	}
-	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind)})
+	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind), planned: f.kind == "term"})
 	if c.injectFullDisks(f) {
 		return
 	}
@@ -264,6 +264,7 @@
 func (c *platformCluster) terminate(name string, downtime time.Duration) {
 	c.withVM(name, func(v *vm) {
 		v.process.resume()
+		stop := period{from: time.Now()}
 		v.process.signal(syscall.SIGTERM)
 		select {
 		case err := <-v.process.exited:
@@ -274,6 +275,10 @@
 			c.t.Errorf("%s did not stop within the grace period", name)
 			v.process.kill()
 		}
+		stop.until = time.Now()
+		c.mu.Lock()
+		c.stops[v.bindAddress] = append(c.stops[v.bindAddress], stop)
+		c.mu.Unlock()
 		sleepContext(c.ctx, downtime)
 		v.first = false
 		c.writeSettings(v, c.seedAddresses())
@@ -377,6 +382,7 @@
 		t.Error("no full disk refused a write")
 	}
 	t.Logf("seed %d: %d requests, %d served, %d configurations sent, %d configuration reads, %d of %d full disks refused writes; judged: %v", seed, len(o.outcomes), load.servedSince(loadStart), len(o.changes), len(o.configReads), c.disks.refusing, c.disks.filled, judged)
+	t.Logf("seed %d: answers: %v", seed, o.answers())
 	return broken, c.disks.refusing
 }
 
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -304,5 +304,5 @@
 			stewards = append(stewards, v.bindAddress)
 		}
 	}
-	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, keyProbes: l.keyProbes, disturbances: l.cluster.disturbances, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, finalChange: l.finalChange, resumedAt: resumedAt, recoveredBy: recoveredBy}
+	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, keyProbes: l.keyProbes, disturbances: l.cluster.disturbances, stops: l.cluster.stops, grace: stopGrace, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, finalChange: l.finalChange, resumedAt: resumedAt, recoveredBy: recoveredBy}
 }
