Add a regression of the fault test for requests lost at planned stops

The case stops three gateways nine times in turn, and nothing else. Besides the usual callers, 180 callers choose gateways as the platform does, by the readiness probe, keep their connections for up to 4 s, respect Keep-Alive and do not retry; the requests of 150 of them arrive in two parts, as over a slow link. Callers of the fault test opened new connections or sent requests every 60 ms, so that none had an idle connection when a gateway closed those.

--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -37,12 +37,19 @@
 	streamEvents     = 6
 )
 
-// clusterShape is the size of a cluster; tolerance is how many stewards may lose their disks at the same time.
-type clusterShape struct{ stewards, gateways, engines, plainServices, tolerance int }
+// clusterShape is the size of a cluster; tolerance is how many stewards may lose their disks at the same time, grace how long a process may
+// take to stop, and keptCallers how many callers choose gateways as the platform does, besides those of each gateway.
+type clusterShape struct {
+	stewards, gateways, engines, plainServices, tolerance, keptCallers int
+
+	grace time.Duration
+}
 
 var (
-	smallShape = clusterShape{stewards: 3, gateways: 3, engines: 4, plainServices: 2, tolerance: 1}
-	largeShape = clusterShape{stewards: 5, gateways: 12, engines: 8, plainServices: 3, tolerance: 2}
+	smallShape = clusterShape{stewards: 3, gateways: 3, engines: 4, plainServices: 2, tolerance: 1, grace: stopGrace}
+	largeShape = clusterShape{stewards: 5, gateways: 12, engines: 8, plainServices: 3, tolerance: 2, grace: stopGrace}
+	// stopsShape has the grace in which a gateway waits until the platform sends it no new connections.
+	stopsShape = clusterShape{stewards: 3, gateways: 3, engines: 4, plainServices: 2, tolerance: 1, keptCallers: 180, grace: 5 * time.Second}
 )
 
 func (s clusterShape) endpoints() int { return s.engines + s.plainServices }
@@ -327,7 +334,7 @@
 func (c *platformCluster) writeSettings(v *vm, seeds []string) {
 	node := standin.Node{
 		Name: v.name, Role: v.role, IP: v.address, BindIP: v.bindAddress, DataCentre: "here", Port: c.port, Seeds: seeds, FirstStart: v.first,
-		DataDir: v.dataDir, MemoryMB: 280, List: c.endpointList.Address, Grace: stopGrace, Lease: platformLease, Drain: platformDrain, FaultTolerance: c.shape.tolerance, RetryRatio: 0.2, RetryExtra: 50,
+		DataDir: v.dataDir, MemoryMB: 280, List: c.endpointList.Address, Grace: c.shape.grace, Lease: platformLease, Drain: platformDrain, FaultTolerance: c.shape.tolerance, RetryRatio: 0.2, RetryExtra: 50,
 	}
 	if v.role == "steward" {
 		node.Operator = v.operator
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -271,7 +271,7 @@
 			if err != nil && c.hasStarted(v) && !v.killed {
 				c.t.Errorf("%s exited with an error after SIGTERM: %v", name, err)
 			}
-		case <-time.After(stopGrace + time.Second):
+		case <-time.After(time.Until(stop.from.Add(c.shape.grace + time.Second))):
 			c.t.Errorf("%s did not stop within the grace period", name)
 			v.process.kill()
 		}
@@ -435,6 +435,13 @@
 			}
 		})
 	}
+	if shapeName == shapeSmall {
+		t.Run("requests lost at planned stops in calm", func(t *testing.T) {
+			t.Parallel()
+			broken, _ := runFaults(t, stopsShape, binary, 1, stopsInTurn())
+			reportBroken(t, broken)
+		})
+	}
 	for _, seed := range selected {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
--- a/e2e/platform_load_test.go
+++ b/e2e/platform_load_test.go
@@ -66,6 +66,7 @@
 			l.workers.Go(func() { l.runCaller(caller, r, repeats) })
 		}
 	}
+	l.startKeptCallers(seed)
 	for g := range c.shape.gateways {
 		l.workers.Go(func() { l.runProbes("gateway-" + strconv.Itoa(g)) })
 		l.workers.Go(func() { l.runKeyProbes("gateway-" + strconv.Itoa(g)) })
@@ -304,5 +305,5 @@
 			stewards = append(stewards, v.bindAddress)
 		}
 	}
-	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, keyProbes: l.keyProbes, disturbances: l.cluster.disturbances, stops: l.cluster.stops, grace: stopGrace, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, finalChange: l.finalChange, resumedAt: resumedAt, recoveredBy: recoveredBy}
+	return observations{stewards: stewards, gateways: gateways, senders: senders, probes: l.probes, keyProbes: l.keyProbes, disturbances: l.cluster.disturbances, stops: l.cluster.stops, grace: l.cluster.shape.grace, outcomes: l.outcomes, endpoints: l.cluster.endpoints(), changes: l.changes, configReads: l.configReads, finalReads: l.finalReads, finalChange: l.finalChange, resumedAt: resumedAt, recoveredBy: recoveredBy}
 }
