Inject planned stops beside load and with more signals in the fault test

The fault test stopped processes by a single SIGTERM. Now each run also stops over half of the gateways, overlapping, some with further SIGTERMs and SIGHUPs while they stop, some again right after they have started. A fixed case does this on a machine with four busy processes, and stops all gateways within a second.

--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -120,7 +120,7 @@
 		}
 		return []string{f.vm, f.other}
 	}
-	if slices.Contains(endpointFaults, f.kind) || f.kind == "reload" {
+	if slices.Contains(endpointFaults, f.kind) || f.kind == "reload" || f.kind == "busy machine" {
 		return nil
 	}
 	return []string{f.vm}
@@ -134,7 +134,7 @@
 	if f.kind == "full disk of the leader" {
 		f.vm = c.leader(f.vm)
 	}
-	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind), planned: f.kind == "term"})
+	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind), planned: slices.Contains(plannedStops, f.kind)})
 	if c.injectFullDisks(f) {
 		return
 	}
@@ -153,6 +153,14 @@
 		c.restart(c.names, f.duration/4, nil)
 	case "term":
 		c.terminate(f.vm, f.duration)
+	case "term and signals":
+		c.terminate(f.vm, f.duration, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+	case "term twice":
+		c.terminate(f.vm, 0)
+		c.reload(f.vm, c.seedAddresses())
+		c.terminate(f.vm, f.duration)
+	case "busy machine":
+		c.occupyMachine(f.duration)
 	case "suspend":
 		c.suspend(f.vm, f.duration)
 	case "reload":
@@ -261,11 +269,16 @@
 	})
 }
 
-func (c *platformCluster) terminate(name string, downtime time.Duration) {
+// terminate asks a process to stop, sends it more signals while it does, and starts it again after the downtime.
+func (c *platformCluster) terminate(name string, downtime time.Duration, signals ...syscall.Signal) {
 	c.withVM(name, func(v *vm) {
 		v.process.resume()
 		stop := period{from: time.Now()}
 		v.process.signal(syscall.SIGTERM)
+		for _, s := range signals {
+			sleepContext(c.ctx, signalInterval)
+			v.process.signal(s)
+		}
 		select {
 		case err := <-v.process.exited:
 			if err != nil && c.hasStarted(v) && !v.killed {
@@ -436,17 +449,19 @@
 		})
 	}
 	if shapeName == shapeSmall {
-		t.Run("requests lost at planned stops in calm", func(t *testing.T) {
-			t.Parallel()
-			broken, _ := runFaults(t, stopsShape, binary, 1, stopsInTurn())
-			reportBroken(t, broken)
-		})
+		for name, faults := range map[string][]fault{"requests lost at planned stops in calm": stopsInTurn(), "requests lost at planned stops beside load": stopsBesideLoad()} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				broken, _ := runFaults(t, stopsShape, binary, 1, faults)
+				reportBroken(t, broken)
+			})
+		}
 	}
 	for _, seed := range selected {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			faults := slices.Concat(randomFaults(rand.New(rand.NewPCG(seed, 1)), shape), randomNotices(rand.New(rand.NewPCG(seed, 2)), shape),
-				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape), randomDisks(rand.New(rand.NewPCG(seed, 5)), shape))
+				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape), randomDisks(rand.New(rand.NewPCG(seed, 5)), shape), randomStops(rand.New(rand.NewPCG(seed, 6)), shape))
 			broken, _ := runFaults(t, shape, binary, seed, faults)
 			reportBroken(t, broken)
 			if t.Failed() {
--- a/e2e/platform_stops_test.go
+++ b/e2e/platform_stops_test.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// signalInterval is the time between the signals that a stopping process gets.
+	signalInterval = 200 * time.Millisecond
 	// readyInterval is how often the platform asks each gateway whether it is ready, maxMisses how many answers other than 200 end its rotation.
 	readyInterval = time.Second
 	maxMisses     = 2
@@ -21,8 +23,13 @@
 	shortPause = 200 * time.Millisecond
 	longPause  = 4 * time.Second
 	headDelay  = 150 * time.Millisecond
+	// busyProcesses is how many processes occupy a core each on a busy machine.
+	busyProcesses = 4
 )
 
+// plannedStops are the kinds of faults in which a process is only asked to stop.
+var plannedStops = []string{"term", "term and signals", "term twice"}
+
 func gatewayName(n int) string { return "gateway-" + strconv.Itoa(n) }
 
 // stopsInTurn returns planned stops of one gateway after the other, each of which is back in rotation before the next one leaves it.
@@ -34,6 +41,41 @@
 	return faults
 }
 
+// stopsBesideLoad returns planned stops on a busy machine: of gateways that get more signals or have just started, and of all gateways one after
+// the other faster than they stop.
+func stopsBesideLoad() []fault {
+	second := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	return []fault{
+		{at: 0, kind: "busy machine", duration: second(22)},
+		{at: second(1), kind: "term and signals", vm: gatewayName(0), duration: second(0.1)},
+		{at: second(4), kind: "term twice", vm: gatewayName(1), duration: second(0.1)},
+		{at: second(12), kind: "term", vm: gatewayName(0), duration: second(0.1)},
+		{at: second(12.5), kind: "term and signals", vm: gatewayName(1), duration: second(0.1)},
+		{at: second(13), kind: "term", vm: gatewayName(2), duration: second(0.1)},
+		{at: second(19), kind: "term", vm: gatewayName(2), duration: second(0.1)},
+	}
+}
+
+// randomStops draws a series of planned stops of gateways that overlap.
+func randomStops(r *rand.Rand, shape clusterShape) []fault {
+	var faults []fault
+	at := time.Duration(r.Int64N(int64(injectionWindow / 2)))
+	for _, n := range r.Perm(shape.gateways)[:shape.gateways/2+1] {
+		faults = append(faults, fault{at: at, kind: pick(r, plannedStops), vm: gatewayName(n), duration: time.Duration(r.Int64N(int64(maxDowntime / 2)))})
+		at += time.Duration(r.Int64N(int64(stopGrace)))
+	}
+	return faults
+}
+
+// occupyMachine keeps cores busy for a time.
+func (c *platformCluster) occupyMachine(duration time.Duration) {
+	for n := range busyProcesses {
+		busy := startProcess(c.t, "sh", c.dir, "busy-"+strconv.Itoa(n), "-c", "while :; do :; done")
+		defer busy.kill()
+	}
+	sleepContext(c.ctx, duration)
+}
+
 // rotation chooses the gateways of new connections as the platform does: those that report that they are ready or, if they are fewer than
 // half, all.
 type rotation struct {
