--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -37,12 +37,19 @@
 	streamEvents     = 6
 )
 
-// clusterShape is the size of a cluster; tolerance is how many stewards may lose their disks at the same time.
-type clusterShape struct{ stewards, gateways, engines, plainServices, tolerance int }
+// clusterShape is the size of a cluster; tolerance is how many stewards may lose their disks at the same time, grace how long a process may
+// take to stop, and keptCallers how many callers choose gateways as the platform does, besides those of each gateway.
+type clusterShape struct {
+	stewards, gateways, engines, plainServices, tolerance, keptCallers int
+
+	grace time.Duration
+}
 
 var (
-	smallShape = clusterShape{stewards: 3, gateways: 3, engines: 4, plainServices: 2, tolerance: 1}
-	largeShape = clusterShape{stewards: 5, gateways: 12, engines: 8, plainServices: 3, tolerance: 2}
+	smallShape = clusterShape{stewards: 3, gateways: 3, engines: 4, plainServices: 2, tolerance: 1, grace: stopGrace}
+	largeShape = clusterShape{stewards: 5, gateways: 12, engines: 8, plainServices: 3, tolerance: 2, grace: stopGrace}
+	// stopsShape has the grace in which a gateway waits until the platform sends it no new connections.
+	stopsShape = clusterShape{stewards: 3, gateways: 3, engines: 4, plainServices: 2, tolerance: 1, keptCallers: 180, grace: 5 * time.Second}
 )
 
 func (s clusterShape) endpoints() int { return s.engines + s.plainServices }
@@ -97,16 +104,18 @@
 	allEndpoints []*standin.Endpoint
 	// resumedAt holds the times at which each VM's suspended process was resumed.
 	resumedAt map[string][]time.Time
-	// disturbances are the times in which a VM's process or connections were subject to a fault, by the VM's bindAddress.
-	disturbances map[string][]period
+	// disturbances are the times in which a VM's process or connections were subject to a fault, stops those from a SIGTERM to the exit of
+	// its process, both by the VM's bindAddress.
+	disturbances, stops map[string][]period
 	// disks are the full disks.
 	disks fullDisks
 }
 
-// period is a span of time in which a fault affected a VM; ownOnly is set if it affected only what this VM itself does.
+// period is a span of time in which a fault affected a VM; ownOnly is set if it affected only what this VM itself does, planned if it was
+// planned work, during which no request may be lost.
 type period struct {
-	from, until time.Time
-	ownOnly     bool
+	from, until      time.Time
+	ownOnly, planned bool
 }
 
 func (p period) overlaps(from, until time.Time) bool {
@@ -135,7 +144,7 @@
 	}
 	c := &platformCluster{
 		t: t, shape: shape, binary: binary, dir: dir, network: newProxyNetwork(), port: 7380, vms: map[string]*vm{}, subnet: 10 + (os.Getpid()+int(clusterNumber.Add(1)))%200,
-		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{}, disks: fullDisks{now: map[string]int{}},
+		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{}, stops: map[string][]period{}, disks: fullDisks{now: map[string]int{}},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for n := range shape.engines {
@@ -325,7 +334,7 @@
 func (c *platformCluster) writeSettings(v *vm, seeds []string) {
 	node := standin.Node{
 		Name: v.name, Role: v.role, IP: v.address, BindIP: v.bindAddress, DataCentre: "here", Port: c.port, Seeds: seeds, FirstStart: v.first,
-		DataDir: v.dataDir, MemoryMB: 280, List: c.endpointList.Address, Grace: stopGrace, Lease: platformLease, Drain: platformDrain, FaultTolerance: c.shape.tolerance, RetryRatio: 0.2, RetryExtra: 50,
+		DataDir: v.dataDir, MemoryMB: 280, List: c.endpointList.Address, Grace: c.shape.grace, Lease: platformLease, Drain: platformDrain, FaultTolerance: c.shape.tolerance, RetryRatio: 0.2, RetryExtra: 50,
 	}
 	if v.role == "steward" {
 		node.Operator = v.operator
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -120,7 +120,7 @@
 		}
 		return []string{f.vm, f.other}
 	}
-	if slices.Contains(endpointFaults, f.kind) || f.kind == "reload" {
+	if slices.Contains(endpointFaults, f.kind) || f.kind == "reload" || f.kind == "busy machine" {
 		return nil
 	}
 	return []string{f.vm}
@@ -134,7 +134,7 @@
 	if f.kind == "full disk of the leader" {
 		f.vm = c.leader(f.vm)
 	}
-	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind)})
+	defer c.disturb(c.affected(f), period{from: time.Now(), ownOnly: slices.Contains(ownFaults, f.kind), planned: slices.Contains(plannedStops, f.kind)})
 	if c.injectFullDisks(f) {
 		return
 	}
@@ -153,6 +153,14 @@
 		c.restart(c.names, f.duration/4, nil)
 	case "term":
 		c.terminate(f.vm, f.duration)
+	case "term and signals":
+		c.terminate(f.vm, f.duration, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+	case "term twice":
+		c.terminate(f.vm, 0)
+		c.reload(f.vm, c.seedAddresses())
+		c.terminate(f.vm, f.duration)
+	case "busy machine":
+		c.occupyMachine(f.duration)
 	case "suspend":
 		c.suspend(f.vm, f.duration)
 	case "reload":
@@ -261,19 +269,29 @@
 	})
 }
 
-func (c *platformCluster) terminate(name string, downtime time.Duration) {
+// terminate asks a process to stop, sends it more signals while it does, and starts it again after the downtime.
+func (c *platformCluster) terminate(name string, downtime time.Duration, signals ...syscall.Signal) {
 	c.withVM(name, func(v *vm) {
 		v.process.resume()
+		stop := period{from: time.Now()}
 		v.process.signal(syscall.SIGTERM)
+		for _, s := range signals {
+			sleepContext(c.ctx, signalInterval)
+			v.process.signal(s)
+		}
 		select {
 		case err := <-v.process.exited:
 			if err != nil && c.hasStarted(v) && !v.killed {
 				c.t.Errorf("%s exited with an error after SIGTERM: %v", name, err)
 			}
-		case <-time.After(stopGrace + time.Second):
+		case <-time.After(time.Until(stop.from.Add(c.shape.grace + time.Second))):
 			c.t.Errorf("%s did not stop within the grace period", name)
 			v.process.kill()
 		}
+		stop.until = time.Now()
+		c.mu.Lock()
+		c.stops[v.bindAddress] = append(c.stops[v.bindAddress], stop)
+		c.mu.Unlock()
 		sleepContext(c.ctx, downtime)
 		v.first = false
 		c.writeSettings(v, c.seedAddresses())
@@ -377,6 +395,7 @@
 		t.Error("no full disk refused a write")
 	}
 	t.Logf("seed %d: %d requests, %d served, %d configurations sent, %d configuration reads, %d of %d full disks refused writes; judged: %v", seed, len(o.outcomes), load.servedSince(loadStart), len(o.changes), len(o.configReads), c.disks.refusing, c.disks.filled, judged)
+	t.Logf("seed %d: answers: %v", seed, o.answers())
 	return broken, c.disks.refusing
 }
 
@@ -429,11 +448,20 @@
 			}
 		})
 	}
+	if shapeName == shapeSmall {
+		for name, faults := range map[string][]fault{"requests lost at planned stops in calm": stopsInTurn(), "requests lost at planned stops beside load": stopsBesideLoad()} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				broken, _ := runFaults(t, stopsShape, binary, 1, faults)
+				reportBroken(t, broken)
+			})
+		}
+	}
 	for _, seed := range selected {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			faults := slices.Concat(randomFaults(rand.New(rand.NewPCG(seed, 1)), shape), randomNotices(rand.New(rand.NewPCG(seed, 2)), shape),
-				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape), randomDisks(rand.New(rand.NewPCG(seed, 5)), shape))
+				lostDisks(rand.New(rand.NewPCG(seed, 3)), shape), randomTroubles(rand.New(rand.NewPCG(seed, 4)), shape), randomDisks(rand.New(rand.NewPCG(seed, 5)), shape), randomStops(rand.New(rand.NewPCG(seed, 6)), shape))
 			broken, _ := runFaults(t, shape, binary, seed, faults)
 			reportBroken(t, broken)
 			if t.Failed() {
