--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -204,6 +204,8 @@
 		if err := errors.Join(server.StopAccepting(), server.Close()); err != nil {
 			t.Fatal(err)
 		}
-		<-ended // as the listener was closed first, an error
+		if err := <-ended; !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("the server ended with %v", err)
+		}
 	}
 }
