Report no error when a gateway that stopped accepting closes

Callers saw nothing, but a gateway without open connections could end with "use of closed network connection" and exit code 1 after a planned stop: StopAccepting closes the listener, and if Serve has not returned yet, http.Server.Close closes it once more and returns that error.

Change: the listener is closed once, whoever asks first.

--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -188,3 +188,32 @@
 		t.Errorf("%d requests handled, %d answered, %d unanswered", handled.Load(), answered.Load(), server.Unanswered())
 	}
 }
+
+// lateListener reports its end to the server late.
+type lateListener struct{ net.Listener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return c, err
+}
+
+// TestCloseHasNoErrorAfterTheServerStoppedAccepting closes a server before Serve has returned.
+func TestCloseHasNoErrorAfterTheServerStoppedAccepting(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(&http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: testTimeout})
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(lateListener{listener}) }()
+	dial(t, listener.Addr().String())
+	server.waitForConns(t, 1)
+	server.StopAccepting()
+	if err := server.Close(); err != nil {
+		t.Error(err)
+	}
+	<-ended
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -37,10 +37,11 @@
 
 // Serve accepts connections until the server stops accepting or is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	tracking := trackingListener{listener, s, sync.OnceValue(listener.Close)}
 	s.mu.Lock()
-	s.listener = listener
+	s.listener = tracking
 	s.mu.Unlock()
-	return s.http.Serve(trackingListener{listener, s})
+	return s.http.Serve(tracking)
 }
 
 // StopAccepting closes the listener; open connections are still served.
@@ -107,8 +108,12 @@
 type trackingListener struct {
 	net.Listener
 	server *Server
+	close  func() error
 }
 
+// Close implements net.Listener; both StopAccepting and the http.Server call it.
+func (l trackingListener) Close() error { return l.close() }
+
 // Accept implements net.Listener.
 func (l trackingListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
