Read without a deadline what has arrived on a connection before it closes

Callers on a slow or busy machine could still see a connection close with a request on it: the last read of an idle connection had a deadline of 1 ms, and Go's reads fail at once after their deadline, whatever has arrived. A goroutine that is halted between setting the deadline and reading drops the request. The same holds at the idle timeout, which had no last read at all.

Change: when a read on an idle connection has timed out, the connection reads once without a deadline what its socket holds, and closes only if that is nothing.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -5,21 +5,18 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// lastReadTime is how long the last read on an idle connection may take before it is closed; it returns bytes that have arrived already.
-const lastReadTime = time.Millisecond
-
 type connState int
 
 const (
 	stateIdle connState = iota
 	// stateBusy is the state from the first byte of a request to the end of its response.
 	stateBusy
-	// stateInterrupted is the state of an idle connection whose read was interrupted, stateLastRead that during the last read.
+	// stateInterrupted is the state of an idle connection whose read was interrupted.
 	stateInterrupted
-	stateLastRead
 )
 
 // conn is a connection that knows whether a request is on it.
@@ -36,31 +33,42 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if !c.recordRead(n, err) {
-			return n, err
-		}
-	}
-}
-
-// recordRead records the result of a read and reports whether the read must be repeated.
-func (c *conn) recordRead(n int, err error) (again bool) {
+	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	if timedOut && c.state != stateBusy {
+		if n = c.readArrivedLocked(p); n > 0 {
+			err = nil
+		}
+	}
 	c.left = c.left || err != nil && !timedOut
-	switch {
-	case n > 0 && c.state != stateBusy:
-		if c.state != stateIdle {
+	if n > 0 && c.state != stateBusy {
+		if timedOut || c.state == stateInterrupted {
 			_ = c.SetReadDeadline(c.server.headerDeadline())
 		}
 		c.state, c.responded = stateBusy, false
-	case n == 0 && timedOut && c.state == stateInterrupted:
-		c.state = stateLastRead
-		return c.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
 	}
-	return false
+	return n, err
+}
+
+// readArrivedLocked reads bytes that have arrived and returns their number. It needs no deadline: a goroutine that is halted until its read
+// deadline reads nothing, whatever has arrived.
+func (c *conn) readArrivedLocked(p []byte) (n int) {
+	kernel, ok := c.Conn.(syscall.Conn)
+	if !ok || c.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	raw, err := kernel.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	// The socket doesn't block. If the read fails, there is nothing that could be answered.
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	return max(n, 0)
 }
 
 // Write implements net.Conn.
--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -55,11 +55,11 @@
 	if _, err := io.WriteString(c, request); err != nil {
 		return false
 	}
-	return readResponse(c)
+	return readResponse(bufio.NewReader(c))
 }
 
-func readResponse(c net.Conn) bool {
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+func readResponse(reader *bufio.Reader) bool {
+	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return false
 	}
@@ -111,7 +111,7 @@
 			t.Fatal(err)
 		}
 		defer func() {
-			if _, err := io.WriteString(c, request[sent:]); err != nil || !readResponse(c) {
+			if _, err := io.WriteString(c, request[sent:]); err != nil || !readResponse(bufio.NewReader(c)) {
 				t.Errorf("connection %d: no response to a request of which %d bytes had arrived", n, sent)
 			}
 		}()
@@ -157,7 +157,7 @@
 	default:
 	}
 	close(release)
-	if !readResponse(busy) {
+	if !readResponse(bufio.NewReader(busy)) {
 		t.Error("the request in progress got no response")
 	}
 	<-ended
@@ -217,3 +217,79 @@
 	}
 	<-ended
 }
+
+// hookedListener calls a function whenever a read deadline of a connection has been set.
+type hookedListener struct {
+	net.Listener
+	hook func(deadline time.Time)
+}
+
+func (l hookedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return hookedConn{c.(*net.TCPConn), l.hook}, nil
+}
+
+type hookedConn struct {
+	*net.TCPConn
+	hook func(deadline time.Time)
+}
+
+func (c hookedConn) SetReadDeadline(deadline time.Time) error {
+	err := c.TCPConn.SetReadDeadline(deadline)
+	c.hook(deadline)
+	return err
+}
+
+// TestRequestThatArrivesWhileTheServerIsHaltedIsAnswered has a request arrive when a deadline is set, and the server run on only after that.
+func TestRequestThatArrivesWhileTheServerIsHaltedIsAnswered(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	for name, test := range map[string]struct {
+		idleTimeout time.Duration
+		stop        bool
+	}{"at a stop": {testTimeout, true}, "at the idle timeout": {idleTimeout, false}} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := dial(t, listener.Addr().String())
+			var requests, interrupts atomic.Int64
+			hook := func(deadline time.Time) {
+				wait := time.Until(deadline)
+				switch {
+				case test.stop && wait <= 0 && wait > -testTimeout && requests.Load() == 1:
+					interrupts.Add(1) // net/http itself sets deadlines in the distant past
+				case requests.Load() == 1 && (test.stop && interrupts.Load() > 0 || !test.stop && wait > 0 && wait <= idleTimeout):
+					requests.Add(1)
+					_, _ = io.WriteString(c, request) // a failure shows as a missing response
+					time.Sleep(2 * idleTimeout)
+				}
+			}
+			server := New(&http.Server{IdleTimeout: test.idleTimeout, ReadHeaderTimeout: testTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !requests.CompareAndSwap(0, 1) {
+					w.Header().Set("Connection", "close")
+				}
+			})})
+			ended := make(chan error, 1)
+			go func() { ended <- server.Serve(hookedListener{listener, hook}) }()
+			_, _ = io.WriteString(c, request)
+			reader := bufio.NewReader(c)
+			if !readResponse(reader) {
+				t.Fatal("no response to the first request")
+			}
+			if test.stop {
+				server.CloseIdle(t.Context(), 0)
+			}
+			if !readResponse(reader) {
+				t.Error("no response to the second request")
+			}
+			if err := server.Close(); err != nil {
+				t.Error(err)
+			}
+			<-ended
+		})
+	}
+}
