Don't interrupt the body of a request whose head was read earlier

A client that sends its next request before the response could see 413 instead of an answer: net/http reads the head from its buffer without reading from the connection, so the connection counted as idle until net/http reported the request. A connection that was interrupted in between kept a deadline in the past, and reading the request's body failed.

Evidence: TestInterruptDoesNotEndTheBodyOfABufferedRequest failed before: "0 bytes, i/o timeout". This is a test on the connection alone; it was not seen on a deployment.

Change: the deadline is removed when net/http reports a request. The tests of this package also check how Serve ends.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -101,10 +101,13 @@
 	return c.Conn.Close()
 }
 
-// setBusy records that a request has been read.
+// setBusy records that the head of a request has been read, which may have arrived together with the request before.
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == stateInterrupted {
+		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
 	c.state = stateBusy
 }
 
--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -215,7 +215,9 @@
 	if err := server.Close(); err != nil {
 		t.Error(err)
 	}
-	<-ended
+	if err := <-ended; !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+		t.Error(err)
+	}
 }
 
 // hookedListener calls a function whenever a read deadline of a connection has been set.
@@ -289,7 +291,33 @@
 			if err := server.Close(); err != nil {
 				t.Error(err)
 			}
-			<-ended
+			if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+				t.Error(err)
+			}
 		})
 	}
 }
+
+// TestInterruptDoesNotEndTheBodyOfABufferedRequest interrupts a connection right before net/http reports a request of which it had read the head earlier.
+func TestInterruptDoesNotEndTheBodyOfABufferedRequest(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client := dial(t, listener.Addr().String())
+	tracking := trackingListener{Listener: listener, server: New(&http.Server{ReadHeaderTimeout: testTimeout})}
+	accepted, err := tracking.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	tracking.server.interruptIdle(time.Now())
+	tracking.server.http.ConnState(accepted, http.StateActive)
+	if _, err := io.WriteString(client, "body"); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.ReadFull(accepted, make([]byte, 4)); err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
