Test what else keeps a connection open or counts it as unanswered

Four changes to package graceful passed its tests (each tried alone): interrupting a connection once only, so that a deadline that net/http sets right after keeps it open; no deadline for half a head that arrives at a stop; never counting unanswered connections; counting those whose clients had left. Each of them fails a test now.

--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -18,12 +18,17 @@
 
 // startServer serves requests with a handler until the test ends.
 func startServer(t *testing.T, handler http.HandlerFunc) (server *Server, address string) {
+	t.Helper()
+	return startConfigured(t, &http.Server{Handler: handler, ReadHeaderTimeout: testTimeout})
+}
+
+func startConfigured(t *testing.T, config *http.Server) (server *Server, address string) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server = New(&http.Server{Handler: handler, ReadHeaderTimeout: testTimeout})
+	server = New(config)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -321,3 +326,80 @@
 		t.Errorf("%d bytes, %v", n, err)
 	}
 }
+
+// TestCloseIdleClosesConnectionsWhoseDeadlineIsReplaced has net/http set the deadline of a connection right after it was interrupted.
+func TestCloseIdleClosesConnectionsWhoseDeadlineIsReplaced(t *testing.T) {
+	config := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: testTimeout}
+	config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			c.(*conn).interrupt(time.Now())
+		}
+	}
+	server, address := startConfigured(t, config)
+	if !get(dial(t, address)) {
+		t.Fatal("no response")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout/2)
+	defer cancel()
+	if server.CloseIdle(ctx, 0); ctx.Err() != nil {
+		t.Error("the connection stayed open")
+	}
+}
+
+// TestHalfAHeadEndsAtItsTimeoutAtStop has half a head arrive when its connection is closed.
+func TestHalfAHeadEndsAtItsTimeoutAtStop(t *testing.T) {
+	const headerTimeout = 300 * time.Millisecond
+	server, address := startConfigured(t, &http.Server{ReadHeaderTimeout: headerTimeout})
+	c := dial(t, address)
+	server.waitForConns(t, 1)
+	server.mu.Lock()
+	for c := range server.conns {
+		c.mu.Lock()
+		c.state = stateInterrupted // the next read finds it interrupted
+		c.mu.Unlock()
+	}
+	server.mu.Unlock()
+	if _, err := io.WriteString(c, request[:10]); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if _, err := io.ReadAll(c); err != nil || time.Since(began) > testTimeout/2 {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
+
+// TestUnansweredCountsRequestsWhoseClientsWait closes connections with a request on them.
+func TestUnansweredCountsRequestsWhoseClientsWait(t *testing.T) {
+	for name, test := range map[string]struct {
+		begin, leave bool
+		want         int64
+	}{"no response": {false, false, 1}, "response begun": {true, false, 0}, "client left": {false, true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			reached, release := make(chan struct{}), make(chan struct{})
+			defer close(release)
+			server, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if test.begin {
+					_ = http.NewResponseController(w).Flush()
+				}
+				if test.leave {
+					<-r.Context().Done()
+				}
+				close(reached)
+				<-release
+			})
+			c := dial(t, address)
+			if _, err := io.WriteString(c, request); err != nil {
+				t.Fatal(err)
+			}
+			if test.leave {
+				server.waitForConns(t, 1)
+				_ = c.Close()
+			}
+			<-reached
+			_ = server.Close()
+			if n := server.Unanswered(); n != test.want {
+				t.Errorf("%d unanswered, want %d", n, test.want)
+			}
+		})
+	}
+}
