--- a/graceful/server.go
+++ b/graceful/server.go
@@ -18,7 +18,7 @@
 	unanswered atomic.Int64
 
 	mu       sync.Mutex
-	listener *trackingListener
+	listener net.Listener
 	conns    map[*conn]struct{}
 }
 
@@ -37,7 +37,7 @@
 
 // Serve accepts connections until the server stops accepting or is closed.
 func (s *Server) Serve(listener net.Listener) error {
-	tracking := &trackingListener{Listener: listener, server: s}
+	tracking := trackingListener{listener, s, sync.OnceValue(listener.Close)}
 	s.mu.Lock()
 	s.listener = tracking
 	s.mu.Unlock()
@@ -108,19 +108,15 @@
 // trackingListener adds the connections that it accepts to a server.
 type trackingListener struct {
 	net.Listener
-	server   *Server
-	once     sync.Once
-	closeErr error
+	server *Server
+	close  func() error
 }
 
-// Close implements net.Listener; it may be called several times.
-func (l *trackingListener) Close() error {
-	l.once.Do(func() { l.closeErr = l.Listener.Close() })
-	return l.closeErr
-}
+// Close implements net.Listener; both StopAccepting and the http.Server call it.
+func (l trackingListener) Close() error { return l.close() }
 
 // Accept implements net.Listener.
-func (l *trackingListener) Accept() (net.Conn, error) {
+func (l trackingListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
