Answer operators' calls in progress when a steward stops

Operators saw their connections close without an answer when a steward was stopped: changes and reads in progress, and those that were arriving.

On SIGTERM the steward closed its HTTP server at once and stopped committing at the same moment, so a change that had been taken was cut off, committed or not.

--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -188,3 +188,52 @@
 		t.Errorf("%d requests handled, %d answered, %d unanswered", handled.Load(), answered.Load(), server.Unanswered())
 	}
 }
+
+// TestShutdown checks what becomes of requests in progress, of arriving ones and of those that end too late.
+func TestShutdown(t *testing.T) {
+	release := make(chan struct{})
+	server, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	busy, late, stuck := dial(t, address), dial(t, address), dial(t, address)
+	if _, err := io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []net.Conn{late, stuck} {
+		if _, err := io.WriteString(c, request[:5]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server.waitForConns(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() { defer close(ended); server.Shutdown(ctx) }()
+	time.Sleep(200 * time.Millisecond)
+	if _, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address); err == nil {
+		t.Error("the server accepts connections")
+	}
+	if _, err := io.WriteString(late, request[5:]); err != nil {
+		t.Error(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(late), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !response.Close || response.Body.Close() != nil {
+		t.Error("the client is not told that the connection closes")
+	}
+	close(release)
+	if !readResponse(busy) {
+		t.Error("the request in progress got no response")
+	}
+	<-ended
+	if ctx.Err() == nil {
+		t.Error("the server did not wait for a request that had begun to arrive")
+	}
+	if n, err := stuck.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Error("a connection is left open")
+	}
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -9,17 +9,25 @@
 	"time"
 )
 
-// pollInterval is how often idle connections are looked for.
-const pollInterval = 25 * time.Millisecond
+const (
+	// pollInterval is how often idle connections are looked for.
+	pollInterval = 25 * time.Millisecond
+	// shutdownIdleTime is how long a connection must be idle to be closed during a shutdown.
+	shutdownIdleTime = 20 * time.Millisecond
+)
 
 // Server is an HTTP server whose connections close only while no request is on them.
 type Server struct {
 	http       *http.Server
 	unanswered atomic.Int64
+	// shuttingDown is set once clients are told not to reuse their connections.
+	shuttingDown atomic.Bool
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*conn]struct{}
+	// stopped is set once the server accepts no more connections.
+	stopped bool
+	conns   map[*conn]struct{}
 }
 
 // New returns a Server that serves as configured in server, which must not be used otherwise.
@@ -32,21 +40,38 @@
 			configured(c, state)
 		}
 	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.shuttingDown.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	return s
 }
 
-// Serve accepts connections until the server stops accepting or is closed.
+// Serve accepts connections until the server stops accepting or is closed, and then returns http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.listener = listener
+	if s.stopped {
+		_ = listener.Close() // the server has been stopped before it began to serve
+	}
 	s.mu.Unlock()
-	return s.http.Serve(trackingListener{listener, s})
+	err := s.http.Serve(trackingListener{listener, s})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // StopAccepting closes the listener; open connections are still served.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopped = true
 	if s.listener != nil {
 		_ = s.listener.Close() // it accepts nothing any more, whatever the error
 	}
@@ -77,6 +102,15 @@
 	}
 }
 
+// Shutdown stops accepting connections and returns once the requests on the open ones have their responses or the context ends; it closes
+// what is left then.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.shuttingDown.Store(true)
+	s.StopAccepting()
+	s.CloseIdle(ctx, shutdownIdleTime)
+	_ = s.Close() // fails only because the listener is closed already
+}
+
 // Close closes the listeners and all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -66,6 +67,7 @@
 	// quorumCheck is a semaphore that admits one quorum check at a time; it guards quorumVerifiedAt.
 	quorumCheck      chan struct{}
 	quorumVerifiedAt time.Time
+	draining         atomic.Bool
 
 	mu           sync.Mutex
 	table        *route.Table
@@ -388,9 +390,9 @@
 	return s.rawTable, nil
 }
 
-// HealthStatus returns the HTTP status for health checks, which depends on whether this steward knows a leader.
+// HealthStatus returns the HTTP status for health checks, which depends on whether this steward knows a leader and is about to stop.
 func (s *Steward) HealthStatus() int {
-	if address, _ := s.quorumLog.Leader(); address == "" {
+	if address, _ := s.quorumLog.Leader(); address == "" || s.Draining() {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
