Answer requests that arrive while an entry stops its server

Callers of an entry, and operators at a control member, saw their connections close without an answer if their request arrived while the process stopped: on kept connections in the last moment, on new ones during the whole second of the shutdown.

The other parts ended at the same moment, so that a request that was still answered could not learn what had become of an earlier one.

Evidence: TestRequestThatArrivesWhileEntryStopsIsAnswered, three runs before:

map[{0 }:19 {503 Stopping NotRun}:20 {503 Stopping Unknown}:1], want 40 answers

Change: the servers are shut down by package graceful, before the other parts of the process end.

Result: 40 of 40 refused as not run, in three runs with the race detector.

--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"burdocksaddle/catalog"
 	"burdocksaddle/control"
 	"burdocksaddle/entry"
+	"burdocksaddle/graceful"
 	"burdocksaddle/quorum"
 	"burdocksaddle/setting"
 	"burdocksaddle/web"
@@ -44,6 +46,7 @@
 	replicatedLog *quorum.Log
 	agent         *agent.Agent
 	entry         *entry.Entry
+	servers       []*graceful.Server
 }
 
 // Option configures a Node.
@@ -125,6 +128,7 @@
 		select {
 		case <-stopRequested.Done():
 			n.stop()
+			n.shutDownServers()
 			cancel()
 		case <-ctx.Done():
 		}
@@ -207,27 +211,28 @@
 	if err != nil {
 		return err
 	}
-	*tasks = append(*tasks, n.serveAndShutDown(ctx, listener, handler))
+	server := graceful.New(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout})
+	n.servers = append(n.servers, server)
+	*tasks = append(*tasks, n.serveUntil(ctx, server, listener))
 	return nil
 }
 
-// serveAndShutDown serves HTTP until the context ends and then closes the server. The entry has answered its requests by then.
-func (n *Node) serveAndShutDown(ctx context.Context, listener net.Listener, handler http.Handler) <-chan error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+// serveUntil serves HTTP until the context ends. Its server may be shut down before that.
+func (n *Node) serveUntil(ctx context.Context, server *graceful.Server, listener net.Listener) <-chan error {
 	served, ended := make(chan error, 1), make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	go func() {
 		select {
 		case err := <-served:
-			ended <- err
-		case <-ctx.Done():
-			shutdownCtx, cancel := context.WithTimeout(n.abort, httpShutdownTimeout)
-			defer cancel()
-			if server.Shutdown(shutdownCtx) != nil {
-				_ = server.Close()
+			if !errors.Is(err, http.ErrServerClosed) {
+				ended <- err
+				return
 			}
-			ended <- nil
+			<-ctx.Done()
+		case <-ctx.Done():
+			n.shutDown(server)
 		}
+		ended <- nil
 	}()
 	return ended
 }
--- /dev/null
+++ b/node/shutdown_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// response is what a caller gets; Status is 0 if the connection ended without a whole response.
+type response struct {
+	Status    int
+	Code, Run string
+}
+
+func readResponse(c net.Conn) (response, []byte) {
+	received, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return response{}, nil
+	}
+	defer func() { _ = received.Body.Close() }()
+	body, err := io.ReadAll(received.Body)
+	if err != nil {
+		return response{}, nil
+	}
+	got := response{Status: received.StatusCode}
+	if got.Status >= http.StatusBadRequest {
+		_ = json.Unmarshal(body, &got)
+		got.Status = received.StatusCode
+	}
+	return got, body
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func booking(key string) string {
+	return fmt.Sprintf("POST /services/desk/bookings HTTP/1.1\r\nHost: a.example\r\nIdempotency-Key: %s\r\nContent-Length: 1\r\n\r\nx", key)
+}
+
+// TestRequestThatArrivesWhileEntryStopsIsAnswered has requests arrive in two parts, before and after the entry stops its server.
+func TestRequestThatArrivesWhileEntryStopsIsAnswered(t *testing.T) {
+	const conns = 40
+	s := startNode(t, 0, 0)
+	clients := make([]net.Conn, conns)
+	for n := range clients {
+		clients[n] = dial(t, strings.TrimPrefix(s.base, "http://"))
+		if n%2 == 0 { // the others have not been used before
+			_, _ = io.WriteString(clients[n], booking("first-"+strconv.Itoa(n)))
+			if got, _ := readResponse(clients[n]); got.Status != http.StatusOK {
+				t.Fatalf("%+v before the stop", got)
+			}
+		}
+		_, _ = io.WriteString(clients[n], booking("late-" + strconv.Itoa(n))[:20+n])
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.stop()
+	var mu sync.Mutex
+	var ended sync.WaitGroup
+	answers := map[response]int{}
+	for n, c := range clients {
+		ended.Go(func() {
+			time.Sleep(lingerTime + time.Duration(n)*leaveNoticeTime/(conns/2)) // until after the end of the shutdown without requests
+			_, _ = io.WriteString(c, booking("late-" + strconv.Itoa(n))[20+n:])
+			got, _ := readResponse(c)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[got]++
+		})
+	}
+	ended.Wait()
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+	t.Log(answers)
+	served, refused := answers[response{Status: http.StatusOK}], answers[response{http.StatusServiceUnavailable, "Stopping", "NotRun"}]
+	if served+refused != conns || refused == 0 {
+		t.Errorf("%v, want %d answers", answers, conns)
+	}
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
+
+	"burdocksaddle/graceful"
 )
 
 const (
@@ -11,7 +14,7 @@
 	// leaveNoticeTime gives the control members and entries time to learn that an agent is leaving.
 	leaveNoticeTime       = 500 * time.Millisecond
 	leaderTransferTimeout = 3 * time.Second
-	// httpShutdownTimeout limits the shutdown of HTTP servers, whose requests are answered by then.
+	// httpShutdownTimeout limits the wait for responses when the HTTP servers are shut down; the entry has finished its requests by then.
 	httpShutdownTimeout = time.Second
 )
 
@@ -42,6 +45,21 @@
 	n.log.Info("shutdown complete")
 }
 
+// shutDownServers shuts down the HTTP servers. It is called before the other parts end, so that they can complete the requests in progress.
+func (n *Node) shutDownServers() {
+	var shutdowns sync.WaitGroup
+	for _, server := range n.servers {
+		shutdowns.Go(func() { n.shutDown(server) })
+	}
+	shutdowns.Wait()
+}
+
+func (n *Node) shutDown(server *graceful.Server) {
+	ctx, cancel := context.WithTimeout(n.abort, httpShutdownTimeout)
+	defer cancel()
+	server.Shutdown(ctx)
+}
+
 // stopEntry fails the health check, waits until the load balancer has reacted, rejects new requests and finishes open ones.
 func (n *Node) stopEntry(ctx context.Context) {
 	n.entry.Drain()
