Answer operators that wait for a version when a control member stops

An operator whose `ctl wait` was at a member that stopped saw the connection close without an answer.

Cause: the handler ends when the version is in force or after up to a minute, whatever happens to the process; the server cut it off after a second.

Evidence: TestOperatorThatWaitsIsAnsweredWhenControlStops before: {Status:0 Code: Run:}

Change: requests that are not answered within a second of the shutdown are canceled, and their connections close 0.2 s later.

--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,7 @@
 	replicatedLog *quorum.Log
 	agent         *agent.Agent
 	entry         *entry.Entry
-	servers       []*graceful.Server
+	servers       []httpServer
 }
 
 // Option configures a Node.
@@ -211,14 +211,24 @@
 	if err != nil {
 		return err
 	}
-	server := graceful.New(&http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout})
+	requestCtx, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
+	server := httpServer{graceful.New(&http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return requestCtx },
+	}), cancelRequests}
 	n.servers = append(n.servers, server)
 	*tasks = append(*tasks, n.serveUntil(ctx, server, listener))
 	return nil
 }
 
+// httpServer is an HTTP server whose requests can be canceled.
+type httpServer struct {
+	*graceful.Server
+	cancelRequests context.CancelFunc
+}
+
 // serveUntil serves HTTP until the context ends. Its server may be shut down before that.
-func (n *Node) serveUntil(ctx context.Context, server *graceful.Server, listener net.Listener) <-chan error {
+func (n *Node) serveUntil(ctx context.Context, server httpServer, listener net.Listener) <-chan error {
 	served, ended := make(chan error, 1), make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	go func() {
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -7,11 +7,16 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"burdocksaddle/operatorapi"
+	"burdocksaddle/setting"
 )
 
 // response is what a caller gets; Status is 0 if the connection ended without a whole response.
@@ -95,3 +100,25 @@
 		t.Errorf("%v, want %d answers", answers, conns)
 	}
 }
+
+// TestOperatorThatWaitsIsAnsweredWhenControlStops has an operator wait for a version that does not come.
+func TestOperatorThatWaitsIsAnsweredWhenControlStops(t *testing.T) {
+	operator, token := freeAddress(t), filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(token, []byte("secret"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := startNode(t, 0, 0, func(s *setting.Settings) {
+		s.Operator.Listen, s.Operator.TokenFiles = operator, map[string]string{"ann": token}
+	})
+	c := dial(t, operator)
+	_, _ = fmt.Fprintf(c, "GET %s?%s=99&%s=10000 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer secret\r\n\r\n", operatorapi.PathWait, operatorapi.QueryVersion, operatorapi.QueryTimeoutMS)
+	time.Sleep(100 * time.Millisecond)
+	s.stop()
+	got, body := readResponse(c)
+	if got.Status != http.StatusOK || !strings.Contains(string(body), `"InForce":false`) {
+		t.Errorf("%+v %s", got, body)
+	}
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"burdocksaddle/graceful"
 )
 
 const (
@@ -16,6 +14,8 @@
 	leaderTransferTimeout = 3 * time.Second
 	// httpShutdownTimeout limits the wait for responses when the HTTP servers are shut down; the entry has finished its requests by then.
 	httpShutdownTimeout = time.Second
+	// finalResponseTime is reserved for the responses to requests that were canceled.
+	finalResponseTime = 200 * time.Millisecond
 )
 
 // WithAbort sets a context that aborts a graceful shutdown when it ends.
@@ -54,8 +54,12 @@
 	shutdowns.Wait()
 }
 
-func (n *Node) shutDown(server *graceful.Server) {
-	ctx, cancel := context.WithTimeout(n.abort, httpShutdownTimeout)
+// shutDown cancels the requests that are not answered within httpShutdownTimeout, and closes the connections a little later.
+func (n *Node) shutDown(server httpServer) {
+	waitCtx, cancelWait := context.WithTimeout(n.abort, httpShutdownTimeout)
+	defer cancelWait()
+	context.AfterFunc(waitCtx, server.cancelRequests)
+	ctx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout+finalResponseTime)
 	defer cancel()
 	server.Shutdown(ctx)
 }
