Answer requests that still run when a stopping entry's drain ends

Callers whose request ran for longer than Entry.DrainMS after a SIGTERM saw the connection close without an answer. They did not learn that it may have run.

Cause: the entry logged such requests as unfinished and went on to close its server; nothing ended them.

Evidence: TestRunningRequestIsAnsweredAtEndOfDrain before: {Status: 0}, want an answer.

The entry answers 502 Stopped with whether the request ran, or 503 Stopping if it did not; a stream ends with the error event. 503 stays reserved for what has not run.

Result: {502 Stopped Unknown}.

--- a/entry/request.go
+++ b/entry/request.go
@@ -83,6 +83,7 @@
 	CodeQueueFull        = "QueueFull"
 	CodeNoLease          = "NoLease"
 	CodeStopping         = "Stopping"
+	CodeStopped          = "Stopped"
 	CodeCallerLimit      = "CallerLimit"
 	CodeDraftsRefused    = "DraftsRefused"
 	CodeNoQuorum         = "NoQuorum"
@@ -113,6 +114,18 @@
 	return refused, ok
 }
 
+// ErrStopping is the cause with which a request's context ends if the entry stops before the request has its response.
+type ErrStopping struct{}
+
+// Error implements the error interface.
+func (ErrStopping) Error() string { return "the entry is stopping" }
+
+// IsErrStopping reports whether an error is an ErrStopping.
+func IsErrStopping(err error) bool {
+	var stopping ErrStopping
+	return errors.As(err, &stopping)
+}
+
 // notRunRefusal returns a refusal of a request that did not run.
 func notRunRefusal(code, detail string) ErrRefused {
 	return ErrRefused{Code: code, Run: wirepb.Run_RUN_NOT_RUN, Detail: detail, RetryAfter: retryDelay()}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -13,7 +13,8 @@
 // deadlineGrace is how long an attempt may take to return by itself after the deadline.
 const deadlineGrace = 50 * time.Millisecond
 
-// Serve handles one request: it writes the response to the sink or returns ErrRefused by the deadline.
+// Serve handles one request: it writes the response to the sink or returns ErrRefused by the deadline. A context that ends with the cause
+// ErrStopping ends the request because the entry stops, not because the caller has left.
 func (e *Entry) Serve(ctx context.Context, r Request, sink Sink) (err error) {
 	e.beginRequest()
 	resp := &responseWriter{sink: sink}
@@ -23,6 +24,7 @@
 		e.metrics.requestSeconds.UpdateDuration(begin)
 		e.endRequest(r, err, resp.hasStarted())
 	}()
+	defer func() { err = stoppingRefusal(ctx, err) }()
 	var w *waiter
 	if err = e.checkAccepting(); err == nil {
 		e.countArrival(r.Model)
@@ -75,6 +77,19 @@
 	return ErrRefused{Code: CodeDeadlinePassed, Run: run, Detail: "no whole answer came by the deadline", RetryAfter: retryDelay()}
 }
 
+// stoppingRefusal returns what the caller is told if the entry stops before the request has its response.
+func stoppingRefusal(ctx context.Context, err error) error {
+	refused, ok := AsErrRefused(err)
+	if !ok || !IsErrStopping(context.Cause(ctx)) || refused.Code != CodeCallerLeft && refused.Code != CodeDeadlinePassed {
+		return err
+	}
+	if refused.Run == wirepb.Run_RUN_NOT_RUN {
+		return notRunRefusal(CodeStopping, "this entry is stopping; ask again through another one")
+	}
+	refused.Code, refused.Detail = CodeStopped, "this entry stopped before the answer was complete"
+	return refused
+}
+
 // tryEndpoints attempts the request at one endpoint after the other until one succeeds or no further attempt is allowed.
 func (e *Entry) tryEndpoints(ctx context.Context, r Request, w *waiter, resp *responseWriter) error {
 	var lastErr error
--- a/node/node.go
+++ b/node/node.go
@@ -211,7 +211,7 @@
 	if err != nil {
 		return err
 	}
-	requestCtx, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
+	requestCtx, cancelRequests := context.WithCancelCause(context.WithoutCancel(ctx))
 	server := httpServer{graceful.New(&http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		BaseContext: func(net.Listener) context.Context { return requestCtx },
@@ -224,7 +224,7 @@
 // httpServer is an HTTP server whose requests can be canceled.
 type httpServer struct {
 	*graceful.Server
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 }
 
 // serveUntil serves HTTP until the context ends. Its server may be shut down before that.
--- a/node/shutdown_test.go
+++ b/node/shutdown_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"burdocksaddle/operatorapi"
 	"burdocksaddle/setting"
 )
@@ -101,6 +103,22 @@
 	}
 }
 
+// TestRunningRequestIsAnsweredAtEndOfDrain has a request run for longer than a stopping entry waits.
+func TestRunningRequestIsAnsweredAtEndOfDrain(t *testing.T) {
+	s := startNode(t, 4*time.Second, 0, func(s *setting.Settings) { s.Entry.DrainMS = 300 })
+	c := dial(t, strings.TrimPrefix(s.base, "http://"))
+	_, _ = io.WriteString(c, booking("stuck"))
+	waitUntil(t, func() bool { return s.service.Runs()["stuck"] == 1 })
+	s.stop()
+	got, _ := readResponse(c)
+	if diff := cmp.Diff(response{http.StatusBadGateway, "Stopped", "Unknown"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestOperatorThatWaitsIsAnsweredWhenControlStops has an operator wait for a version that does not come.
 func TestOperatorThatWaitsIsAnsweredWhenControlStops(t *testing.T) {
 	operator, token := freeAddress(t), filepath.Join(t.TempDir(), "token")
--- a/node/stop.go
+++ b/node/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"burdocksaddle/entry"
 )
 
 const (
@@ -58,7 +60,7 @@
 func (n *Node) shutDown(server httpServer) {
 	waitCtx, cancelWait := context.WithTimeout(n.abort, httpShutdownTimeout)
 	defer cancelWait()
-	context.AfterFunc(waitCtx, server.cancelRequests)
+	context.AfterFunc(waitCtx, func() { server.cancelRequests(entry.ErrStopping{}) })
 	ctx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout+finalResponseTime)
 	defer cancel()
 	server.Shutdown(ctx)
--- a/web/problem.go
+++ b/web/problem.go
@@ -51,6 +51,7 @@
 	entry.CodeOutcomeUnknown:   http.StatusConflict,
 	entry.CodeAnswerNotKept:    http.StatusConflict,
 	entry.CodeEndpointLost:     http.StatusBadGateway,
+	entry.CodeStopped:          http.StatusBadGateway,
 	entry.CodeAnswerTooLarge:   http.StatusBadGateway,
 	agent.CodeEndpointFailed:   http.StatusBadGateway,
 }
