Treat a connection as busy if a request was read with the one before

A client that sends the first part of a request before it has the response to the one before got 400, or no answer, from a server that stopped meanwhile.

Cause: net/http reads such bytes into its buffer together with the request before. It reports the connection as idle all the same, so package graceful interrupted the read of the rest, and net/http took the part that it had for a whole request line.

Evidence: TestRequestThatWasReadWithTheOneBeforeIsAnswered before, for each part of 4 bytes or more (31 of 31):

response 1 where 4 bytes had arrived: &{Status:400 Bad Request ...

Change: net/http sets a deadline before it waits for a request and another one once the first four bytes are there. With the second, the connection counts as busy.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -30,6 +30,8 @@
 	mu        sync.Mutex
 	state     connState
 	idleSince time.Time
+	// waiting is set while net/http waits for the first bytes of a request.
+	waiting bool
 	// responded is set once a byte of the response to the current request has been written, left once the client has closed.
 	responded, left, closed bool
 }
@@ -53,12 +55,12 @@
 	switch {
 	case n > 0 && c.state != stateBusy:
 		if c.state != stateIdle {
-			_ = c.SetReadDeadline(c.server.headerDeadline())
+			_ = c.Conn.SetReadDeadline(c.server.headerDeadline())
 		}
 		c.state, c.responded = stateBusy, false
 	case n == 0 && timedOut && c.state == stateInterrupted:
 		c.state = stateLastRead
-		return c.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+		return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
 	}
 	return false
 }
@@ -104,7 +106,19 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.idleSince = stateIdle, time.Now()
+	c.state, c.idleSince, c.waiting = stateIdle, time.Now(), false
+}
+
+// SetReadDeadline implements net.Conn. net/http sets a deadline before it waits for a request and the next one once the first bytes are there,
+// which it may have read together with the request before.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateBusy && c.waiting {
+		c.state, c.responded = stateBusy, false
+	}
+	c.waiting = true
+	return c.Conn.SetReadDeadline(t)
 }
 
 // interrupt makes the connection close if it has been idle since the given time and nothing has arrived on it. The connection's
@@ -114,6 +128,6 @@
 	defer c.mu.Unlock()
 	if c.state == stateInterrupted || c.state == stateIdle && !c.idleSince.After(idleSince) {
 		c.state = stateInterrupted
-		_ = c.SetReadDeadline(time.Now()) // fails only if the connection is closed
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only if the connection is closed
 	}
 }
--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -237,3 +237,33 @@
 		t.Error("a connection is left open")
 	}
 }
+
+// TestRequestThatWasReadWithTheOneBeforeIsAnswered has the first part of a request arrive together with the request before it.
+func TestRequestThatWasReadWithTheOneBeforeIsAnswered(t *testing.T) {
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	for sent := range len(request) {
+		c := dial(t, address)
+		server.waitForConns(t, sent+1)
+		if _, err := io.WriteString(c, request+request[:sent]); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if sent < 4 {
+				return // net/http has not noticed that a request has begun
+			}
+			_, err := io.WriteString(c, request[sent:])
+			responses := bufio.NewReader(c)
+			for n := range 2 {
+				response, readErr := http.ReadResponse(responses, nil)
+				if readErr != nil || response.StatusCode != http.StatusOK || response.Body.Close() != nil {
+					t.Errorf("response %d where %d bytes had arrived: %+v, %v, %v", n, sent, response, readErr, err)
+					return
+				}
+			}
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	server.CloseIdle(ctx, 0)
+}
