Answer requests in progress when a stand-in stops

A stand-in that was stopped aborted the calls in progress, and closed connections on which a request was arriving.

Evidence: TestRequestThatArrivesWhileServerStopsIsAnswered before:

no answer to the request that had begun to arrive: unexpected EOF

Change: the server is shut down by package graceful, for 5 s at most, before the state of the stand-in ends.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"burdocksaddle/graceful"
 )
 
 const (
@@ -33,7 +35,7 @@
 	if err != nil {
 		return ErrListen{Address: c.String(flagListen), Cause: err}
 	}
-	server := &http.Server{Handler: s.handler, ConnContext: s.connContext, ReadHeaderTimeout: headerTimeout}
+	server := graceful.New(&http.Server{Handler: s.handler, ConnContext: s.connContext, ReadHeaderTimeout: headerTimeout})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	_, _ = fmt.Fprintf(c.Root().Writer, "listening on http://%s\n", listener.Addr())
@@ -44,9 +46,7 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	if server.Shutdown(shutdownCtx) != nil {
-		_ = server.Close()
-	}
+	server.Shutdown(shutdownCtx)
 	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
 		return ErrListen{Address: listener.Addr().String(), Cause: err}
 	}
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -63,7 +63,7 @@
 			&cli.StringFlag{Name: flagWeightStore, Usage: "`URL` of the weight store; none by default"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			engine := standin.NewEngine(ctx, engineOptions(c)...)
+			engine := standin.NewEngine(context.WithoutCancel(ctx), engineOptions(c)...)
 			return serve(ctx, c, httpService{handler: engine, connContext: engine.ConnContext, close: engine.Close})
 		},
 	}
@@ -96,7 +96,7 @@
 			&cli.DurationFlag{Name: flagCallTime, Value: 50 * time.Millisecond, Usage: "duration of a call"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			plain := standin.NewService(ctx, standin.CallTime(c.Duration(flagCallTime)))
+			plain := standin.NewService(context.WithoutCancel(ctx), standin.CallTime(c.Duration(flagCallTime)))
 			return serve(ctx, c, httpService{handler: plain, connContext: plain.ConnContext, close: plain.Close})
 		},
 	}
@@ -114,7 +114,7 @@
 			&cli.FloatFlag{Name: flagLoadSpeed, Value: 2_000, Usage: "full speed of one load in `MB` per second"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			store := standin.NewStore(ctx,
+			store := standin.NewStore(context.WithoutCancel(ctx),
 				standin.LoadRate(c.Float(flagLoadRate), c.Int(flagLoadBurst)),
 				standin.FullSpeedLoads(c.Int(flagFullSpeed)),
 				standin.LoadSpeed(c.Float(flagLoadSpeed)))
@@ -133,7 +133,7 @@
 			&cli.StringSliceFlag{Name: flagVM, Usage: "`NAME` of a VM that is listed initially; may be repeated"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			platform := standin.NewPlatform(ctx,
+			platform := standin.NewPlatform(context.WithoutCancel(ctx),
 				standin.ListLag(c.Duration(flagListLag)), standin.ListedVMs(c.StringSlice(flagVM)...))
 			return serve(ctx, c, httpService{handler: platform, connContext: platform.ConnContext, close: platform.Close})
 		},
