--- a/cmd/platform_test.go
+++ b/cmd/platform_test.go
@@ -1,8 +1,13 @@
 package cmd
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -58,3 +63,51 @@
 		})
 	}
 }
+
+// TestSignalsDuringDrainDoNotEndProcess sends further signals to a gateway and a steward that are asked to stop, while a request arrives.
+func TestSignalsDuringDrainDoNotEndProcess(t *testing.T) {
+	for n, command := range []string{"gateway", "steward"} {
+		t.Run(command, func(t *testing.T) {
+			ip := fmt.Sprintf("127.%d.7.%d", 9+os.Getpid()%200, n+1)
+			path, address := filepath.Join(t.TempDir(), "node.json"), net.JoinHostPort(ip, "8149")
+			settings := fmt.Sprintf(`{"NodeName":"n","Ip":%q,"Zone":"here","Listen":{"Frontend":%q,"Ready":"%s:8141","ControlPlane":%q},"InternalPorts":[7380,7395],"Seeds":[],
+				"Bootstrap":true,"DataDir":%q,"Cloud":{"Address":"%s:1"},"Bounds":{"GraceS":3}}`, ip, address, ip, address, t.TempDir(), ip)
+			if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var output bytes.Buffer
+			process := exec.CommandContext(t.Context(), os.Args[0])
+			process.Env = append(os.Environ(), startVariable+"="+command, "BURDOCKSADDLE_NODE_FILE="+path)
+			process.Stdout, process.Stderr = &output, &output
+			if err := process.Start(); err != nil {
+				t.Fatal(err)
+			}
+			var c net.Conn
+			for end := time.Now().Add(10 * time.Second); c == nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				c, _ = (&net.Dialer{Timeout: time.Second}).DialContext(t.Context(), "tcp", address)
+			}
+			if c == nil {
+				t.Fatal("the process does not listen: ", output.String())
+			}
+			defer func() { _ = c.Close() }()
+			const request = "GET /api/config/describe HTTP/1.1\r\nHost: a.example\r\n\r\n"
+			_, _ = io.WriteString(c, request[:9])
+			time.Sleep(100 * time.Millisecond)
+			for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP} {
+				if err := process.Process.Signal(s); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			_, _ = io.WriteString(c, request[9:])
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal("no response: ", err, output.String())
+			}
+			_ = response.Body.Close()
+			if err := process.Wait(); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("status %d, process %v, output %q", response.StatusCode, err, output.String())
+			}
+		})
+	}
+}
