Record the outcomes of answered requests before an entry ends

A caller that repeated a booking by its key, after the entry that had answered it was stopped, got `Unknown` instead of the answer if the agent had been restarted meanwhile.

Cause: outcomes are committed to the ledger in the background, so that answers do not wait. An entry ended as soon as it had no open request and dropped the outcomes that were still queued or being committed. Their claims stayed open, and only the agent knew what had become of them.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -116,13 +116,22 @@
 // queueClose queues a claim's outcome for commitCloses. If the queue is full, the claim stays open and a later enquiry
 // at the agent finds its outcome.
 func (e *Entry) queueClose(claimClose *wirepb.ClaimClose) {
+	e.addQueuedCloses(1)
 	select {
 	case e.claimCloses <- claimClose:
 	default:
+		e.addQueuedCloses(-1)
 		e.metrics.claimsLeftOpen.Inc()
 	}
 }
 
+func (e *Entry) addQueuedCloses(change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queuedCloses += change
+	e.notifyIdleLocked()
+}
+
 // commitCloses commits queued outcomes in the background, so that responses don't wait for the commit.
 func (e *Entry) commitCloses(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
@@ -135,6 +144,7 @@
 					e.metrics.claimsLeftOpen.Inc()
 					e.log.Info("failed to record the outcome of a claim", "request", claimClose.GetRequestId(), "claim", claimClose.GetClaim(), "error", err.Error())
 				}
+				e.addQueuedCloses(-1)
 			}
 		}
 		ended <- nil
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -38,6 +38,7 @@
 	control             string
 	network             *faultyNetwork
 	entries             []*entry.Entry
+	endEntry            []context.CancelFunc
 	services            []*standin.Service
 	engines             []*standin.Engine
 	agents              []*agentNode
@@ -102,9 +103,10 @@
 		e.Node, e.DataCentre, e.Roles, e.Controls = "entry-"+strconv.Itoa(i), "dc", []setting.Role{setting.RoleEntry}, []string{c.control}
 		pool := wire.NewPool(wire.WithDial(c.network.dial))
 		instance := entry.New(e, pool, entry.WithViolationHandler(func(err error) { t.Errorf("invariant violated: %v", err) }))
-		ends = append(ends, instance.Run(ctx))
+		entryCtx, endEntry := context.WithCancel(ctx)
+		ends = append(ends, instance.Run(entryCtx))
 		t.Cleanup(pool.Close)
-		c.entries = append(c.entries, instance)
+		c.entries, c.endEntry = append(c.entries, instance), append(c.endEntry, endEntry)
 	}
 	c.await("entries ready", func() bool {
 		for _, e := range c.entries {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,7 +29,9 @@
 	mu       sync.Mutex
 	arrivals map[string]uint32
 	requests requestCounts
-	// idle is closed when the last open request ends.
+	// queuedCloses counts the outcomes of claims that are not in the ledger yet.
+	queuedCloses int
+	// idle is closed when the last open request has ended and the last outcome is in the ledger.
 	idle     chan struct{}
 	draining bool
 	stopping bool
@@ -114,15 +116,15 @@
 	e.draining = true
 }
 
-// Stop refuses new requests and waits until all open ones have ended or the context is done. It returns the number of
-// requests still open.
+// Stop refuses new requests and waits until all open ones have ended and their outcomes are in the ledger, or the context is done. It
+// returns the number of requests still open.
 func (e *Entry) Stop(ctx context.Context) int {
 	for {
 		e.mu.Lock()
 		e.draining, e.stopping = true, true
-		open, idle := e.requests.open, e.idle
+		open, closes, idle := e.requests.open, e.queuedCloses, e.idle
 		e.mu.Unlock()
-		if open == 0 {
+		if open == 0 && closes == 0 {
 			return 0
 		}
 		select {
--- a/entry/invariant.go
+++ b/entry/invariant.go
@@ -81,12 +81,17 @@
 		t.answered++
 	}
 	counts := *t
-	if t.open == 0 {
-		close(e.idle)
-		e.idle = make(chan struct{})
-	}
+	e.notifyIdleLocked()
 	e.mu.Unlock()
 	if counts.admitted != counts.answered+counts.refused+uint64(counts.open) {
 		e.reportViolation(ErrRequestsLost{Admitted: counts.admitted, Answered: counts.answered, Refused: counts.refused, Open: counts.open})
 	}
 }
+
+// notifyIdleLocked wakes Stop if it has nothing left to wait for.
+func (e *Entry) notifyIdleLocked() {
+	if e.requests.open == 0 && e.queuedCloses == 0 {
+		close(e.idle)
+		e.idle = make(chan struct{})
+	}
+}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -92,6 +92,37 @@
 	}
 }
 
+// TestOutcomesOfAnsweredRequestsSurviveStop ends an entry once it has stopped, and the agent with what it remembers. Repeats through another
+// entry must get the recorded answers.
+func TestOutcomesOfAnsweredRequestsSurviveStop(t *testing.T) {
+	t.Parallel()
+	const bookings = 30
+	c := newCluster(t, clusterConfig{entries: 2, services: 1, slots: bookings, callTime: 50 * time.Millisecond})
+	answers := make([]result, bookings)
+	var group sync.WaitGroup
+	for n := range answers {
+		group.Go(func() { answers[n] = c.book(t.Context(), 0, strconv.Itoa(n), longDeadline) })
+	}
+	c.await("bookings running", func() bool { return c.runCount("0") == 1 })
+	if left := c.entries[0].Stop(t.Context()); left != 0 {
+		t.Errorf("%d requests still open after Stop", left)
+	}
+	c.endEntry[0]()
+	group.Wait()
+	c.restart(0)
+	for n, first := range answers {
+		if first.err != nil {
+			continue // refused because the entry was stopping
+		}
+		if again := c.book(t.Context(), 1, strconv.Itoa(n), longDeadline); again.outcomeName() != "Answered" || again.body != first.body {
+			t.Errorf("booking %d: %q at first, then %s %q", n, first.body, again.outcomeName(), again.body)
+		}
+	}
+	if answers[0].err != nil {
+		t.Error(answers[0].err)
+	}
+}
+
 // TestCallerFairness fills the queue from one caller and checks that another caller's request is still served promptly.
 func TestCallerFairness(t *testing.T) {
 	t.Parallel()
