--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -27,6 +27,8 @@
 	mu        sync.Mutex
 	state     connState
 	idleSince time.Time
+	// waiting is set while net/http waits for the first bytes of a request.
+	waiting bool
 	// responded is set once a byte of the response to the current request has been written, left once the client has closed.
 	responded, left, closed bool
 }
@@ -45,7 +47,7 @@
 	c.left = c.left || err != nil && !timedOut
 	if n > 0 && c.state != stateBusy {
 		if timedOut || c.state == stateInterrupted {
-			_ = c.SetReadDeadline(c.server.headerDeadline())
+			_ = c.Conn.SetReadDeadline(c.server.headerDeadline())
 		}
 		c.state, c.responded = stateBusy, false
 	}
@@ -56,7 +58,7 @@
 // deadline reads nothing, whatever has arrived.
 func (c *conn) readArrivedLocked(p []byte) (n int) {
 	kernel, ok := c.Conn.(syscall.Conn)
-	if !ok || c.SetReadDeadline(time.Time{}) != nil {
+	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
 		return 0
 	}
 	raw, err := kernel.SyscallConn()
@@ -106,7 +108,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == stateInterrupted {
-		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	}
 	c.state = stateBusy
 }
@@ -115,7 +117,19 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.idleSince = stateIdle, time.Now()
+	c.state, c.idleSince, c.waiting = stateIdle, time.Now(), false
+}
+
+// SetReadDeadline implements net.Conn. net/http sets a deadline before it waits for a request and the next one once the first bytes are there,
+// which it may have read together with the request before.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateBusy && c.waiting {
+		c.state, c.responded = stateBusy, false
+	}
+	c.waiting = true
+	return c.Conn.SetReadDeadline(t)
 }
 
 // interrupt makes the connection close if it has been idle since the given time and nothing has arrived on it. The connection's
@@ -125,6 +139,6 @@
 	defer c.mu.Unlock()
 	if c.state == stateInterrupted || c.state == stateIdle && !c.idleSince.After(idleSince) {
 		c.state = stateInterrupted
-		_ = c.SetReadDeadline(time.Now()) // fails only if the connection is closed
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only if the connection is closed
 	}
 }
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -9,17 +10,25 @@
 	"time"
 )
 
-// pollInterval is how often idle connections are looked for.
-const pollInterval = 25 * time.Millisecond
+const (
+	// pollInterval is how often idle connections are looked for.
+	pollInterval = 25 * time.Millisecond
+	// shutdownIdleTime is how long a connection must be idle to be closed during a shutdown.
+	shutdownIdleTime = 20 * time.Millisecond
+)
 
 // Server is an HTTP server whose connections close only while no request is on them.
 type Server struct {
 	http       *http.Server
 	unanswered atomic.Int64
+	// shuttingDown is set once clients are told not to reuse their connections.
+	shuttingDown atomic.Bool
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*conn]struct{}
+	// stopped is set once the server accepts no more connections.
+	stopped bool
+	conns   map[*conn]struct{}
 }
 
 // New returns a Server that serves as configured in server, which must not be used otherwise.
@@ -32,22 +41,39 @@
 			configured(c, state)
 		}
 	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.shuttingDown.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	return s
 }
 
-// Serve accepts connections until the server stops accepting or is closed.
+// Serve accepts connections until the server stops accepting or is closed, and then returns http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
 	tracking := trackingListener{listener, s, sync.OnceValue(listener.Close)}
 	s.mu.Lock()
 	s.listener = tracking
+	if s.stopped {
+		_ = tracking.Close() // the server has been stopped before it began to serve
+	}
 	s.mu.Unlock()
-	return s.http.Serve(tracking)
+	err := s.http.Serve(tracking)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return http.ErrServerClosed
+	}
+	return err
 }
 
 // StopAccepting closes the listener; open connections are still served.
 func (s *Server) StopAccepting() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopped = true
 	if s.listener == nil {
 		return nil
 	}
@@ -79,6 +105,15 @@
 	}
 }
 
+// Shutdown stops accepting connections and returns once the requests on the open ones have their responses or the context ends; it closes
+// what is left then.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.shuttingDown.Store(true)
+	err := s.StopAccepting()
+	s.CloseIdle(ctx, shutdownIdleTime)
+	return errors.Join(err, s.Close())
+}
+
 // Close closes the listeners and all connections.
 func (s *Server) Close() error { return s.http.Close() }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
+
+	"burdocksaddle/entry"
 )
 
 const (
@@ -11,8 +14,10 @@
 	// leaveNoticeTime gives the control members and entries time to learn that an agent is leaving.
 	leaveNoticeTime       = 500 * time.Millisecond
 	leaderTransferTimeout = 3 * time.Second
-	// httpShutdownTimeout limits the shutdown of HTTP servers, whose requests are answered by then.
+	// httpShutdownTimeout limits the wait for responses when the HTTP servers are shut down; the entry has finished its requests by then.
 	httpShutdownTimeout = time.Second
+	// finalResponseTime is reserved for the responses to requests that were canceled.
+	finalResponseTime = 200 * time.Millisecond
 )
 
 // WithAbort sets a context that aborts a graceful shutdown when it ends.
@@ -42,6 +47,27 @@
 	n.log.Info("shutdown complete")
 }
 
+// shutDownServers shuts down the HTTP servers. It is called before the other parts end, so that they can complete the requests in progress.
+func (n *Node) shutDownServers() {
+	var shutdowns sync.WaitGroup
+	for _, server := range n.servers {
+		shutdowns.Go(func() { n.shutDown(server) })
+	}
+	shutdowns.Wait()
+}
+
+// shutDown cancels the requests that are not answered within httpShutdownTimeout, and closes the connections a little later.
+func (n *Node) shutDown(server httpServer) {
+	waitCtx, cancelWait := context.WithTimeout(n.abort, httpShutdownTimeout)
+	defer cancelWait()
+	context.AfterFunc(waitCtx, func() { server.cancelRequests(entry.ErrStopping{}) })
+	ctx, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout+finalResponseTime)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.log.Error(err, "HTTP server not closed")
+	}
+}
+
 // stopEntry fails the health check, waits until the load balancer has reacted, rejects new requests and finishes open ones.
 func (n *Node) stopEntry(ctx context.Context) {
 	n.entry.Drain()
