Resume a stream only with events that go on after those sent

What callers saw: a stream began and broke off, and the next endpoint answered with an error. The error's text, or its whole head, came in the middle of the stream, or the stream ended as if it were complete.

Cause: every signed 2xx response on a streaming route was taken for the rest of the stream.

IDs must increase; the first event of a resumed stream needs one, and must have the next number if the events so far are numbered without gaps.

The stand-in of the gateway's tests began each resumed stream at event 1 again; it now numbers events from the one that it was asked to go on after.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
+	"burdocksaddle/stream"
 )
 
 // attempt sends the request to an endpoint and reports whether the request is finished.
@@ -26,14 +27,14 @@
 	t.software = c.state.Software
 	t.endpoint, t.begun, t.attemptEvents, t.sentAt = c.state.ID, false, 0, time.Now()
 	t.stalled.Store(false)
-	stream := t.route.Kind == route.KindStream
+	isStream := t.route.Kind == route.KindStream
 	idleTimer := t.watchdog(cancel, t.firstResponseTimeout(), c.endpoint.Name)
 	defer idleTimer.Stop()
 	again := !t.route.Repeatable() && slices.Contains(t.sentTo, c.state.Address)
 	t.sentTo = append(t.sentTo, c.state.Address)
 	response, err := t.send(attemptCtx, Call{
 		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Again: again, Remaining: time.Until(t.deadline),
-		LastEvent: t.lastEvent, Stream: stream, Urgency: t.urgency(), Team: t.team.Name, HasTeams: t.table.Teams != nil,
+		LastEvent: t.lastEvent, Stream: isStream, Urgency: t.urgency(), Team: t.team.Name, HasTeams: t.table.Teams != nil,
 	})
 	if err != nil {
 		if !IsErrNotSent(err) {
@@ -313,6 +314,7 @@
 func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
 	var previousAt, steadyAt time.Time
 	var pace streamPace
+	previousID := t.lastEvent
 	defer func() { t.recordPace(c, &pace) }()
 	for {
 		event, id, err := response.Next()
@@ -331,6 +333,13 @@
 		if err != nil {
 			return t.handleFailure(ctx, c, err)
 		}
+		follows := stream.Follows(previousID, id)
+		if t.attemptEvents == 0 {
+			follows = stream.GoesOn(t.request.LastEvent, t.events, previousID, id)
+		}
+		if !follows {
+			return t.handleFailure(ctx, c, ErrIncompleteResponse{Endpoint: c.state.ID, Cause: ErrEventOrder{Previous: previousID, ID: id}})
+		}
 		if !t.streamStarted {
 			t.streamStarted = true
 			t.recordFirstEvent()
@@ -345,7 +354,7 @@
 			}
 		}
 		if id != "" {
-			t.lastEvent = id
+			t.lastEvent, previousID = id, id
 		}
 		t.events++
 		t.attemptEvents++
--- a/gateway/error.go
+++ b/gateway/error.go
@@ -61,6 +61,14 @@
 	return fmt.Sprintf("response is not an event stream, status %d", e.Status)
 }
 
+// ErrEventOrder reports an event of a stream that can't come after the previous one; ID is "" for a first event without one.
+type ErrEventOrder struct{ Previous, ID string }
+
+// Error implements error.
+func (e ErrEventOrder) Error() string {
+	return fmt.Sprintf("event %q cannot follow event %q", e.ID, e.Previous)
+}
+
 // ErrSlowClient reports that a response was ended because its client does not read it.
 type ErrSlowClient struct{ Reason string }
 
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -61,7 +62,8 @@
 			b.mu.Lock()
 			b.calls = append(b.calls, call)
 			b.mu.Unlock()
-			return send(ctx, call)
+			response, err := send(ctx, call)
+			return numberedAfter(response, call.LastEvent), err
 		}))
 	b.table.Store(newTestTable(t))
 	b.setEndpoints(endpoints...)
@@ -141,6 +143,23 @@
 	}}
 }
 
+// numberedAfter numbers the events of a stream's response from the one that it was resumed after, as endpoints do.
+func numberedAfter(response *Response, lastEvent string) *Response {
+	last, err := strconv.Atoi(lastEvent)
+	if err != nil || response == nil || response.Next == nil {
+		return response
+	}
+	next := response.Next
+	response.Next = func() ([]byte, string, error) {
+		event, id, err := next()
+		if n, idErr := strconv.Atoi(id); idErr == nil {
+			id = strconv.Itoa(last + n)
+		}
+		return event, id, err
+	}
+	return response
+}
+
 func bufferedResponse(status int) *Response {
 	return &Response{Status: status, Signed: true, Body: []byte("ok"), Close: func() {}}
 }
