Do not resume a stream whose last event has no ID

What callers saw: a stream that broke off went on from its beginning, or from its last event with an ID, so that events came twice.

Cause: the next endpoint can only be told the ID of an event. Where the last event had none, the gateway sent the last ID that it had seen, or none at all.

Evidence: TestStreamWithoutIDsIsNotResumed failed before: "data: a" was followed by the events 1, 2 and 3 of another endpoint, and events 1, 2 and "data: a" by another event.

Change: such a stream is cut when it breaks off, and an endpoint that pauses within it is not given up for another one. The client decides how to go on.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -204,9 +204,9 @@
 	}
 }
 
-// canRetry reports whether the request may be executed by one more endpoint.
+// canRetry reports whether the request may be executed by one more endpoint. A stream whose last event has no ID can't be resumed.
 func (t *transaction) canRetry() bool {
-	return t.route.Repeatable() && t.executions < t.maxAttempts()
+	return t.route.Repeatable() && t.executions < t.maxAttempts() && (!t.streamStarted || t.lastEvent != "")
 }
 
 // handleNotRun handles an endpoint's response that it did not execute the request.
@@ -353,8 +353,8 @@
 				return true
 			}
 		}
-		if id != "" {
-			t.lastEvent, previousID = id, id
+		if t.lastEvent = id; id != "" {
+			previousID = id
 		}
 		t.events++
 		t.attemptEvents++
@@ -381,7 +381,7 @@
 			return true
 		}
 		pace.recordWritten(time.Now())
-		if t.route.Repeatable() && t.executions < t.maxAttempts() {
+		if t.canRetry() {
 			idleTimer.Reset(max(minIdleTimeout, idleTimeoutFactor*t.route.MaxEventGap))
 		} else {
 			idleTimer.Reset(max(time.Until(t.deadline), time.Millisecond))
