Take an engine's stream without its end for broken off

What callers saw: a stream of a completion broke off, and the engine answered the call that was to go on with an error. Its text came in the middle of the stream, or the stream ended as if it were complete.

Cause: the agent took every 200 response to a streaming request for events. It neither looked at the content type, nor for the event that reports an error, nor for the [DONE] event that ends a complete stream, so that the end of any response was passed on as the end of the stream.

Evidence: TestErrorIsNotJoinedToBrokenStream of package entry has an engine break off after two events and then answer in ten ways. Before, eight of them ended without an error: JSON (two cases), text, an empty body, an empty stream, an error event at once and later, and a stream without [DONE]; 4xx and 5xx responses were held back already.

Change: the agent accepts a stream only as text/event-stream, treats an error event like a broken connection, and reports the end only after [DONE]. A stream is then resumed or refused as after any other break.

--- a/agent/chunk_reader.go
+++ b/agent/chunk_reader.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
+
+	"burdocksaddle/engineapi"
 )
 
 const (
@@ -13,14 +17,17 @@
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the read buffer size for event streams.
 	eventBufferBytes = 4 << 10
+	// maxErrorDetail limits what is kept of the text of an engine's error.
+	maxErrorDetail = 256
 )
 
+const mediaTypeEvents = "text/event-stream"
+
 // chunkReader returns a function that reads the response body in chunks. Each event of a stream is one chunk, so that chunk
 // offsets match the engine's event offsets.
 func chunkReader(response *http.Response, stream bool) func() ([]byte, error) {
 	if stream && response.StatusCode == http.StatusOK {
-		reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
-		return func() ([]byte, error) { return readEvent(reader) }
+		return eventReader(response)
 	}
 	bufSize := int64(chunkBytes)
 	if response.ContentLength >= 0 {
@@ -38,6 +45,57 @@
 	}
 }
 
+// eventReader returns a function that reads a stream's events. It returns ErrNotEventStream for another response, ErrStreamFailed for an event
+// that reports an error and io.ErrUnexpectedEOF for a stream without engineapi.StreamDone.
+func eventReader(response *http.Response) func() ([]byte, error) {
+	contentType := response.Header.Get("Content-Type")
+	if mediaType, _, err := mime.ParseMediaType(contentType); err != nil || mediaType != mediaTypeEvents {
+		return func() ([]byte, error) { return nil, ErrNotEventStream{ContentType: contentType} }
+	}
+	reader, done := bufio.NewReaderSize(response.Body, eventBufferBytes), false
+	return func() ([]byte, error) {
+		event, err := readEvent(reader)
+		switch {
+		case done:
+			return nil, io.EOF
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		data := eventData(event)
+		if detail, failed := streamError(data); failed {
+			return nil, ErrStreamFailed{Detail: detail}
+		}
+		done = string(data) == engineapi.StreamDone
+		return event, nil
+	}
+}
+
+// eventData returns the first line of an event's data.
+func eventData(event []byte) []byte {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			return bytes.TrimSpace(data)
+		}
+	}
+	return nil
+}
+
+// streamError reports whether an event's data is an engineapi.StreamError, and returns its text.
+func streamError(data []byte) (detail string, failed bool) {
+	if !bytes.Contains(data, []byte(`"error"`)) {
+		return "", false
+	}
+	var body struct {
+		Error json.RawMessage `json:"error"`
+	}
+	if json.Unmarshal(data, &body) != nil || len(body.Error) == 0 || string(body.Error) == "null" {
+		return "", false
+	}
+	return string(body.Error[:min(len(body.Error), maxErrorDetail)]), true
+}
+
 // readEvent reads one server-sent event including its trailing blank line. It returns io.ErrUnexpectedEOF if the event is truncated.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
--- a/agent/error.go
+++ b/agent/error.go
@@ -23,6 +23,20 @@
 	return refusal, errors.As(err, &refusal)
 }
 
+// ErrNotEventStream represents a successful response that is no stream although a stream was requested.
+type ErrNotEventStream struct{ ContentType string }
+
+// Error implements the error interface.
+func (e ErrNotEventStream) Error() string {
+	return "engine answered a streaming request with content type " + strconv.Quote(e.ContentType)
+}
+
+// ErrStreamFailed represents an event by which the engine ended an incomplete stream.
+type ErrStreamFailed struct{ Detail string }
+
+// Error implements the error interface.
+func (e ErrStreamFailed) Error() string { return "engine ended the stream with an error: " + e.Detail }
+
 // ErrEngineSilent represents a read timeout: the engine sent no data for the given duration.
 type ErrEngineSilent struct{ For time.Duration }
 
