Limit the memory that an entry takes for answers of all requests

What callers would see: a faulty endpoint answers requests without an end, the entry runs out of memory, and the requests of all other callers end with it.

Cause: a response that is not streamed was limited to 64 MB, but not what all of them take up together.

Evidence: TestAnswersWithoutEndTogether has 24 requests answered without an end while others are served.

Responses by the streams of an entry were never buffered.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -38,6 +38,7 @@
 		return false, ErrResponseClosed{}
 	}
 	relay := e.newRelay(r, endpoint, attempt, resp)
+	defer relay.buffer.clear()
 	relay.claim = claim.GetClaim()
 	err = relay.run(ctx)
 	e.reportToRouter(endpoint.GetName(), relay, err)
@@ -77,7 +78,7 @@
 	case err == nil || isRefused && refused.Code == CodeCallerLeft && relay.status > 0:
 		resp.setRun(wirepb.Run_RUN_RAN)
 		e.queueClose(newClaimClose(r, claim, wirepb.Run_RUN_RAN, &wirepb.Answer{
-			Status: uint32(relay.status), ContentType: relay.contentType, Body: relay.buffer,
+			Status: uint32(relay.status), ContentType: relay.contentType, Body: relay.buffer.data,
 		}))
 		return false, err
 	case isRefused && refused.Run == wirepb.Run_RUN_NOT_RUN:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 
@@ -33,6 +34,8 @@
 	idle     chan struct{}
 	draining bool
 	stopping bool
+	// answerBytes counts the memory for responses that are passed on whole.
+	answerBytes atomic.Int64
 	// controlIndex is the index in settings.Controls of the member to try first.
 	controlIndex int
 }
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -44,7 +44,7 @@
 	status      int
 	contentType string
 	offset      uint64
-	buffer      []byte
+	buffer      answerBuffer
 	load        *wirepb.LoadReport
 }
 
@@ -53,7 +53,7 @@
 	if attempt > 1 {
 		runID += "-" + strconv.FormatUint(uint64(attempt), 10)
 	}
-	created := &relay{entry: e, request: r, endpoint: endpoint, response: resp, runID: runID, attempt: attempt << 8}
+	created := &relay{entry: e, request: r, endpoint: endpoint, response: resp, runID: runID, attempt: attempt << 8, buffer: answerBuffer{total: &e.answerBytes}}
 	if r.Stream {
 		// Another endpoint starts the response from the beginning. Chunks that the caller already has are dropped by
 		// their offset.
@@ -84,7 +84,8 @@
 		r.resume = true
 		r.attempt++
 		if !r.request.Stream {
-			r.offset, r.buffer = 0, nil
+			r.offset = 0
+			r.buffer.clear()
 		}
 		if !sleepContext(ctx, resumeDelay) {
 			return unknownRefusal(CodeDeadlinePassed, "no whole answer came by the deadline")
@@ -216,11 +217,7 @@
 	if r.request.Stream {
 		return r.forward(func() error { return r.response.writeChunk(c.GetData()) })
 	}
-	if len(r.buffer)+len(c.GetData()) > MaxResponseBytes {
-		return ErrRefused{Code: CodeAnswerTooLarge, Run: wirepb.Run_RUN_RAN, Detail: "the answer is larger than what is passed on whole"}
-	}
-	r.buffer = append(r.buffer, c.GetData()...)
-	return nil
+	return r.buffer.add(c.GetData())
 }
 
 // forward writes the status if it has not been written yet, then calls write.
@@ -244,10 +241,10 @@
 		return ErrChunkGap{Want: e.GetChunks(), Got: r.offset}
 	}
 	return r.forward(func() error {
-		if r.request.Stream || len(r.buffer) == 0 {
+		if r.request.Stream || len(r.buffer.data) == 0 {
 			return nil
 		}
-		return r.response.writeChunk(r.buffer)
+		return r.response.writeChunk(r.buffer.data)
 	})
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -122,6 +122,7 @@
 		return false, ErrResponseClosed{}
 	}
 	relay := e.newRelay(r, endpoint, attempt, resp)
+	defer relay.buffer.clear()
 	err = relay.run(ctx)
 	run := relay.runState(err)
 	resp.setRun(run)
