Limit what an agent reads of heads and of answers that nobody takes

What callers would see: a faulty engine's responses use up the memory and processor of its agent, and the requests of other callers at that endpoint end with it.

Cause: heads were limited by net/http's default of 10 MB only, as is each interim response before one. A call that may not be repeated goes on without its entry, so its answer was read until 30 s after its deadline, and up to 16 MB of it were kept although an incomplete answer is of no use.

Evidence: TestEngineResponseWithoutEnd failed before for header lines, one header line and interim responses (12 to 16 MB were sent until net/http stopped). TestBookingWithoutEndIsNotReadOn failed before: five seconds after the entry had refused the answer it was still read.

Change: a head may have 32 KB; an answer is read up to 65 MB, and what was kept of one is dropped once it is too long to keep.

--- a/agent/claimed_call.go
+++ b/agent/claimed_call.go
@@ -18,6 +18,10 @@
 	maxRetainedBytes = 16 << 20
 	dialTimeout      = 2 * time.Second
 	idleConnTimeout  = 30 * time.Second
+	// maxHeadBytes limits the head of a response, with interim responses before it.
+	maxHeadBytes = 32 << 10
+	// maxAnswerBytes limits what is read of a response. An entry refuses shorter ones already.
+	maxAnswerBytes = 65 << 20
 )
 
 // newSingleUseClient returns a client that neither reuses connections nor follows redirects. On a reused connection,
@@ -36,7 +40,7 @@
 func endpointTransport(slots int) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: slots, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+		MaxIdleConnsPerHost: slots, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -95,7 +99,12 @@
 		if err != nil {
 			return wirepb.Outcome_STATE_FAILED, nil, newRefusal(d, wirepb.Run_RUN_RAN, CodeEndpointFailed, "the answer was cut: "+err.Error())
 		}
-		if retained.Len()+len(chunkData) <= maxRetainedBytes {
+		switch {
+		case sender.totalBytes+uint64(len(chunkData)) > maxAnswerBytes:
+			return wirepb.Outcome_STATE_FAILED, nil, newRefusal(d, wirepb.Run_RUN_RAN, CodeEndpointFailed, "the answer is too large")
+		case sender.totalBytes+uint64(len(chunkData)) > maxRetainedBytes:
+			retained = bytes.Buffer{}
+		default:
 			_, _ = retained.Write(chunkData)
 		}
 		sender.sendChunk(chunkData)
--- a/entry/endless_answer_test.go
+++ b/entry/endless_answer_test.go
@@ -62,3 +62,25 @@
 		t.Errorf("%d MB of memory", most>>20)
 	}
 }
+
+// TestBookingWithoutEndIsNotReadOn guards against an agent that reads an answer without an end long after the entry has given it up.
+func TestBookingWithoutEndIsNotReadOn(t *testing.T) {
+	t.Parallel()
+	block, ended := []byte(strings.Repeat("a", 64<<10)), make(chan struct{}, 1)
+	c := newCluster(t, clusterConfig{entries: 1})
+	c.addAgent("endless", plainService, setting.KindPlain, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for _, err := w.Write(block); err == nil; {
+			_, err = w.Write(block)
+		}
+		ended <- struct{}{}
+	}), 4)
+	c.await("endpoint known to the entry", func() bool { return len(c.entries[0].Dump().Endpoints) == 1 })
+	if got := c.book(t.Context(), 0, "key", 5*time.Second); got.outcomeName() != "Ran" {
+		t.Errorf("%s: %v", got.outcomeName(), got.err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the answer is still read")
+	}
+}
