Let a frame take memory as it arrives

What callers would see: a process that talks to a faulty one of another version, or to anything else that reaches its internal port, runs out of memory.

Cause: a frame's buffer was allocated for the length that the peer announces, up to 72 MB, before its content had arrived.

Evidence: TestAnnouncedFrameTakesNoMemory opens 16 streams that announce a frame of 72 MB and send 16 KB.

Change: the buffer begins with 64 KB and doubles as the frame arrives. Frames that fit in the read buffer are decoded from there, as before.

--- a/wire/error.go
+++ b/wire/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strconv"
 )
 
 // ErrStreamBroken reports that a stream failed; frames that were sent may or may not have arrived.
@@ -32,6 +33,14 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// ErrFrameTooLarge reports the length of a frame that exceeds MaxFrameBytes.
+type ErrFrameTooLarge struct{ Bytes uint64 }
+
+// Error implements error.
+func (e ErrFrameTooLarge) Error() string {
+	return "a frame of " + strconv.FormatUint(e.Bytes, 10) + " bytes is too large"
+}
+
 // ErrUnreachable reports that no stream to an address could be opened, so nothing was sent.
 type ErrUnreachable struct {
 	Address string
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
@@ -20,6 +22,8 @@
 
 const (
 	readBufferBytes = 8 << 10
+	// firstFrameBytes is the size of the first buffer for a frame.
+	firstFrameBytes = 64 << 10
 	// maxWriteBytes limits a single write, within whose time some of it must have been sent.
 	maxWriteBytes = 32 << 10
 	// maxReusedBufferBytes limits the send buffer that a stream keeps for reuse.
@@ -143,13 +147,52 @@
 func (s *Stream) Receive(timeout time.Duration) (*wirepb.Frame, error) {
 	s.incoming.timeout, s.incoming.failure = timeout, nil
 	frame := &wirepb.Frame{}
-	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
-	if err := options.UnmarshalFrom(s.reader, frame); err != nil {
+	if err := readFrame(s.reader, frame); err != nil {
 		return nil, ErrStreamBroken{Peer: s.peer, Step: "receive", Cause: err}
 	}
 	return frame, nil
 }
 
+// readFrame reads a length and a frame. Its buffer grows with what arrives, not with the length that the peer announces.
+func readFrame(reader *bufio.Reader, frame *wirepb.Frame) error {
+	length, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return err
+	}
+	if length > MaxFrameBytes {
+		return ErrFrameTooLarge{Bytes: length}
+	}
+	size := int(length)
+	if size <= readBufferBytes {
+		data, err := reader.Peek(size)
+		if err != nil {
+			return unexpectedEnd(err)
+		}
+		defer func() { _, _ = reader.Discard(size) }() // it is buffered
+		return proto.Unmarshal(data, frame)
+	}
+	data := make([]byte, 0, min(size, firstFrameBytes))
+	for {
+		n, err := io.ReadFull(reader, data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil {
+			return unexpectedEnd(err)
+		}
+		if len(data) == size {
+			return proto.Unmarshal(data, frame)
+		}
+		data = append(make([]byte, 0, min(size, 2*cap(data))), data...)
+	}
+}
+
+// unexpectedEnd returns the error of a read within a frame.
+func unexpectedEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // Close closes the stream in both directions.
 func (s *Stream) Close() {
 	s.stop()
--- a/wire/stream_test.go
+++ b/wire/stream_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +48,48 @@
 	}
 }
 
+// TestAnnouncedFrameTakesNoMemory guards against memory that is taken for frames of which peers have sent little but the length.
+func TestAnnouncedFrameTakesNoMemory(t *testing.T) {
+	const streams, mostMemory = 16, 32 << 20
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	ended := make(chan error, streams)
+	for range streams {
+		here, there := net.Pipe()
+		s := newStream(t.Context(), here, "peer")
+		t.Cleanup(s.Close)
+		go func() {
+			_, err := s.Receive(time.Second)
+			ended <- err
+		}()
+		if _, err := there.Write(binary.AppendUvarint(nil, MaxFrameBytes)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := there.Write(make([]byte, 2*readBufferBytes)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&now)
+	if now.HeapAlloc > before.HeapAlloc+mostMemory {
+		t.Errorf("%d MB of memory", (now.HeapAlloc-before.HeapAlloc)>>20)
+	}
+	for range streams {
+		if err := <-ended; !IsErrStreamBroken(err) || !IsTimeout(err) {
+			t.Error(err)
+		}
+	}
+	a, b := net.Pipe()
+	s := newStream(t.Context(), a, "peer")
+	t.Cleanup(s.Close)
+	go func() { _, _ = b.Write(binary.AppendUvarint(nil, MaxFrameBytes+1)) }()
+	var tooLarge ErrFrameTooLarge
+	if _, err := s.Receive(time.Second); !errors.As(err, &tooLarge) {
+		t.Error(err)
+	}
+}
+
 // TestSendTimeoutClosesStream checks that no frame can be sent after one that was cut short by its timeout.
 func TestSendTimeoutClosesStream(t *testing.T) {
 	a, _ := newStreamPair(t)
