--- a/agent/endless_engine_test.go
+++ b/agent/endless_engine_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"burdocksaddle/engineapi"
 	"burdocksaddle/setting"
 	"burdocksaddle/wire"
 )
@@ -77,3 +81,23 @@
 		})
 	}
 }
+
+// TestEngineListOfCountlessValues guards against cache events that are decoded to many times their size.
+func TestEngineListOfCountlessValues(t *testing.T) {
+	const mostMemory = 64 << 20
+	body := "[{}" + strings.Repeat(",{}", 2_600_000) + "]"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+	defer server.Close()
+	s := setting.Defaults()
+	s.Agent.EndpointURL = server.URL
+	a := New(s, wire.NewPool(), "p")
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var events []engineapi.CacheEvent
+	err := a.getEngine(t.Context(), engineapi.PathEvents, &events)
+	runtime.ReadMemStats(&after)
+	var tooMany ErrTooManyValues
+	if allocated := after.TotalAlloc - before.TotalAlloc; !errors.As(err, &tooMany) || allocated > mostMemory {
+		t.Errorf("%d events, %v, %d MB were allocated", len(events), err, allocated>>20)
+	}
+}
--- a/agent/engine_http.go
+++ b/agent/engine_http.go
@@ -12,6 +12,8 @@
 const (
 	engineTimeout    = 2 * time.Second
 	maxResponseBytes = 8 << 20
+	// maxResponseValues limits the values of a response, which take up many times their length once they are decoded.
+	maxResponseValues = 1 << 17
 )
 
 func (a *Agent) postEngine(ctx context.Context, path string, body any) error {
@@ -33,7 +35,7 @@
 }
 
 // doJSON sends a request with a timeout and decodes the JSON response into result, unless that is nil. It returns
-// ErrEngineRefused for status codes of 300 and above.
+// ErrEngineRefused for status codes of 300 and above, and ErrTooManyValues.
 func (a *Agent) doJSON(ctx context.Context, method, url string, body io.Reader, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
@@ -53,7 +55,14 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
 		return nil
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return err
+	}
+	if bytes.Count(data, []byte{','}) > maxResponseValues {
+		return ErrTooManyValues{Path: request.URL.Path}
+	}
+	return json.Unmarshal(data, result)
 }
 
 func errorText(err error) string {
--- a/agent/error.go
+++ b/agent/error.go
@@ -23,6 +23,12 @@
 	return refusal, errors.As(err, &refusal)
 }
 
+// ErrTooManyValues represents a response of the engine or the platform with more values than any real one has.
+type ErrTooManyValues struct{ Path string }
+
+// Error implements the error interface.
+func (e ErrTooManyValues) Error() string { return "response of " + e.Path + " has too many values" }
+
 // ErrNotEventStream represents a successful response that is no stream although a stream was requested.
 type ErrNotEventStream struct{ ContentType string }
 
