--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -310,6 +310,25 @@
 	}
 }
 
+// follows reports whether an event may come after the one with the previous ID, from the same endpoint or, as its first one, from another.
+func (t *transaction) follows(previousID, id string) bool {
+	if t.attemptEvents == 0 {
+		return stream.GoesOn(t.request.LastEvent, t.events, previousID, id)
+	}
+	return stream.Follows(previousID, id)
+}
+
+// beginStream begins the client's response before its first event, and reports whether the client is still there.
+func (t *transaction) beginStream(ctx context.Context, c choice, response *Response) bool {
+	t.streamStarted = true
+	t.recordFirstEvent()
+	if t.recordOrigin(c) {
+		t.flushStarts(ctx)
+	}
+	t.protectFromQuarantine()
+	return t.responder.Begin(response.Status, response.Header) == nil
+}
+
 // relayStream forwards a stream's events as they arrive, and resumes at another endpoint where the route allows it.
 func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
 	var previousAt, steadyAt time.Time
@@ -333,25 +352,13 @@
 		if err != nil {
 			return t.handleFailure(ctx, c, err)
 		}
-		follows := stream.Follows(previousID, id)
-		if t.attemptEvents == 0 {
-			follows = stream.GoesOn(t.request.LastEvent, t.events, previousID, id)
-		}
-		if !follows {
+		if !t.follows(previousID, id) {
 			return t.handleFailure(ctx, c, ErrIncompleteResponse{Endpoint: c.state.ID, Cause: ErrEventOrder{Previous: previousID, ID: id}})
 		}
-		if !t.streamStarted {
-			t.streamStarted = true
-			t.recordFirstEvent()
-			if t.recordOrigin(c) {
-				t.flushStarts(ctx)
-			}
-			t.protectFromQuarantine()
-			if t.responder.Begin(response.Status, response.Header) != nil {
-				t.release(c, nil)
-				t.outcome = outcomeClientLeft
-				return true
-			}
+		if !t.streamStarted && !t.beginStream(ctx, c, response) {
+			t.release(c, nil)
+			t.outcome = outcomeClientLeft
+			return true
 		}
 		if t.lastEvent = id; id != "" {
 			previousID = id
