--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"burdocksaddle/endpoint"
 	"burdocksaddle/route"
+	"burdocksaddle/stream"
 )
 
 // attempt sends the request to an endpoint and reports whether the request is finished.
@@ -26,14 +27,14 @@
 	t.software = c.state.Software
 	t.endpoint, t.begun, t.attemptEvents, t.sentAt = c.state.ID, false, 0, time.Now()
 	t.stalled.Store(false)
-	stream := t.route.Kind == route.KindStream
+	isStream := t.route.Kind == route.KindStream
 	idleTimer := t.watchdog(cancel, t.firstResponseTimeout(), c.endpoint.Name)
 	defer idleTimer.Stop()
 	again := !t.route.Repeatable() && slices.Contains(t.sentTo, c.state.Address)
 	t.sentTo = append(t.sentTo, c.state.Address)
 	response, err := t.send(attemptCtx, Call{
 		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Again: again, Remaining: time.Until(t.deadline),
-		LastEvent: t.lastEvent, Stream: stream, Urgency: t.urgency(), Team: t.team.Name, HasTeams: t.table.Teams != nil,
+		LastEvent: t.lastEvent, Stream: isStream, Urgency: t.urgency(), Team: t.team.Name, HasTeams: t.table.Teams != nil,
 	})
 	if err != nil {
 		if !IsErrNotSent(err) {
@@ -203,9 +204,9 @@
 	}
 }
 
-// canRetry reports whether the request may be executed by one more endpoint.
+// canRetry reports whether the request may be executed by one more endpoint. A stream whose last event has no ID can't be resumed.
 func (t *transaction) canRetry() bool {
-	return t.route.Repeatable() && t.executions < t.maxAttempts()
+	return t.route.Repeatable() && t.executions < t.maxAttempts() && (!t.streamStarted || t.lastEvent != "")
 }
 
 // handleNotRun handles an endpoint's response that it did not execute the request.
@@ -309,10 +310,30 @@
 	}
 }
 
+// follows reports whether an event may come after the one with the previous ID, from the same endpoint or, as its first one, from another.
+func (t *transaction) follows(previousID, id string) bool {
+	if t.attemptEvents == 0 {
+		return stream.GoesOn(t.request.LastEvent, t.events, previousID, id)
+	}
+	return stream.Follows(previousID, id)
+}
+
+// beginStream begins the client's response before its first event, and reports whether the client is still there.
+func (t *transaction) beginStream(ctx context.Context, c choice, response *Response) bool {
+	t.streamStarted = true
+	t.recordFirstEvent()
+	if t.recordOrigin(c) {
+		t.flushStarts(ctx)
+	}
+	t.protectFromQuarantine()
+	return t.responder.Begin(response.Status, response.Header) == nil
+}
+
 // relayStream forwards a stream's events as they arrive, and resumes at another endpoint where the route allows it.
 func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
 	var previousAt, steadyAt time.Time
 	var pace streamPace
+	previousID := t.lastEvent
 	defer func() { t.recordPace(c, &pace) }()
 	for {
 		event, id, err := response.Next()
@@ -331,21 +352,16 @@
 		if err != nil {
 			return t.handleFailure(ctx, c, err)
 		}
-		if !t.streamStarted {
-			t.streamStarted = true
-			t.recordFirstEvent()
-			if t.recordOrigin(c) {
-				t.flushStarts(ctx)
-			}
-			t.protectFromQuarantine()
-			if t.responder.Begin(response.Status, response.Header) != nil {
-				t.release(c, nil)
-				t.outcome = outcomeClientLeft
-				return true
-			}
+		if !t.follows(previousID, id) {
+			return t.handleFailure(ctx, c, ErrIncompleteResponse{Endpoint: c.state.ID, Cause: ErrEventOrder{Previous: previousID, ID: id}})
+		}
+		if !t.streamStarted && !t.beginStream(ctx, c, response) {
+			t.release(c, nil)
+			t.outcome = outcomeClientLeft
+			return true
 		}
-		if id != "" {
-			t.lastEvent = id
+		if t.lastEvent = id; id != "" {
+			previousID = id
 		}
 		t.events++
 		t.attemptEvents++
@@ -372,7 +388,7 @@
 			return true
 		}
 		pace.recordWritten(time.Now())
-		if t.route.Repeatable() && t.executions < t.maxAttempts() {
+		if t.canRetry() {
 			idleTimer.Reset(max(minIdleTimeout, idleTimeoutFactor*t.route.MaxEventGap))
 		} else {
 			idleTimer.Reset(max(time.Until(t.deadline), time.Millisecond))
