Reserve the loopback addresses of tests that run side by side

The gateways' logs begin with "listen tcp 127.154.2.1:9464: bind: address already in use", and .2 and .3 likewise; the stewards at 127.154.1.x were not affected.

Cause: the fault test and the tests of package platform each derived a subnet 127.N from their process ID modulo 200, so that two test processes could have the same one; the port of the metrics is fixed. Tests of platform use 127.N.2.1 to 2.3 for gateways, 127.N.0.x for stewards, and only tests with several gateways use 2.2 and 2.3, which were free by 26 s and 33 s after the start while 2.1 stayed in use.

Change: a test reserves its subnet by a listener in it, until it ends.

--- a/e2e/layout_test.go
+++ b/e2e/layout_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"burdocksaddle/demo"
 	"burdocksaddle/engineapi"
+	"burdocksaddle/platform/standin"
 	"burdocksaddle/setting"
 	"burdocksaddle/traffic"
 )
@@ -46,15 +46,20 @@
 func engineName(i int) string       { return fmt.Sprintf("engine-%d", i+1) }
 func plainServiceName(i int) string { return fmt.Sprintf("desk-%d", i+1) }
 
-// loopbackHosts returns a function that assigns each name its own address in a random loopback subnet.
-func loopbackHosts() func(string) string {
-	subnet := fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), 1+rand.IntN(250))
+// loopbackHosts returns a function that assigns each name its own address in a loopback subnet.
+func loopbackHosts(t *testing.T) func(string) string {
+	t.Helper()
+	subnet, err := standin.ReserveSubnet(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(subnet.Close)
 	assigned := map[string]int{}
 	return func(name string) string {
-		if assigned[name] == 0 {
-			assigned[name] = len(assigned) + 1
+		if _, found := assigned[name]; !found {
+			assigned[name] = len(assigned)
 		}
-		return fmt.Sprint(subnet, assigned[name])
+		return subnet.IP(0, assigned[name])
 	}
 }
 
--- a/e2e/platform_cluster_test.go
+++ b/e2e/platform_cluster_test.go
@@ -89,7 +89,7 @@
 	endpointList *standin.List
 	cancel       context.CancelFunc
 	ctx          context.Context
-	subnet       int
+	subnet       *standin.Subnet
 	env          []string
 	replacements int
 	// deadly is set while callers send requests with deadlyPart, repeating while they send deadlyRequest. crashes are the restarts of
@@ -133,17 +133,19 @@
 	}
 }
 
-// clusterNumber gives the clusters of one test process distinct subnets.
-var clusterNumber atomic.Int64
-
 func newPlatformCluster(t *testing.T, shape clusterShape, binary string, env ...string) *platformCluster {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "burdocksaddle-faults-")
 	if err != nil {
 		t.Fatal(err)
 	}
+	subnet, err := standin.ReserveSubnet(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(subnet.Close)
 	c := &platformCluster{
-		t: t, shape: shape, binary: binary, dir: dir, network: newProxyNetwork(), port: 7380, vms: map[string]*vm{}, subnet: 10 + (os.Getpid()+int(clusterNumber.Add(1)))%200,
+		t: t, shape: shape, binary: binary, dir: dir, network: newProxyNetwork(), port: 7380, vms: map[string]*vm{}, subnet: subnet,
 		env: env, resumedAt: map[string][]time.Time{}, disturbances: map[string][]period{}, stops: map[string][]period{}, disks: fullDisks{now: map[string]int{}},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -173,9 +175,7 @@
 }
 
 // ip returns a loopback address for a VM that no other VM of this or another cluster has.
-func (c *platformCluster) ip(kind, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", c.subnet, kind, n+1)
-}
+func (c *platformCluster) ip(kind, n int) string { return c.subnet.IP(kind, n) }
 
 func (c *platformCluster) listen(address string) net.Listener {
 	l, err := (&net.ListenConfig{}).Listen(c.ctx, "tcp", address)
--- a/e2e/process_cluster_test.go
+++ b/e2e/process_cluster_test.go
@@ -39,7 +39,7 @@
 	}
 	c := &processCluster{
 		t: t, processes: map[string]*process{},
-		layout: layout{dir: dir, controls: controls, learners: learners, host: loopbackHosts()},
+		layout: layout{dir: dir, controls: controls, learners: learners, host: loopbackHosts(t)},
 	}
 	c.binary = buildBinary(t)
 	t.Cleanup(c.close)
