--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -5,21 +5,18 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// lastReadTime is how long the last read on an idle connection may take before it is closed; it returns bytes that have arrived already.
-const lastReadTime = time.Millisecond
-
 type connState int
 
 const (
 	stateIdle connState = iota
 	// stateBusy is the state from the first byte of a request to the end of its response.
 	stateBusy
-	// stateInterrupted is the state of an idle connection whose read was interrupted, stateLastRead that during the last read.
+	// stateInterrupted is the state of an idle connection whose read was interrupted.
 	stateInterrupted
-	stateLastRead
 )
 
 // conn is a connection that knows whether a request is on it.
@@ -30,37 +27,50 @@
 	mu        sync.Mutex
 	state     connState
 	idleSince time.Time
+	// waiting is set while net/http waits for the first bytes of a request.
+	waiting bool
 	// responded is set once a byte of the response to the current request has been written, left once the client has closed.
 	responded, left, closed bool
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if !c.recordRead(n, err) {
-			return n, err
-		}
-	}
-}
-
-// recordRead records the result of a read and reports whether the read must be repeated.
-func (c *conn) recordRead(n int, err error) (again bool) {
+	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	if timedOut && c.state != stateBusy {
+		if n = c.readArrivedLocked(p); n > 0 {
+			err = nil
+		}
+	}
 	c.left = c.left || err != nil && !timedOut
-	switch {
-	case n > 0 && c.state != stateBusy:
-		if c.state != stateIdle {
-			_ = c.SetReadDeadline(c.server.headerDeadline())
+	if n > 0 && c.state != stateBusy {
+		if timedOut || c.state == stateInterrupted {
+			_ = c.Conn.SetReadDeadline(c.server.headerDeadline())
 		}
 		c.state, c.responded = stateBusy, false
-	case n == 0 && timedOut && c.state == stateInterrupted:
-		c.state = stateLastRead
-		return c.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
 	}
-	return false
+	return n, err
+}
+
+// readArrivedLocked reads bytes that have arrived and returns their number. It needs no deadline: a goroutine that is halted until its read
+// deadline reads nothing, whatever has arrived.
+func (c *conn) readArrivedLocked(p []byte) (n int) {
+	kernel, ok := c.Conn.(syscall.Conn)
+	if !ok || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	raw, err := kernel.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	// The socket doesn't block. If the read fails, there is nothing that could be answered.
+	_ = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p)
+		return true
+	})
+	return max(n, 0)
 }
 
 // Write implements net.Conn.
@@ -93,10 +103,13 @@
 	return c.Conn.Close()
 }
 
-// setBusy records that a request has been read.
+// setBusy records that the head of a request has been read, which may have arrived together with the request before.
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == stateInterrupted {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	}
 	c.state = stateBusy
 }
 
@@ -104,7 +117,19 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.idleSince = stateIdle, time.Now()
+	c.state, c.idleSince, c.waiting = stateIdle, time.Now(), false
+}
+
+// SetReadDeadline implements net.Conn. net/http sets a deadline before it waits for a request and the next one once the first bytes are there,
+// which it may have read together with the request before.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateBusy && c.waiting {
+		c.state, c.responded = stateBusy, false
+	}
+	c.waiting = true
+	return c.Conn.SetReadDeadline(t)
 }
 
 // interrupt makes the connection close if it has been idle since the given time and nothing has arrived on it. The connection's
@@ -114,6 +139,6 @@
 	defer c.mu.Unlock()
 	if c.state == stateInterrupted || c.state == stateIdle && !c.idleSince.After(idleSince) {
 		c.state = stateInterrupted
-		_ = c.SetReadDeadline(time.Now()) // fails only if the connection is closed
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only if the connection is closed
 	}
 }
--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -18,12 +18,17 @@
 
 // startServer serves requests with a handler until the test ends.
 func startServer(t *testing.T, handler http.HandlerFunc) (server *Server, address string) {
+	t.Helper()
+	return startConfigured(t, &http.Server{Handler: handler, ReadHeaderTimeout: testTimeout})
+}
+
+func startConfigured(t *testing.T, config *http.Server) (server *Server, address string) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server = New(&http.Server{Handler: handler, ReadHeaderTimeout: testTimeout})
+	server = New(config)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -55,11 +60,11 @@
 	if _, err := io.WriteString(c, request); err != nil {
 		return false
 	}
-	return readResponse(c)
+	return readResponse(bufio.NewReader(c))
 }
 
-func readResponse(c net.Conn) bool {
-	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+func readResponse(reader *bufio.Reader) bool {
+	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return false
 	}
@@ -111,7 +116,7 @@
 			t.Fatal(err)
 		}
 		defer func() {
-			if _, err := io.WriteString(c, request[sent:]); err != nil || !readResponse(c) {
+			if _, err := io.WriteString(c, request[sent:]); err != nil || !readResponse(bufio.NewReader(c)) {
 				t.Errorf("connection %d: no response to a request of which %d bytes had arrived", n, sent)
 			}
 		}()
@@ -157,7 +162,7 @@
 	default:
 	}
 	close(release)
-	if !readResponse(busy) {
+	if !readResponse(bufio.NewReader(busy)) {
 		t.Error("the request in progress got no response")
 	}
 	<-ended
@@ -189,21 +194,295 @@
 	}
 }
 
-// TestCloseAfterStopAcceptingSucceeds guards against a stop that fails since the listener is closed already.
-func TestCloseAfterStopAcceptingSucceeds(t *testing.T) {
-	for range 500 {
-		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
+// lateListener reports its end to the server late.
+type lateListener struct{ net.Listener }
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return c, err
+}
+
+// TestCloseHasNoErrorAfterTheServerStoppedAccepting closes a server before Serve has returned.
+func TestCloseHasNoErrorAfterTheServerStoppedAccepting(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(&http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: testTimeout})
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(lateListener{listener}) }()
+	dial(t, listener.Addr().String())
+	server.waitForConns(t, 1)
+	if err := errors.Join(server.StopAccepting(), server.Close()); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+		t.Error(err)
+	}
+}
+
+// hookedListener calls a function whenever a read deadline of a connection has been set.
+type hookedListener struct {
+	net.Listener
+	hook func(deadline time.Time)
+}
+
+func (l hookedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return hookedConn{c.(*net.TCPConn), l.hook}, nil
+}
+
+type hookedConn struct {
+	*net.TCPConn
+	hook func(deadline time.Time)
+}
+
+func (c hookedConn) SetReadDeadline(deadline time.Time) error {
+	err := c.TCPConn.SetReadDeadline(deadline)
+	c.hook(deadline)
+	return err
+}
+
+// TestRequestThatArrivesWhileTheServerIsHaltedIsAnswered has a request arrive when a deadline is set, and the server run on only after that.
+func TestRequestThatArrivesWhileTheServerIsHaltedIsAnswered(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	for name, test := range map[string]struct {
+		idleTimeout time.Duration
+		stop        bool
+	}{"at a stop": {testTimeout, true}, "at the idle timeout": {idleTimeout, false}} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := dial(t, listener.Addr().String())
+			var requests, interrupts atomic.Int64
+			hook := func(deadline time.Time) {
+				wait := time.Until(deadline)
+				switch {
+				case test.stop && wait <= 0 && wait > -testTimeout && requests.Load() == 1:
+					interrupts.Add(1) // net/http itself sets deadlines in the distant past
+				case requests.Load() == 1 && (test.stop && interrupts.Load() > 0 || !test.stop && wait > 0 && wait <= idleTimeout):
+					requests.Add(1)
+					_, _ = io.WriteString(c, request) // a failure shows as a missing response
+					time.Sleep(2 * idleTimeout)
+				}
+			}
+			server := New(&http.Server{IdleTimeout: test.idleTimeout, ReadHeaderTimeout: testTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !requests.CompareAndSwap(0, 1) {
+					w.Header().Set("Connection", "close")
+				}
+			})})
+			ended := make(chan error, 1)
+			go func() { ended <- server.Serve(hookedListener{listener, hook}) }()
+			_, _ = io.WriteString(c, request)
+			reader := bufio.NewReader(c)
+			if !readResponse(reader) {
+				t.Fatal("no response to the first request")
+			}
+			if test.stop {
+				server.CloseIdle(t.Context(), 0)
+			}
+			if !readResponse(reader) {
+				t.Error("no response to the second request")
+			}
+			if err := server.Close(); err != nil {
+				t.Error(err)
+			}
+			if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestInterruptDoesNotEndTheBodyOfABufferedRequest interrupts a connection right before net/http reports a request of which it had read the head earlier.
+func TestInterruptDoesNotEndTheBodyOfABufferedRequest(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client := dial(t, listener.Addr().String())
+	tracking := trackingListener{Listener: listener, server: New(&http.Server{ReadHeaderTimeout: testTimeout})}
+	accepted, err := tracking.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	tracking.server.interruptIdle(time.Now())
+	tracking.server.http.ConnState(accepted, http.StateActive)
+	if _, err := io.WriteString(client, "body"); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.ReadFull(accepted, make([]byte, 4)); err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
+// TestCloseIdleClosesConnectionsWhoseDeadlineIsReplaced has net/http set the deadline of a connection right after it was interrupted.
+func TestCloseIdleClosesConnectionsWhoseDeadlineIsReplaced(t *testing.T) {
+	config := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: testTimeout}
+	config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			c.(*conn).interrupt(time.Now())
+		}
+	}
+	server, address := startConfigured(t, config)
+	if !get(dial(t, address)) {
+		t.Fatal("no response")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout/2)
+	defer cancel()
+	if server.CloseIdle(ctx, 0); ctx.Err() != nil {
+		t.Error("the connection stayed open")
+	}
+}
+
+// TestHalfAHeadEndsAtItsTimeoutAtStop has half a head arrive when its connection is closed.
+func TestHalfAHeadEndsAtItsTimeoutAtStop(t *testing.T) {
+	const headerTimeout = 300 * time.Millisecond
+	server, address := startConfigured(t, &http.Server{ReadHeaderTimeout: headerTimeout})
+	c := dial(t, address)
+	server.waitForConns(t, 1)
+	server.mu.Lock()
+	for c := range server.conns {
+		c.mu.Lock()
+		c.state = stateInterrupted // the next read finds it interrupted
+		c.mu.Unlock()
+	}
+	server.mu.Unlock()
+	if _, err := io.WriteString(c, request[:10]); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if _, err := io.ReadAll(c); err != nil || time.Since(began) > testTimeout/2 {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
+
+// TestUnansweredCountsRequestsWhoseClientsWait closes connections with a request on them.
+func TestUnansweredCountsRequestsWhoseClientsWait(t *testing.T) {
+	for name, test := range map[string]struct {
+		begin, leave bool
+		want         int64
+	}{"no response": {false, false, 1}, "response begun": {true, false, 0}, "client left": {false, true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			reached, release := make(chan struct{}), make(chan struct{})
+			defer close(release)
+			server, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if test.begin {
+					_ = http.NewResponseController(w).Flush()
+				}
+				if test.leave {
+					<-r.Context().Done()
+				}
+				close(reached)
+				<-release
+			})
+			c := dial(t, address)
+			if _, err := io.WriteString(c, request); err != nil {
+				t.Fatal(err)
+			}
+			if test.leave {
+				server.waitForConns(t, 1)
+				_ = c.Close()
+			}
+			<-reached
+			_ = server.Close()
+			if n := server.Unanswered(); n != test.want {
+				t.Errorf("%d unanswered, want %d", n, test.want)
+			}
+		})
+	}
+}
+
+// TestShutdown checks what becomes of requests in progress, of arriving ones and of those that end too late.
+func TestShutdown(t *testing.T) {
+	release := make(chan struct{})
+	server, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	busy, late, stuck := dial(t, address), dial(t, address), dial(t, address)
+	if _, err := io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []net.Conn{late, stuck} {
+		if _, err := io.WriteString(c, request[:5]); err != nil {
 			t.Fatal(err)
 		}
-		server := New(&http.Server{ReadHeaderTimeout: testTimeout})
-		ended := make(chan error, 1)
-		go func() { ended <- server.Serve(listener) }()
-		dial(t, listener.Addr().String())
-		server.waitForConns(t, 1)
-		if err := errors.Join(server.StopAccepting(), server.Close()); err != nil {
+	}
+	server.waitForConns(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := server.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	time.Sleep(200 * time.Millisecond)
+	if _, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address); err == nil {
+		t.Error("the server accepts connections")
+	}
+	if _, err := io.WriteString(late, request[5:]); err != nil {
+		t.Error(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(late), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !response.Close || response.Body.Close() != nil {
+		t.Error("the client is not told that the connection closes")
+	}
+	close(release)
+	if !readResponse(bufio.NewReader(busy)) {
+		t.Error("the request in progress got no response")
+	}
+	<-ended
+	if ctx.Err() == nil {
+		t.Error("the server did not wait for a request that had begun to arrive")
+	}
+	if n, err := stuck.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Error("a connection is left open")
+	}
+}
+
+// TestRequestThatWasReadWithTheOneBeforeIsAnswered has the first part of a request arrive together with the request before it.
+func TestRequestThatWasReadWithTheOneBeforeIsAnswered(t *testing.T) {
+	server, address := startServer(t, func(http.ResponseWriter, *http.Request) {})
+	for sent := range len(request) {
+		c := dial(t, address)
+		server.waitForConns(t, sent+1)
+		if _, err := io.WriteString(c, request+request[:sent]); err != nil {
 			t.Fatal(err)
 		}
-		<-ended // as the listener was closed first, an error
+		defer func() {
+			if sent < 4 {
+				return // net/http has not noticed that a request has begun
+			}
+			_, err := io.WriteString(c, request[sent:])
+			responses := bufio.NewReader(c)
+			for n := range 2 {
+				response, readErr := http.ReadResponse(responses, nil)
+				if readErr != nil || response.StatusCode != http.StatusOK || response.Body.Close() != nil {
+					t.Errorf("response %d where %d bytes had arrived: %+v, %v, %v", n, sent, response, readErr, err)
+					return
+				}
+			}
+		}()
 	}
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	server.CloseIdle(ctx, 0)
 }
