Log what a request waits for and why no model is loaded for it

"request ended" now has the cause of the last wait (waitedFor) and the version of the stream's start (origin). The leader logs the models that resumed streams wait for and what keeps each endpoint of the version from loading them.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -56,6 +56,33 @@
 	held bool
 }
 
+// Causes of a wait for an endpoint, in logs.
+const (
+	waitVersion = "Version"
+	waitModel   = "Model"
+	waitPause   = "Pause"
+	waitTurn    = "Turn"
+	waitPrompts = "Prompts"
+	waitSlot    = "Slot"
+)
+
+// waitCause returns what a request waits for that no endpoint can execute now; behind is set if others are due first at an endpoint with a limit.
+func (a *availability) waitCause(behind bool) string {
+	switch {
+	case !a.softwareServes:
+		return waitVersion
+	case behind:
+		return waitTurn
+	case a.held:
+		return waitPrompts
+	case !a.modelHeld && !a.pausedUntil.IsZero():
+		return waitPause
+	case !a.modelHeld:
+		return waitModel
+	}
+	return waitSlot
+}
+
 // resumedWait returns what a resumed stream waits for; chosen is set if an endpoint was found.
 func (a *availability) resumedWait(chosen bool, model string) resumedWait {
 	switch {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -467,6 +467,16 @@
 	return answers
 }
 
+// originSoftware returns the software version at which the request's stream began, empty if it has not begun or that is unknown.
+func (t *transaction) originSoftware() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origin == nil {
+		return ""
+	}
+	return t.origin.Software
+}
+
 // inTouch reports whether a steward has been heard of lately.
 func (g *Gateway) inTouch() bool {
 	g.mu.Lock()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -135,6 +135,8 @@
 	events                int
 	// outcome and reason describe the result in logs and metrics; endpoint is the last endpoint tried, software the version of its software.
 	outcome, reason, endpoint, software string
+	// waitedFor is the cause of the last wait for an endpoint, empty if there was none.
+	waitedFor string
 	// firstSentAfter is the time from arrival to the first attempt, firstEventAfter that to the first event.
 	firstSentAfter, firstEventAfter time.Duration
 	// longestGap is the longest time between two events from the same endpoint.
@@ -186,7 +188,7 @@
 	}
 	t.recordOutcome()
 	g.log.Info("request ended", t.withTeam("id", request.ID, "key", formatKey(t.request.Key), "route", t.route.Name, "model", request.Model, "adapter", request.Adapter,
-		"outcome", t.outcome, "endpoint", t.endpoint, "software", t.software, "resumes", request.Resumes, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
+		"outcome", t.outcome, "endpoint", t.endpoint, "software", t.software, "resumes", request.Resumes, "origin", t.originSoftware(), "waitedFor", t.waitedFor, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
 		"firstMs", t.firstEventAfter.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "ms", time.Since(t.arrivedAt).Milliseconds(), "version", t.table.Version)...)
 }
 
@@ -403,6 +405,7 @@
 			t.count(metricHeldPrompts)
 			t.log.Info("long prompt waits for others", "id", t.request.ID, "model", t.request.Model, "promptTokens", t.request.PromptTokens)
 		}
+		t.waitedFor = found.waitCause(behind)
 		changed := t.changed
 		wait, turnWait := time.Duration(0), time.Duration(0)
 		if found.limitedRate > 0 && (behind || !found.modelHeld) {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -14,6 +14,7 @@
 
 // Plan returns the orders to give now, at most one per endpoint.
 func (p *Planner) Plan(now time.Time) []Order {
+	clear(p.unmet)
 	var orders []Order
 	for _, service := range sortedKeys(p.engines) {
 		orders = append(orders, p.planService(service, p.engines[service], now)...)
@@ -140,7 +141,7 @@
 		if !f.copyAvailable(m.Name) {
 			continue
 		}
-		if o, ok := p.place(f, need{model: m, prefetch: true}); ok {
+		if o, _, ok := p.place(f, need{model: m, prefetch: true}); ok {
 			p.lastPrefetch = f.now
 			return o, true
 		}
@@ -231,32 +232,41 @@
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.requestsPerReplica, a.requestsPerReplica))
 	})
 	for _, n := range needs {
-		if o, ok := p.place(f, n); ok {
+		o, obstacles, ok := p.place(f, n)
+		if ok {
 			return o, true
 		}
+		if n.resuming {
+			p.unmet[ModelVersion{n.model.Name, n.software}] = obstacles
+		}
 	}
 	return Order{}, false
 }
 
-// place returns the order for the endpoint where the model can be loaded at the lowest cost in load time and evictions.
-func (p *Planner) place(f *planState, n need) (Order, bool) {
+// place returns the order for the endpoint where the model can be loaded at the lowest cost in load time and evictions, or what keeps the
+// endpoints from loading it.
+func (p *Planner) place(f *planState, n need) (o Order, obstacles Obstacles, ok bool) {
 	var best *trackedEndpoint
 	var bestEvict []string
 	bestCost := 0.0
 	hasCopy := f.copyAvailable(n.model.Name)
 	for _, t := range f.endpoints {
-		if t.busy(f.now) || t.reservedFor != "" || t.state.Limit.Named || t.state.Holds(n.model.Name) {
+		if n.resuming && t.state.Software != n.software {
 			continue
 		}
-		if n.resuming && !n.canResume(t) {
+		obstacles.Endpoints++
+		if t.busy(f.now) || t.reservedFor != "" || t.state.Limit.Named || t.state.Holds(n.model.Name) {
+			obstacles.Busy++
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
-		if source == SourceStore && (n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
+		if source == SourceStore && (n.resuming || n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
+			obstacles.WithoutCopy++
 			continue
 		}
-		evict, evictCost, ok := p.evictions(f, t, n)
-		if !ok {
+		evict, evictCost, fits := p.evictions(f, t, n)
+		if !fits {
+			obstacles.Full++
 			continue
 		}
 		utilizationCost := fullEndpointCostSeconds * float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
@@ -266,9 +276,9 @@
 		}
 	}
 	if best == nil {
-		return Order{}, false
+		return Order{}, obstacles, false
 	}
-	return p.createOrder(f, best, n, bestEvict), true
+	return p.createOrder(f, best, n, bestEvict), obstacles, true
 }
 
 // lastAdapterEndpoint reports whether the endpoint is the last one that accepts adapter orders for a model in demand. During a load
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -81,6 +81,8 @@
 	storeLimiters map[string]*rate.Limiter
 	// recentStarts are the models that have begun streams lately, by software version.
 	recentStarts map[ModelVersion]bool
+	// unmet are the models that resumed streams wait for without an order, by software version.
+	unmet map[ModelVersion]Obstacles
 }
 
 // trackedEndpoint is an endpoint with its orders in progress.
@@ -128,7 +130,7 @@
 
 // New returns an empty Planner.
 func New() *Planner {
-	return &Planner{endpoints: map[string]*trackedEndpoint{}, idsByAddress: map[string][]string{}, demandByModel: map[string]*modelDemand{}, engines: map[string]*route.Engine{}, storeConcurrency: initialStoreConcurrency, storeLimiters: map[string]*rate.Limiter{}}
+	return &Planner{endpoints: map[string]*trackedEndpoint{}, idsByAddress: map[string][]string{}, demandByModel: map[string]*modelDemand{}, engines: map[string]*route.Engine{}, storeConcurrency: initialStoreConcurrency, storeLimiters: map[string]*rate.Limiter{}, unmet: map[ModelVersion]Obstacles{}}
 }
 
 // Configure sets the engines from the active configuration.
--- a/scaling/software.go
+++ b/scaling/software.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"burdocksaddle/stream"
 )
@@ -9,6 +10,18 @@
 // ModelVersion is a model at the endpoints that run one software version.
 type ModelVersion struct{ Model, Software string }
 
+// Obstacles count what keeps the endpoints of a software version from loading a model for resumed streams.
+type Obstacles struct {
+	// Replicas of the model are loaded or being loaded at the version; the other counts are 0 then.
+	Replicas int
+	// Endpoints run the version. Busy ones can take no order or have a limit, those WithoutCopy would load the model from the store, and at Full
+	// ones no replica may yield.
+	Endpoints, Busy, WithoutCopy, Full int
+}
+
+// Unmet returns the models for which resumed streams wait at a software version without an order of the last Plan, and why there is none.
+func (p *Planner) Unmet() map[ModelVersion]Obstacles { return maps.Clone(p.unmet) }
+
 // Software returns the software versions of all endpoints, by service.
 func (p *Planner) Software() []stream.Origin {
 	var all []stream.Origin
@@ -36,7 +49,12 @@
 		}
 		l := p.demandByModel[name]
 		for _, software := range sortedKeys(l.resuming) {
-			if l.resuming[software] > 0 && f.replicasAt[ModelVersion{name, software}] == 0 {
+			at := ModelVersion{name, software}
+			switch replicas := f.replicasAt[at]; {
+			case l.resuming[software] == 0:
+			case replicas > 0:
+				p.unmet[at] = Obstacles{Replicas: replicas}
+			default:
 				needs = append(needs, need{model: m, requestsPerReplica: float64(l.resuming[software]), resuming: true, software: software})
 			}
 		}
@@ -54,12 +72,6 @@
 	return p.recentStarts[at] || l != nil && l.resuming[at.Software] > 0
 }
 
-// canResume reports whether an endpoint can load the model for the need in time: it runs the version and has a local copy. A load from the
-// store takes longer than the clients of resumed streams wait.
-func (n need) canResume(t *trackedEndpoint) bool {
-	return t.state.Software == n.software && t.sourceOf(n.model.Name) != SourceStore
-}
-
 // countReplica adds a replica that is loaded, being loaded or planned at an endpoint, or removes it.
 func (f *planState) countReplica(t *trackedEndpoint, model string, change int) {
 	f.replicas[model] += change
--- a/scaling/software_test.go
+++ b/scaling/software_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"burdocksaddle/endpoint"
 )
 
@@ -131,3 +133,35 @@
 		})
 	}
 }
+
+// TestUnmetResumedStreamsAreExplained guards against waits of resumed streams that no log line explains.
+func TestUnmetResumedStreamsAreExplained(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(w *simulation)
+		want    Obstacles
+	}{
+		"no copy": {func(*simulation) {}, Obstacles{Endpoints: 2, WithoutCopy: 2}},
+		"no room": {func(w *simulation) {
+			for i := range 2 {
+				w.addDiskCopy(i, modelName(0))
+				w.addModel(i, modelName(1))
+				w.addModel(i, modelName(2))
+			}
+			w.planner.RecordStarts(map[ModelVersion]bool{{modelName(1), "v1"}: true, {modelName(2), "v1"}: true})
+			w.running[modelName(1)], w.running[modelName(2)] = 4*targetConcurrency, 4*targetConcurrency
+		}, Obstacles{Endpoints: 2, Full: 2}},
+		"no holder": {func(w *simulation) { w.unheld["w00"] = true }, Obstacles{Endpoints: 2, Busy: 1, WithoutCopy: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionSimulation(t, 3)
+			w.addModel(2, modelName(0))
+			test.prepare(w)
+			w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+			w.run(2*simStep, func(time.Duration) {})
+			if diff := cmp.Diff(map[ModelVersion]Obstacles{{modelName(0), "v1"}: test.want}, w.planner.Unmet()); diff != "" {
+				t.Errorf("unmet (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -62,6 +62,8 @@
 	// softwareTracker decides on the committed software versions, committingSoftware is set while a change of them is being committed.
 	softwareTracker    stream.SoftwareTracker
 	committingSoftware bool
+	// loggedUnmet are the waits of resumed streams that were logged last.
+	loggedUnmet map[scaling.ModelVersion]scaling.Obstacles
 	// speeds estimates the speeds of the endpoints.
 	speeds *pace.Estimator
 }
@@ -129,6 +131,7 @@
 		l.dispatchOrder(ctx, o)
 		unloads = unloads || o.Unload
 	}
+	l.logUnmet()
 	if unloads {
 		l.publish(now, true) // gateways stop sending requests to what is being unloaded
 	}
--- a/steward/software.go
+++ b/steward/software.go
@@ -55,6 +55,18 @@
 	return recent
 }
 
+// logUnmet logs the models that resumed streams wait for and why none is ordered, where that has changed.
+func (l *leader) logUnmet() {
+	unmet := l.planner.Unmet()
+	for at, o := range unmet {
+		if before, logged := l.loggedUnmet[at]; !logged || before != o {
+			l.log.Info("resumed streams wait for a model", "model", at.Model, "software", at.Software, "replicas", o.Replicas, "endpoints", o.Endpoints,
+				"busy", o.Busy, "withoutCopy", o.WithoutCopy, "full", o.Full)
+		}
+	}
+	l.loggedUnmet = unmet
+}
+
 // publishable returns the endpoints whose software version is committed, so that no stream begins at a version that the log doesn't
 // know. The caller must hold the lock.
 func (s *Steward) publishable(endpoints []endpoint.State) []endpoint.State {
