Take up streams at draining endpoints of their version

Cause: a gateway ignored each endpoint that the platform's list shows as draining, though such an endpoint serves on for DrainMs. A release takes the endpoints that hold a model at the old version within seconds; those that are left have no copy of it, so a load takes 6 s from the store, and clients stay for 2 s. The endpoints that could continue the streams were there, and draining.

Change: the leader publishes since when an endpoint may have been shown as draining, which is when the last read of the list began that did not show it. Where a service runs several versions, a gateway sends it streams that began at its version, if no other endpoint can take them up, until 0.3 s before the end of the drain time. New requests still avoid it.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -24,6 +24,8 @@
 	DataCentre string
 	Slots      int
 	Draining   bool
+	// DrainingSince is when the platform's list last showed that a draining endpoint was not draining; the zero time if unknown.
+	DrainingSince time.Time
 	// Remaining is the time until the endpoint is removed, or 0 if unknown.
 	Remaining time.Duration
 	Models    []Model
--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -104,7 +104,11 @@
 	for _, id := range slices.Sorted(maps.Keys(v.states)) {
 		switch s := v.states[id]; {
 		case snapshot.GetComplete() || s.changedRevision > after:
-			snapshot.Endpoints = append(snapshot.Endpoints, s.state.ToWire())
+			message := s.state.ToWire()
+			if !s.state.DrainingSince.IsZero() {
+				message.DrainingMs = uint32(now.Sub(s.state.DrainingSince).Milliseconds())
+			}
+			snapshot.Endpoints = append(snapshot.Endpoints, message)
 		case s.loadRevision > after:
 			snapshot.Loads = append(snapshot.Loads, &wirepb.EndpointLoad{
 				Id: id, Running: uint32(s.state.Load.Running), Waiting: uint32(s.state.Load.Waiting),
@@ -146,7 +150,7 @@
 		return false
 	}
 	equal := s.StartMS == other.StartMS && s.Service == other.Service && s.Software == other.Software && s.Address == other.Address && s.DataCentre == other.DataCentre && s.Slots == other.Slots
-	return equal && s.Draining == other.Draining && s.Loading == other.Loading && s.Holder == other.Holder && s.Limit == other.Limit && s.Speed == other.Speed &&
+	return equal && s.Draining == other.Draining && s.DrainingSince.Equal(other.DrainingSince) && s.Loading == other.Loading && s.Holder == other.Holder && s.Limit == other.Limit && s.Speed == other.Speed &&
 		slices.EqualFunc(s.Models, other.Models, func(a, b Model) bool { return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters) })
 }
 
@@ -171,7 +175,11 @@
 		delete(v.States, id)
 	}
 	for _, w := range snapshot.GetEndpoints() {
-		v.States[w.GetId()] = FromWire(w)
+		state := FromWire(w)
+		if w.GetDrainingMs() > 0 {
+			state.DrainingSince = now.Add(-time.Duration(w.GetDrainingMs()) * time.Millisecond)
+		}
+		v.States[w.GetId()] = state
 	}
 	for _, l := range snapshot.GetLoads() {
 		if s, ok := v.States[l.GetId()]; ok && s.Load != nil {
--- a/endpoint/view_test.go
+++ b/endpoint/view_test.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// TestDrainingSinceReachesLateSubscribers guards against endpoints that count as draining only since a subscriber connected.
+func TestDrainingSinceReachesLateSubscribers(t *testing.T) {
+	v, start := &View{}, time.Unix(1000, 0)
+	v.Update([]State{{ID: "w1", Draining: true, DrainingSince: start}, {ID: "w2", Draining: true}}, nil, start.Add(time.Second))
+	for _, after := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+		s := &subscriber{}
+		s.receive(t, v, start.Add(after))
+		if known, unknown := s.view.States["w1"].DrainingSince, s.view.States["w2"].DrainingSince; !known.Equal(start) || !unknown.IsZero() {
+			t.Errorf("after %v: draining since %v and %v", after, known, unknown)
+		}
+	}
+}
+
 // TestSnapshotSizeDependsOnChanges guards against snapshots that repeat unchanged state. If the loads of all 187 endpoints
 // change, the snapshot must have at most a quarter of the size of a complete one; without changes, its size must not depend on
 // the number of endpoints.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -153,7 +153,10 @@
 // candidatesLocked returns the endpoints that may be used for a request, by their Use.
 func (g *Gateway) candidatesLocked(q *Request, service string, origin *stream.Origin, now time.Time) (byUse [endpoint.UseNever]candidates, found availability) {
 	for _, state := range g.endpoints {
-		if state.Service != service || state.Draining || origin != nil && state.Software != origin.Software {
+		if state.Service != service || origin != nil && state.Software != origin.Software {
+			continue
+		}
+		if state.Draining && (origin == nil || !g.mayTakeUpLocked(state, now)) {
 			continue
 		}
 		found.softwareServes = true
@@ -161,6 +164,9 @@
 			continue
 		}
 		use := g.notices.UseOf(state, q.Arrived, now)
+		if state.Draining {
+			use = max(use, endpoint.UseLast)
+		}
 		if use == endpoint.UseNever {
 			found.addPause(g.notices.PausedUntil(state.Address), now)
 			continue
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -36,6 +36,9 @@
 	maxViewDelay = 300 * time.Millisecond
 	// unknownStreamReason is the reason of refusals of streams whose start is unknown.
 	unknownStreamReason = "it is not known where its stream began"
+	// drainMargin is the end of DrainTime in which a draining endpoint takes up no streams, for the time that the leader's message and the
+	// request may be under way.
+	drainMargin = 300 * time.Millisecond
 	// resumedLoadDelay is the time from the report of a waiting resumed stream to the load order, plus the time until gateways see the model.
 	resumedLoadDelay = 300 * time.Millisecond
 )
@@ -199,6 +202,13 @@
 	return resuming
 }
 
+// mayTakeUpLocked reports whether a draining endpoint may be sent a stream that began at its software version, which few others may run. It
+// serves on for DrainTime after the platform's list has shown that it drains.
+func (g *Gateway) mayTakeUpLocked(state endpoint.State, now time.Time) bool {
+	since := state.DrainingSince
+	return !since.IsZero() && now.Sub(since) < g.config.DrainTime-drainMargin && g.severalVersionsLocked(state.Service, now)
+}
+
 // neededLocked reports whether resumed streams wait for this endpoint.
 func (r *resumption) neededLocked(state endpoint.State) bool {
 	for need := range r.waiting {
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -53,6 +53,8 @@
 	// lastListed is when each address was last on the list of endpoints, listReadAt when the list was last read.
 	lastListed map[string]time.Time
 	listReadAt time.Time
+	// notDrainingAt is when the last read of the list began that showed an endpoint as not draining, by its ID.
+	notDrainingAt map[string]time.Time
 	// evidence is what gateways reported on crashes, publishedSuspects are the parts that they were asked about last. quarantining is set
 	// while a change of the quarantine is being committed.
 	evidence             *quarantine.Evidence
@@ -71,7 +73,7 @@
 // runLeader plans and issues orders while this steward leads. The returned channel receives a value once the loop has stopped.
 func (s *Steward) runLeader(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	l := &leader{Steward: s, results: make(chan func(), resultQueueSize), plannedReportAt: map[string]time.Time{}, lastListed: map[string]time.Time{}, evidence: quarantine.New(), speeds: pace.New()}
+	l := &leader{Steward: s, results: make(chan func(), resultQueueSize), plannedReportAt: map[string]time.Time{}, lastListed: map[string]time.Time{}, notDrainingAt: map[string]time.Time{}, evidence: quarantine.New(), speeds: pace.New()}
 	go func() {
 		l.run(ctx)
 		done <- nil
@@ -149,6 +151,7 @@
 		clear(l.lastReportAt)
 		clear(l.readyFences)
 		clear(l.lastListed)
+		clear(l.notDrainingAt)
 		for address := range l.holders.Holders {
 			l.lastListed[address] = now
 		}
@@ -233,6 +236,7 @@
 	}
 	l.listing, l.nextList = true, now.Add(listInterval)
 	l.tasks.Go(func() {
+		asked := time.Now()
 		listed, unread, err := l.listEndpoints(ctx)
 		l.postResult(ctx, func() {
 			l.listing = false
@@ -247,6 +251,7 @@
 			for _, w := range listed {
 				l.lastListed[w.Address] = l.listReadAt
 			}
+			l.recordNotDraining(listed, asked)
 			l.planner.UpdateEndpoints(listed)
 			l.planner.InitDemand(time.Now())
 			l.updateSoftware(ctx, time.Now())
@@ -330,7 +335,7 @@
 		return
 	}
 	l.publishedAt, l.unpublished = now, false
-	endpoints, missing := l.planner.Endpoints(now), l.planner.MissingModels(now)
+	endpoints, missing := l.withDrainingSince(l.planner.Endpoints(now)), l.planner.MissingModels(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.endpointView.Update(l.publishable(endpoints), missing, now)
--- a/steward/software_test.go
+++ b/steward/software_test.go
@@ -238,3 +238,28 @@
 		t.Errorf("%v", recent)
 	}
 }
+
+// TestDrainingSinceIsNeverTooLate guards against endpoints that take up streams after their drain time because a read of the list was missed.
+func TestDrainingSinceIsNeverTooLate(t *testing.T) {
+	start := time.Unix(1000, 0)
+	states := func(draining bool) []endpoint.State { return []endpoint.State{{ID: "w1", Draining: draining}} }
+	l := &leader{}
+	steps := []struct {
+		what   string
+		listed []endpoint.State
+		after  time.Duration
+		want   time.Time
+	}{
+		{"first read shows it draining", states(true), 0, time.Time{}},
+		{"not draining", states(false), time.Second, start.Add(time.Second)},
+		{"draining after missed reads", states(true), 5 * time.Second, start.Add(time.Second)},
+		{"still draining", states(true), 6 * time.Second, start.Add(time.Second)},
+		{"no longer listed", nil, 7 * time.Second, time.Time{}},
+	}
+	for _, step := range steps {
+		l.recordNotDraining(step.listed, start.Add(step.after))
+		if got := l.withDrainingSince(states(true))[0].DrainingSince; !got.Equal(step.want) {
+			t.Errorf("%s: draining since %v, want %v", step.what, got, step.want)
+		}
+	}
+}
