Refuse resumed streams at once whose model comes too late

Callers saw: a resumed stream whose model no endpoint of its software version could load in time waited at the gateway until its client left, 2 s later, and came back to the same wait.

Cause: a gateway assumed for each such stream that the leader finds a local copy at the version. The leader knew that there was none, ordered nothing and told nobody.

Evidence: on the code before the new tests fail:

TestHopelessResumedStreamIsRefusedAtOnce/load_from_the_store want status 503 after 0 s, Retry-After 6.3 s; got 200 after 1 s TestResumedStreamsGetModelWithoutCopyAtTheirVersion endpoint -1 of the version holds the model, loads map[]

Change: the leader publishes when a model that resumed streams want can serve at their version: from a copy, by a load under way, or from the store. A gateway refuses a stream at once if that is too late, with that time. Refused streams are reported and count as demand for some seconds. Without a usable copy the model is loaded from the store, in the order of the number of requests, so that the time told to clients holds.

Tests that change: TestResumedStreamWaitsForItsModel expects the refused stream in the report, in the case with too little time. The case "no copy, not loaded from store" of TestResumedStreamsGetTheirModelAtTheirVersion is renamed, as its reason is now that both endpoints are the last ones that take adapters; it requires the same.

--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"burdocksaddle/wirepb"
@@ -16,7 +18,15 @@
 // every second.
 const maxRemovals = 256
 
-// Expected is the expected time until a model that is not loaded on any endpoint can serve requests.
+// Absent is a model that no endpoint of a software version holds, or no endpoint at all if Software is empty.
+type Absent struct{ Model, Software string }
+
+// compare orders models by name and version.
+func (a Absent) compare(other Absent) int {
+	return cmp.Or(strings.Compare(a.Model, other.Model), strings.Compare(a.Software, other.Software))
+}
+
+// Expected is the expected time until an absent model can serve requests.
 type Expected struct {
 	Wait time.Duration
 	// Loading is set while the model is being loaded, so that Wait counts down.
@@ -40,8 +50,8 @@
 	// discarded removal, is sent a complete snapshot.
 	removals       []removal
 	prunedRevision uint64
-	// expected are the models that are not loaded on any endpoint, as published at expectedRevision and expectedSince.
-	expected         map[string]Expected
+	// expected are the absent models, as published at expectedRevision and expectedSince.
+	expected         map[Absent]Expected
 	expectedRevision uint64
 	expectedSince    time.Time
 }
@@ -58,8 +68,8 @@
 	changedRevision, loadRevision uint64
 }
 
-// Update updates the view to the current endpoints and to the expected times of models that are not loaded on any of them.
-func (v *View) Update(states []State, expected map[string]Expected, now time.Time) {
+// Update updates the view to the current endpoints and to the expected times of absent models.
+func (v *View) Update(states []State, expected map[Absent]Expected, now time.Time) {
 	v.revision++
 	next := make(map[string]trackedState, len(states))
 	for _, s := range states {
@@ -117,9 +127,14 @@
 	}
 	if snapshot.GetComplete() || v.expectedRevision > after {
 		snapshot.HasAbsent = true
-		for _, name := range slices.Sorted(maps.Keys(v.expected)) {
-			remaining := v.expected[name].afterDelay(now.Sub(v.expectedSince))
-			snapshot.Absent = append(snapshot.Absent, &wirepb.AbsentModel{Name: name, ExpectedMs: uint32(remaining.Wait.Milliseconds()), Coming: remaining.Loading})
+		for _, absent := range slices.SortedFunc(maps.Keys(v.expected), Absent.compare) {
+			remaining := v.expected[absent].afterDelay(now.Sub(v.expectedSince))
+			message := &wirepb.AbsentModel{Name: absent.Model, Software: absent.Software, ExpectedMs: uint32(remaining.Wait.Milliseconds()), Coming: remaining.Loading}
+			if absent.Software == "" {
+				snapshot.Absent = append(snapshot.Absent, message)
+			} else {
+				snapshot.AbsentAt = append(snapshot.AbsentAt, message)
+			}
 		}
 	}
 	return v.revision
@@ -157,8 +172,8 @@
 // SubscriberView is the endpoint state that a subscriber has received in one leader's snapshots.
 type SubscriberView struct {
 	States map[string]State
-	// Expected are the models that are not loaded on any endpoint, as of ExpectedAt.
-	Expected   map[string]Expected
+	// Expected are the absent models, as of ExpectedAt.
+	Expected   map[Absent]Expected
 	ExpectedAt time.Time
 }
 
@@ -190,16 +205,16 @@
 		}
 	}
 	if snapshot.GetHasAbsent() {
-		v.ExpectedAt, v.Expected = now, make(map[string]Expected, len(snapshot.GetAbsent()))
-		for _, a := range snapshot.GetAbsent() {
-			v.Expected[a.GetName()] = Expected{time.Duration(a.GetExpectedMs()) * time.Millisecond, a.GetComing()}
+		v.ExpectedAt, v.Expected = now, make(map[Absent]Expected, len(snapshot.GetAbsent()))
+		for _, a := range slices.Concat(snapshot.GetAbsent(), snapshot.GetAbsentAt()) {
+			v.Expected[Absent{a.GetName(), a.GetSoftware()}] = Expected{time.Duration(a.GetExpectedMs()) * time.Millisecond, a.GetComing()}
 		}
 	}
 	return true
 }
 
-// ExpectedTime returns the expected time until a model that is not loaded on any endpoint can serve requests.
-func (v *SubscriberView) ExpectedTime(model string, now time.Time) (time.Duration, bool) {
-	e, ok := v.Expected[model]
+// ExpectedTime returns the expected time until an absent model can serve requests.
+func (v *SubscriberView) ExpectedTime(absent Absent, now time.Time) (time.Duration, bool) {
+	e, ok := v.Expected[absent]
 	return e.afterDelay(now.Sub(v.ExpectedAt)).Wait, ok
 }
--- a/endpoint/view_test.go
+++ b/endpoint/view_test.go
@@ -92,7 +92,7 @@
 		for range 200 {
 			now = now.Add(time.Duration(r.IntN(300)) * time.Millisecond)
 			all = randomChange(r, all)
-			want := map[string]Expected{"gone": {Wait: time.Duration(r.IntN(20)) * time.Second}}
+			want := map[Absent]Expected{{Model: "gone"}: {Wait: time.Duration(r.IntN(20)) * time.Second}}
 			v.Update(all, want, now)
 			sub := subscribers[r.IntN(len(subscribers))]
 			sub.receive(t, v, now)
@@ -108,8 +108,8 @@
 			if diff := cmp.Diff(states, sub.view.States); diff != "" {
 				t.Fatalf("seed %d: %s", seed, diff)
 			}
-			if got, _ := sub.view.ExpectedTime("gone", now); (got - want["gone"].Wait).Abs() > expectedTolerance {
-				t.Fatalf("seed %d: expected in %v, want %v", seed, got, want["gone"].Wait)
+			if got, _ := sub.view.ExpectedTime(Absent{Model: "gone"}, now); (got - want[Absent{Model: "gone"}].Wait).Abs() > expectedTolerance {
+				t.Fatalf("seed %d: expected in %v, want %v", seed, got, want[Absent{Model: "gone"}].Wait)
 			}
 		}
 	}
@@ -120,12 +120,12 @@
 func TestExpectedTimeCountsDown(t *testing.T) {
 	v, s, start := &View{}, &subscriber{}, time.Unix(1000, 0)
 	for elapsed := time.Duration(0); elapsed <= 3*time.Second; elapsed += 200 * time.Millisecond {
-		v.Update(nil, map[string]Expected{"coming": {Wait: 6*time.Second - elapsed, Loading: true}, "absent": {Wait: 13 * time.Second}}, start.Add(elapsed))
+		v.Update(nil, map[Absent]Expected{{Model: "coming"}: {Wait: 6*time.Second - elapsed, Loading: true}, {Model: "absent"}: {Wait: 13 * time.Second}}, start.Add(elapsed))
 		s.receive(t, v, start.Add(elapsed))
 	}
 	end := start.Add(3 * time.Second)
-	coming, _ := s.view.ExpectedTime("coming", end)
-	absent, _ := s.view.ExpectedTime("absent", end)
+	coming, _ := s.view.ExpectedTime(Absent{Model: "coming"}, end)
+	absent, _ := s.view.ExpectedTime(Absent{Model: "absent"}, end)
 	if coming != 3*time.Second || absent != 13*time.Second || !s.view.ExpectedAt.Equal(start) {
 		t.Errorf("coming in %v, absent in %v, sent at %v", coming, absent, s.view.ExpectedAt.Sub(start))
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -277,7 +277,7 @@
 // modelLoadTimeLocked returns the time until a model that no endpoint holds can serve, as estimated by the leader or
 // else for a load from the store; 0 while no leader is known.
 func (g *Gateway) modelLoadTimeLocked(table *route.Table, service, model string) time.Duration {
-	if expected, ok := g.leaderView.ExpectedTime(model, time.Now()); ok {
+	if expected, ok := g.leaderView.ExpectedTime(endpoint.Absent{Model: model}, time.Now()); ok {
 		return expected
 	}
 	// Only the leader knows where cached copies are. Most models have one, and a new leader is about to report it,
--- a/gateway/compete_test.go
+++ b/gateway/compete_test.go
@@ -278,7 +278,7 @@
 	}{
 		"loaded in time":                       {8 * time.Second, 900 * time.Millisecond, "v2", true, 900 * time.Millisecond, 950 * time.Millisecond, []*wirepb.ResumingDemand{{Software: "v1", Waiting: 1}}},
 		"never loaded":                         {8 * time.Second, time.Hour, "v2", false, 0, minClientStreamTimeout + retryInterval, []*wirepb.ResumingDemand{{Software: "v1", Waiting: 1}}},
-		"too little time for a load from disk": {time.Second, 900 * time.Millisecond, "v2", false, 0, 0, nil},
+		"too little time for a load from disk": {time.Second, 900 * time.Millisecond, "v2", false, 0, 0, []*wirepb.ResumingDemand{{Software: "v1", Missed: 1}}},
 		"one version, load from the store":     {8 * time.Second, 900 * time.Millisecond, "", false, 0, 0, nil},
 	}
 	for name, test := range tests {
@@ -317,3 +317,34 @@
 		})
 	}
 }
+
+// TestHopelessResumedStreamIsRefusedAtOnce guards against resumed streams that wait for their model until their clients leave although the
+// leader knows that no endpoint of their version can load it in time.
+func TestHopelessResumedStreamIsRefusedAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		expected endpoint.Expected
+		software string
+		want     clientResult
+	}{
+		"load from the store": {endpoint.Expected{Wait: 6300 * time.Millisecond}, "v1", clientResult{Status: 503, Refused: true, After: 6300 * time.Millisecond}},
+		"load ends in time":   {endpoint.Expected{Wait: time.Second, Loading: true}, "v1", clientResult{Status: 200, Started: true, Events: 3, Took: time.Second}},
+		"at another version":  {endpoint.Expected{Wait: 6300 * time.Millisecond}, "v2", clientResult{Status: 200, Started: true, Events: 3, Took: time.Second}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				without := engineEndpoint("w0")
+				without.Software = "v1"
+				b := newTestGateway(t, func(context.Context, Call) (*Response, error) { return streamResponse(3, io.EOF), nil }, without, softwareEndpoint("w1", "v2"))
+				b.leaderView = &endpoint.SubscriberView{ExpectedAt: time.Now(), Expected: map[endpoint.Absent]endpoint.Expected{{Model: testModel, Software: test.software}: test.expected}}
+				b.resumption.starts.Record(stream.Start{ID: xxhash.Sum64String("r0"), Origin: stream.Origin{Service: "engines", Software: "v1"}}, time.Now())
+				time.AfterFunc(time.Second, func() { b.setEndpoints(softwareEndpoint("w0", "v1"), softwareEndpoint("w1", "v2")) })
+				got := b.do(t.Context(), "/live/a", testModel, Request{ID: "again", Resumes: "r0", LastEvent: "1", ClientTimeout: 8 * time.Second})
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Errorf("answer (-want +got):\n%s", diff)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/gateway/link.go
+++ b/gateway/link.go
@@ -154,6 +154,7 @@
 	for _, key := range reportedPaces {
 		delete(g.paces, key)
 	}
+	clear(g.resumption.missed)
 	for model, d := range g.demands {
 		if d.arrivals, d.missed = 0, 0; d.running == 0 && d.waiting == 0 {
 			delete(g.demands, model)
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -58,8 +58,8 @@
 	heardAt   time.Time
 	// waiting counts the resumed streams that wait for an endpoint of their version that holds their model.
 	waiting map[resumedNeed]int
-	// missing counts those for which no endpoint of their version holds their model.
-	missing map[resumedNeed]int
+	// missing counts those for which no endpoint of their version holds their model, missed those refused for that since the last report.
+	missing, missed map[resumedNeed]int
 }
 
 // resumedNeed is what an endpoint must run and hold for a resumed stream.
@@ -87,7 +87,7 @@
 func newResumption() resumption {
 	return resumption{
 		starts: stream.NewStarts(maxStarts), committed: map[string]stream.Software{}, reported: map[string]bool{}, receivers: map[string]*startReceiver{},
-		waiting: map[resumedNeed]int{}, missing: map[resumedNeed]int{},
+		waiting: map[resumedNeed]int{}, missing: map[resumedNeed]int{}, missed: map[resumedNeed]int{},
 	}
 }
 
@@ -176,9 +176,12 @@
 	t.resumedWait, t.resumedWaitSince = wait, now
 }
 
-// resumedLoadTimeLocked returns the time until a model that a resumed stream waits for can serve at an endpoint of its version. The leader
-// loads it there from a local copy, never from the store; whether there is a copy is not known here.
+// resumedLoadTimeLocked returns the time until a model that a resumed stream waits for can serve at an endpoint of its version. Until the
+// leader has been told of the stream, it is assumed to find a local copy there.
 func (t *transaction) resumedLoadTimeLocked(now time.Time) time.Duration {
+	if expected, ok := t.leaderView.ExpectedTime(endpoint.Absent{Model: t.request.Model, Software: t.origin.Software}, now); ok {
+		return max(expected, time.Millisecond)
+	}
 	service, ok := t.table.Service(t.service)
 	if !ok || service.Engine == nil {
 		return 0
@@ -190,12 +193,16 @@
 	return max(m.DiskLoadTime+resumedLoadDelay-now.Sub(t.resumedWaitSince), time.Millisecond)
 }
 
-// resumingLocked returns the versions at which resumed streams wait for a model, for the leader.
+// resumingLocked returns the versions at which resumed streams want a model, for the leader.
 func (r *resumption) resumingLocked(service, model string) []*wirepb.ResumingDemand {
+	needs := maps.Clone(r.missing)
+	for need := range r.missed {
+		needs[need] += 0
+	}
 	var resuming []*wirepb.ResumingDemand
-	for need, waiting := range r.missing {
+	for need, waiting := range needs {
 		if need.Service == service && need.model == model {
-			resuming = append(resuming, &wirepb.ResumingDemand{Software: need.Software, Waiting: uint32(waiting)})
+			resuming = append(resuming, &wirepb.ResumingDemand{Software: need.Software, Waiting: uint32(waiting), Missed: uint32(r.missed[need])})
 		}
 	}
 	slices.SortFunc(resuming, func(a, b *wirepb.ResumingDemand) int { return strings.Compare(a.GetSoftware(), b.GetSoftware()) })
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -482,6 +482,9 @@
 	if d := t.demands[t.request.Model]; d != nil {
 		d.missed++
 	}
+	if t.resumedWait == resumedWaitModel {
+		t.resumption.missed[resumedNeed{*t.origin, t.request.Model}]++
+	}
 }
 
 // requestDemandReportLocked triggers a demand report to the leader for a model that no endpoint holds.
--- a/scaling/order.go
+++ b/scaling/order.go
@@ -64,14 +64,15 @@
 	Waiting  int
 	// Missed is the number of requests since the last report that were told to retry later because the model couldn't be loaded in time.
 	Missed int
-	// Resuming are the resumed streams that wait because no endpoint of their software version holds the model.
+	// Resuming are the resumed streams that are not served because no endpoint of their software version holds the model.
 	Resuming []Resuming
 	// RunningOn lists the endpoints that run requests for the model, in any order and possibly with duplicates.
 	RunningOn []string
 }
 
-// Resuming counts the resumed streams that wait for a model at a software version.
+// Resuming counts the resumed streams that want a model at a software version. Missed is the number since the last report that were told to
+// retry later.
 type Resuming struct {
-	Software string
-	Waiting  int
+	Software        string
+	Waiting, Missed int
 }
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,6 +16,7 @@
 // Plan returns the orders to give now, at most one per endpoint.
 func (p *Planner) Plan(now time.Time) []Order {
 	clear(p.unmet)
+	clear(p.resumedWaits)
 	var orders []Order
 	for _, service := range sortedKeys(p.engines) {
 		orders = append(orders, p.planService(service, p.engines[service], now)...)
@@ -97,6 +99,7 @@
 	if o, ok := p.prefetchOrder(&f); ok {
 		orders = append(orders, o)
 	}
+	p.updateResumedWaits(&f)
 	return orders
 }
 
@@ -157,9 +160,10 @@
 	requestsPerReplica float64
 	// prefetch reports whether no request is waiting for the model.
 	prefetch bool
-	// resuming reports whether resumed streams wait for the model at endpoints with the software version.
-	resuming bool
-	software string
+	// resuming reports whether resumed streams want the model at endpoints with the software version; they get it from a local copy unless
+	// fromStore is set.
+	resuming, fromStore bool
+	software            string
 }
 
 // overloadedRequests is the number of requests per replica from which a model is as urgent as models without replicas, which have
@@ -168,7 +172,7 @@
 
 // rank returns the priority of the need; lower ranks are served first.
 func (n need) rank() int {
-	if n.resuming {
+	if n.resuming && !n.fromStore {
 		return -1
 	}
 	if n.replicas == 0 || n.requestsPerReplica >= overloadedRequests {
@@ -236,7 +240,7 @@
 		if ok {
 			return o, true
 		}
-		if n.resuming {
+		if n.fromStore {
 			p.unmet[ModelVersion{n.model.Name, n.software}] = obstacles
 		}
 	}
@@ -250,6 +254,9 @@
 	var bestEvict []string
 	bestCost := 0.0
 	hasCopy := f.copyAvailable(n.model.Name)
+	if n.fromStore {
+		hasCopy = p.copyAvailableAt(f, n)
+	}
 	for _, t := range f.endpoints {
 		if n.resuming && t.state.Software != n.software {
 			continue
@@ -260,7 +267,7 @@
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
-		if source == SourceStore && (n.resuming || n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
+		if source == SourceStore && (n.resuming && !n.fromStore || n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
 			obstacles.WithoutCopy++
 			continue
 		}
@@ -314,7 +321,7 @@
 		return false
 	}
 	if n.replicas == 0 {
-		return (!hasCopy || n.requestsPerReplica > minWaitingForStore) && f.storeLoads < f.storeLimit
+		return (!hasCopy || n.requestsPerReplica > minWaitingForStore && !n.resuming) && f.storeLoads < f.storeLimit
 	}
 	if n.requestsPerReplica >= overloadedRequests {
 		return f.storeLoads < f.storeLimit
@@ -373,22 +380,23 @@
 	return expected, true
 }
 
-// MissingModels returns the models that no endpoint holds, with the time until each could serve.
-func (p *Planner) MissingModels(now time.Time) map[string]endpoint.Expected {
+// MissingModels returns the models that no endpoint holds, and those that resumed streams want and no endpoint of their version holds, with
+// the time until each could serve there.
+func (p *Planner) MissingModels(now time.Time) map[endpoint.Absent]endpoint.Expected {
 	held := map[string]bool{}
 	for _, t := range p.endpoints {
 		for _, m := range t.state.Models {
 			held[m.Name] = held[m.Name] || m.Name != t.unloading
 		}
 	}
-	missing := map[string]endpoint.Expected{}
+	missing := maps.Clone(p.resumedWaits)
 	for service, engine := range p.engines {
 		for _, m := range engine.Models {
 			if held[m.Name] {
 				continue
 			}
 			if expected, ok := p.Expect(service, m.Name, now); ok {
-				missing[m.Name] = expected
+				missing[endpoint.Absent{Model: m.Name}] = expected
 			}
 		}
 	}
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -83,6 +83,8 @@
 	recentStarts map[ModelVersion]bool
 	// unmet are the models that resumed streams wait for without an order, by software version.
 	unmet map[ModelVersion]Obstacles
+	// resumedWaits are the models that resumed streams want at a software version without a serving replica, with the time until one serves.
+	resumedWaits map[endpoint.Absent]endpoint.Expected
 }
 
 // trackedEndpoint is an endpoint with its orders in progress.
@@ -122,15 +124,15 @@
 	missed float64
 	// runningOn holds the IDs of the endpoints that run requests for the model.
 	runningOn map[string]bool
-	// resuming counts the waiting resumed streams by software version.
-	resuming  map[string]int
+	// resuming are the resumed streams by software version.
+	resuming  map[string]resumingDemand
 	updatedAt time.Time
 	lastUsed  time.Time
 }
 
 // New returns an empty Planner.
 func New() *Planner {
-	return &Planner{endpoints: map[string]*trackedEndpoint{}, idsByAddress: map[string][]string{}, demandByModel: map[string]*modelDemand{}, engines: map[string]*route.Engine{}, storeConcurrency: initialStoreConcurrency, storeLimiters: map[string]*rate.Limiter{}, unmet: map[ModelVersion]Obstacles{}}
+	return &Planner{endpoints: map[string]*trackedEndpoint{}, idsByAddress: map[string][]string{}, demandByModel: map[string]*modelDemand{}, engines: map[string]*route.Engine{}, storeConcurrency: initialStoreConcurrency, storeLimiters: map[string]*rate.Limiter{}, unmet: map[ModelVersion]Obstacles{}, resumedWaits: map[endpoint.Absent]endpoint.Expected{}}
 }
 
 // Configure sets the engines from the active configuration.
@@ -335,8 +337,8 @@
 	l.concurrency = max(l.concurrencyAt(now), float64(d.Running+d.Waiting))
 	l.arrivalRate = l.arrivalRateAt(now) + float64(d.Arrivals)*math.Ln2/rateHalfLife.Seconds()
 	l.missed = l.missedAt(now) + float64(d.Missed)
+	l.resuming = l.resumingAfter(d.Resuming, now)
 	l.updatedAt, l.waiting, l.running = now, d.Waiting, d.Running
-	l.resuming = resumingCounts(d.Resuming)
 	l.runningOn = make(map[string]bool, len(d.RunningOn))
 	for _, id := range d.RunningOn {
 		l.runningOn[id] = true
--- a/scaling/software.go
+++ b/scaling/software.go
@@ -3,7 +3,12 @@
 import (
 	"fmt"
 	"maps"
+	"math"
+	"slices"
+	"time"
 
+	"burdocksaddle/endpoint"
+	"burdocksaddle/route"
 	"burdocksaddle/stream"
 )
 
@@ -39,7 +44,43 @@
 // RecordStarts sets the models that have begun streams lately, by software version. Clients may resume these streams, at that version only.
 func (p *Planner) RecordStarts(recent map[ModelVersion]bool) { p.recentStarts = recent }
 
-// resumingNeeds returns the models for which resumed streams wait at a software version without a replica.
+// resumingDemand counts the resumed streams that want a model at a software version: those that wait, and the decaying number of those that
+// were told to retry later.
+type resumingDemand struct {
+	waiting int
+	missed  float64
+}
+
+// wanted reports whether a replica is worth loading.
+func (d resumingDemand) wanted() bool { return d.waiting > 0 || d.missed > minMissed }
+
+// resumingAfter returns the resumed streams after a report.
+func (l *modelDemand) resumingAfter(reported []Resuming, now time.Time) map[string]resumingDemand {
+	next := map[string]resumingDemand{}
+	for software := range l.resuming {
+		if missed := l.resumingAt(software, now).missed; missed > minMissed {
+			next[software] = resumingDemand{missed: missed}
+		}
+	}
+	for _, r := range reported {
+		d := next[r.Software]
+		next[r.Software] = resumingDemand{d.waiting + r.Waiting, d.missed + float64(r.Missed)}
+	}
+	return next
+}
+
+// resumingAt returns the resumed streams that want the model at a software version.
+func (l *modelDemand) resumingAt(software string, now time.Time) resumingDemand {
+	if l == nil {
+		return resumingDemand{}
+	}
+	d := l.resuming[software]
+	d.missed *= math.Exp2(-float64(now.Sub(l.updatedAt)) / float64(missedHalfLife))
+	return d
+}
+
+// resumingNeeds returns the models that resumed streams want at a software version without a replica: from a local copy, or else from the
+// store if they outnumber the requests for other models without replicas.
 func (p *Planner) resumingNeeds(f *planState) []need {
 	var needs []need
 	for _, name := range sortedKeys(p.demandByModel) {
@@ -47,29 +88,121 @@
 		if !ok {
 			continue
 		}
-		l := p.demandByModel[name]
-		for _, software := range sortedKeys(l.resuming) {
+		for _, software := range sortedKeys(p.demandByModel[name].resuming) {
 			at := ModelVersion{name, software}
+			n, wanted := p.resumingNeed(f, m, software)
 			switch replicas := f.replicasAt[at]; {
-			case l.resuming[software] == 0:
+			case !wanted:
 			case replicas > 0:
 				p.unmet[at] = Obstacles{Replicas: replicas}
 			default:
-				needs = append(needs, need{model: m, requestsPerReplica: float64(l.resuming[software]), resuming: true, software: software})
+				needs = append(needs, n)
+				n.fromStore = true
+				needs = append(needs, n)
 			}
 		}
 	}
 	return needs
 }
 
+// resumingNeed returns the need of the resumed streams of a model at a software version. A replica there serves all requests for a model that
+// has none.
+func (p *Planner) resumingNeed(f *planState, m route.Model, software string) (n need, wanted bool) {
+	l := p.demandByModel[m.Name]
+	d := l.resumingAt(software, f.now)
+	n = need{model: m, requestsPerReplica: float64(d.waiting) + d.missed, resuming: true, software: software}
+	if f.replicas[m.Name] == 0 {
+		n.requestsPerReplica = max(n.requestsPerReplica, l.concurrencyAt(f.now)+l.missedAt(f.now))
+	}
+	return n, d.wanted()
+}
+
+// copyAvailableAt reports whether an endpoint of the version that the need names has a local copy and can load it soon.
+func (p *Planner) copyAvailableAt(f *planState, n need) bool {
+	return slices.ContainsFunc(f.endpoints, func(t *trackedEndpoint) bool {
+		_, ok := p.copyLoadTime(f, t, n)
+		return ok
+	})
+}
+
+// copyLoadTime returns the time until an endpoint of the need's version could serve the model from a local copy.
+func (p *Planner) copyLoadTime(f *planState, t *trackedEndpoint, n need) (time.Duration, bool) {
+	source := t.sourceOf(n.model.Name)
+	if t.state.Software != n.software || source == SourceStore || t.state.Limit.Named || t.unheld {
+		return 0, false
+	}
+	wait := time.Duration(0)
+	if t.loading != "" {
+		wait = max(0, t.loadDueAt.Sub(f.now))
+	}
+	if _, _, fits := p.evictions(f, t, n); !fits || wait > maxCopyWait {
+		return 0, false
+	}
+	return wait + loadTime(n.model, source), true
+}
+
+// updateResumedWaits estimates when the models that resumed streams want can serve at their versions.
+func (p *Planner) updateResumedWaits(f *planState) {
+	for name, l := range p.demandByModel {
+		m, ok := f.engine.Model(name)
+		if !ok {
+			continue
+		}
+		for software := range l.resuming {
+			n, wanted := p.resumingNeed(f, m, software)
+			if wanted && f.servingAt[ModelVersion{name, software}] == 0 {
+				p.resumedWaits[endpoint.Absent{Model: name, Software: software}] = p.resumedWait(f, n)
+			}
+		}
+	}
+}
+
+// resumedWait returns when the model of a need without serving replicas can serve at its version.
+func (p *Planner) resumedWait(f *planState, n need) endpoint.Expected {
+	expected := endpoint.Expected{Wait: f.storeSlotWait() + n.model.StoreLoadTime}
+	for _, t := range f.endpoints {
+		if t.state.Software != n.software {
+			continue
+		}
+		in, ok := p.copyLoadTime(f, t, n)
+		switch n.model.Name {
+		case t.loading:
+			in, ok = max(0, t.loadDueAt.Sub(f.now)), true
+		case t.reservedFor:
+			in, ok = loadTime(n.model, t.sourceOf(n.model.Name)), true
+		}
+		if ok && in <= expected.Wait {
+			expected = endpoint.Expected{Wait: in, Loading: t.loading == n.model.Name}
+		}
+	}
+	expected.Wait += planningDelay
+	return expected
+}
+
+// storeSlotWait returns the time until another load from the store can run at full speed.
+func (f *planState) storeSlotWait() time.Duration {
+	if f.storeLoads < f.storeLimit {
+		return 0
+	}
+	wait := time.Duration(math.MaxInt64)
+	for _, t := range f.endpoints {
+		if t.loading != "" && t.source == SourceStore {
+			wait = min(wait, max(0, t.loadDueAt.Sub(f.now)))
+		}
+	}
+	if wait == math.MaxInt64 {
+		return 0 // the loads run at endpoints without a recent report
+	}
+	return wait
+}
+
 // lastForResumed reports whether an endpoint has the last replica of a model at its software version and streams may be resumed there.
 func (p *Planner) lastForResumed(f *planState, t *trackedEndpoint, model string) bool {
 	at := ModelVersion{model, t.state.Software}
 	if f.servingAt[at] > 1 {
 		return false
 	}
-	l := p.demandByModel[model]
-	return p.recentStarts[at] || l != nil && l.resuming[at.Software] > 0
+	return p.recentStarts[at] || p.demandByModel[model].resumingAt(at.Software, f.now).wanted()
 }
 
 // countReplica adds a replica that is loaded, being loaded or planned at an endpoint, or removes it.
@@ -86,19 +219,10 @@
 	f.servingAt[ModelVersion{model, t.state.Software}] += change
 }
 
-// resumingCounts returns a copy of the numbers of waiting resumed streams.
-func resumingCounts(versions []Resuming) map[string]int {
-	counts := make(map[string]int, len(versions))
-	for _, r := range versions {
-		counts[r.Software] += r.Waiting
-	}
-	return counts
-}
-
 // reason describes the need in logs.
 func (n need) reason() string {
 	if n.resuming {
-		return fmt.Sprintf("%.0f resumed streams wait at version %s", n.requestsPerReplica, n.software)
+		return fmt.Sprintf("resumed streams want it at version %s, %.1f requests", n.software, n.requestsPerReplica)
 	}
 	return fmt.Sprintf("%d replicas, %.1f requests each", n.replicas, n.requestsPerReplica)
 }
--- a/scaling/software_test.go
+++ b/scaling/software_test.go
@@ -1,6 +1,7 @@
 package scaling
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -58,10 +59,10 @@
 		want  int
 		loads map[Source]int
 	}{
-		"copy at its version":            {[]int{1, 2, 3}, 1, map[Source]int{SourceDisk: 1}},
-		"copies at other versions only":  {[]int{2, 3}, -1, map[Source]int{}},
-		"copies at both of its version":  {[]int{0, 1}, 1, map[Source]int{SourceDisk: 1}},
-		"no copy, not loaded from store": {nil, -1, map[Source]int{}},
+		"copy at its version":           {[]int{1, 2, 3}, 1, map[Source]int{SourceDisk: 1}},
+		"copies at other versions only": {[]int{2, 3}, -1, map[Source]int{}},
+		"copies at both of its version": {[]int{0, 1}, 1, map[Source]int{SourceDisk: 1}},
+		"no copy, last for adapters":    {nil, -1, map[Source]int{}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -155,6 +156,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := newVersionSimulation(t, 3)
+			w.planner.storeConcurrency = 0
 			w.addModel(2, modelName(0))
 			test.prepare(w)
 			w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
@@ -165,3 +167,47 @@
 		})
 	}
 }
+
+// TestResumedStreamsGetModelWithoutCopyAtTheirVersion guards against resumed streams that no endpoint ever serves again because only other
+// versions have copies of their model.
+func TestResumedStreamsGetModelWithoutCopyAtTheirVersion(t *testing.T) {
+	w := newVersionSimulation(t, 3)
+	w.addModel(2, modelName(0))
+	w.addModel(0, modelName(1))
+	w.addModel(1, modelName(2))
+	w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+	w.run(simStep, func(time.Duration) {})
+	w.resuming[modelName(0)] = []Resuming{{Software: "v1", Missed: 3}}
+	w.run(simStep, func(time.Duration) {})
+	delete(w.resuming, modelName(0))
+	w.run(7*time.Second, func(time.Duration) {})
+	at := slices.IndexFunc(w.simEndpoints[:2], func(e *simEndpoint) bool { return e.state.Holds(modelName(0)) })
+	if at < 0 || w.loads[SourceStore] != 1 {
+		t.Errorf("endpoint %d of the version holds the model, loads %v", at, w.loads)
+	}
+}
+
+// TestWaitOfResumedStreams checks the time that gateways are told until a model can serve at a version.
+func TestWaitOfResumedStreams(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(w *simulation)
+		want    endpoint.Expected
+	}{
+		"from the store":         {func(*simulation) {}, endpoint.Expected{Wait: 6*time.Second + planningDelay, Loading: true}},
+		"from disk":              {func(w *simulation) { w.addDiskCopy(0, modelName(0)) }, endpoint.Expected{Wait: 500*time.Millisecond + planningDelay, Loading: true}},
+		"no load from the store": {func(w *simulation) { w.planner.storeConcurrency = 0 }, endpoint.Expected{Wait: 6*time.Second + planningDelay}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionSimulation(t, 1)
+			w.addModel(2, modelName(0))
+			test.prepare(w)
+			w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+			w.run(simStep, func(time.Duration) {})
+			want := map[endpoint.Absent]endpoint.Expected{{Model: modelName(0), Software: "v1"}: test.want}
+			if diff := cmp.Diff(want, w.planner.MissingModels(w.now)); diff != "" {
+				t.Errorf("missing (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -194,6 +194,9 @@
 			sum.Service, sum.Model = m.GetService(), m.GetModel()
 			sum.Arrivals += d.newRequests[m.GetModel()].received
 			sum.Missed += d.newRequests[m.GetModel()].missed
+			for software, missed := range d.newRequests[m.GetModel()].missedAt {
+				sum.Resuming = append(sum.Resuming, scaling.Resuming{Software: software, Missed: missed})
+			}
 			delete(d.newRequests, m.GetModel())
 			sum.Running += int(m.GetRunning())
 			sum.Waiting += int(m.GetWaiting())
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -126,8 +127,27 @@
 	newRequests map[string]requestCounts
 }
 
-// requestCounts counts a model's requests, and those whose client was told to retry later.
-type requestCounts struct{ received, missed int }
+// requestCounts counts a model's requests, and those whose client was told to retry later; missedAt counts the resumed streams among these by
+// software version.
+type requestCounts struct {
+	received, missed int
+	missedAt         map[string]int
+}
+
+// add adds a gateway's report.
+func (c requestCounts) add(d *wirepb.GatewayDemand) requestCounts {
+	next := requestCounts{received: c.received + int(d.GetCame()), missed: c.missed + int(d.GetMissed()), missedAt: maps.Clone(c.missedAt)}
+	for _, r := range d.GetResuming() {
+		if r.GetMissed() == 0 {
+			continue
+		}
+		if next.missedAt == nil {
+			next.missedAt = map[string]int{}
+		}
+		next.missedAt[r.GetSoftware()] += int(r.GetMissed())
+	}
+	return next
+}
 
 // endpointReport is the last report on an endpoint by its holder.
 type endpointReport struct {
--- a/steward/subscribe.go
+++ b/steward/subscribe.go
@@ -70,8 +70,7 @@
 		newRequests = map[string]requestCounts{}
 	}
 	for _, m := range d.GetModels() {
-		n := newRequests[m.GetModel()]
-		newRequests[m.GetModel()] = requestCounts{received: n.received + int(m.GetCame()), missed: n.missed + int(m.GetMissed())}
+		newRequests[m.GetModel()] = newRequests[m.GetModel()].add(m)
 	}
 	if s.leading {
 		s.crashReports.add(d, time.Now())
