Let less wanted models yield to resumed streams

Cause: a model kept its place if it was the last replica anywhere and had any request, if it had begun one stream in 5 s, or if its other replicas would get more than 12 requests each. None of this was compared with how many resumed streams waited.

Change: starts are counted, and a model yields to resumed streams that can be served from a copy there if they are at least 1.5 times as many as its requests and recent starts. For a load from the store none yields, as it takes longer than most of the streams' clients stay.

--- a/scaling/evict.go
+++ b/scaling/evict.go
@@ -24,7 +24,7 @@
 	}
 	var victims []victim
 	for _, m := range t.state.Models {
-		if loss, allowed := p.evictionCost(f, t, m.Name, n); allowed && !p.lastForResumed(f, t, m.Name) {
+		if loss, allowed := p.evictionCost(f, t, m.Name, n); allowed && !p.lastForResumed(f, t, m.Name, n) {
 			if l := p.demandByModel[m.Name]; l != nil && l.runningOn[t.state.ID] {
 				loss += drainCostSeconds
 			}
@@ -75,10 +75,13 @@
 		return perReplica, remainingReplicas >= 1 && perReplica < targetConcurrency/2
 	case remainingReplicas <= 0:
 		arrivalRate := l.arrivalRateAt(f.now)
+		if n.displaces(value) {
+			return 1 + 10*arrivalRate, true
+		}
 		return 1 + 10*arrivalRate, l.idle(f.now) && (n.replicas == 0 || n.requestsPerReplica >= displacingRequests || arrivalRate < maxRareRate)
 	}
 	if n.replicas == 0 {
-		return max(0, perReplica-targetConcurrency) + perReplica/100, perReplica <= targetConcurrency
+		return max(0, perReplica-targetConcurrency) + perReplica/100, perReplica <= targetConcurrency || n.displaces(perReplica)
 	}
 	return perReplica / 10, perReplica*minDisplacementRatio <= n.requestsPerReplica
 }
--- a/scaling/planner.go
+++ b/scaling/planner.go
@@ -79,8 +79,8 @@
 	demandSeen bool
 	// storeLimiters limit the rate at which loads from the store start, by service.
 	storeLimiters map[string]*rate.Limiter
-	// recentStarts are the models that have begun streams lately, by software version.
-	recentStarts map[ModelVersion]bool
+	// recentStarts counts the streams that models have begun lately, by software version.
+	recentStarts map[ModelVersion]int
 	// unmet are the models that resumed streams wait for without an order, by software version.
 	unmet map[ModelVersion]Obstacles
 	// resumedWaits are the models that resumed streams want at a software version without a serving replica, with the time until one serves.
--- a/scaling/software.go
+++ b/scaling/software.go
@@ -41,8 +41,8 @@
 	return all
 }
 
-// RecordStarts sets the models that have begun streams lately, by software version. Clients may resume these streams, at that version only.
-func (p *Planner) RecordStarts(recent map[ModelVersion]bool) { p.recentStarts = recent }
+// RecordStarts sets how many streams models have begun lately, by software version. Clients may resume these streams, at that version only.
+func (p *Planner) RecordStarts(recent map[ModelVersion]int) { p.recentStarts = recent }
 
 // resumingDemand counts the resumed streams that want a model at a software version: those that wait, and the decaying number of those that
 // were told to retry later.
@@ -196,13 +196,24 @@
 	return wait
 }
 
-// lastForResumed reports whether an endpoint has the last replica of a model at its software version and streams may be resumed there.
-func (p *Planner) lastForResumed(f *planState, t *trackedEndpoint, model string) bool {
+// lastForResumed reports whether an endpoint has the last replica of a model at its software version and streams may be resumed there. Such a
+// replica yields only to resumed streams, if these outnumber those by far.
+func (p *Planner) lastForResumed(f *planState, t *trackedEndpoint, model string, n need) bool {
 	at := ModelVersion{model, t.state.Software}
 	if f.servingAt[at] > 1 {
 		return false
 	}
-	return p.recentStarts[at] || p.demandByModel[model].resumingAt(at.Software, f.now).wanted()
+	d := p.demandByModel[model].resumingAt(at.Software, f.now)
+	if p.recentStarts[at] == 0 && !d.wanted() {
+		return false
+	}
+	return !n.displaces(float64(p.recentStarts[at]+d.waiting) + d.missed)
+}
+
+// displaces reports whether the need is resumed streams that outnumber the given requests by so much that their model may yield to it. None
+// does for a load from the store, which takes longer than most of the streams' clients stay.
+func (n need) displaces(requests float64) bool {
+	return n.resuming && !n.fromStore && requests*minDisplacementRatio <= n.requestsPerReplica
 }
 
 // countReplica adds a replica that is loaded, being loaded or planned at an endpoint, or removes it.
--- a/steward/software.go
+++ b/steward/software.go
@@ -44,13 +44,13 @@
 // after a break, and most streams have ended by then.
 const recentStartAge = 5 * time.Second
 
-// recentStarts returns the models that have begun streams lately, by software version, as far as gateways reported them.
-func (s *Steward) recentStarts(now time.Time) map[scaling.ModelVersion]bool {
+// recentStarts returns how many streams models have begun lately, by software version, as far as gateways reported them.
+func (s *Steward) recentStarts(now time.Time) map[scaling.ModelVersion]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	recent := map[scaling.ModelVersion]bool{}
+	recent := map[scaling.ModelVersion]int{}
 	for start := range s.starts.Since(now.Add(-recentStartAge)) {
-		recent[scaling.ModelVersion{Model: start.Model, Software: start.Origin.Software}] = true
+		recent[scaling.ModelVersion{Model: start.Model, Software: start.Origin.Software}]++
 	}
 	return recent
 }
