--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -56,6 +56,33 @@
 	held bool
 }
 
+// Causes of a wait for an endpoint, in logs.
+const (
+	waitVersion = "Version"
+	waitModel   = "Model"
+	waitPause   = "Pause"
+	waitTurn    = "Turn"
+	waitPrompts = "Prompts"
+	waitSlot    = "Slot"
+)
+
+// waitCause returns what a request waits for that no endpoint can execute now; behind is set if others are due first at an endpoint with a limit.
+func (a *availability) waitCause(behind bool) string {
+	switch {
+	case !a.softwareServes:
+		return waitVersion
+	case behind:
+		return waitTurn
+	case a.held:
+		return waitPrompts
+	case !a.modelHeld && !a.pausedUntil.IsZero():
+		return waitPause
+	case !a.modelHeld:
+		return waitModel
+	}
+	return waitSlot
+}
+
 // resumedWait returns what a resumed stream waits for; chosen is set if an endpoint was found.
 func (a *availability) resumedWait(chosen bool, model string) resumedWait {
 	switch {
@@ -126,7 +153,10 @@
 // candidatesLocked returns the endpoints that may be used for a request, by their Use.
 func (g *Gateway) candidatesLocked(q *Request, service string, origin *stream.Origin, now time.Time) (byUse [endpoint.UseNever]candidates, found availability) {
 	for _, state := range g.endpoints {
-		if state.Service != service || state.Draining || origin != nil && state.Software != origin.Software {
+		if state.Service != service || origin != nil && state.Software != origin.Software {
+			continue
+		}
+		if state.Draining && (origin == nil || !g.mayTakeUpLocked(state, now)) {
 			continue
 		}
 		found.softwareServes = true
@@ -134,6 +164,9 @@
 			continue
 		}
 		use := g.notices.UseOf(state, q.Arrived, now)
+		if state.Draining {
+			use = max(use, endpoint.UseLast)
+		}
 		if use == endpoint.UseNever {
 			found.addPause(g.notices.PausedUntil(state.Address), now)
 			continue
@@ -244,7 +277,7 @@
 // modelLoadTimeLocked returns the time until a model that no endpoint holds can serve, as estimated by the leader or
 // else for a load from the store; 0 while no leader is known.
 func (g *Gateway) modelLoadTimeLocked(table *route.Table, service, model string) time.Duration {
-	if expected, ok := g.leaderView.ExpectedTime(model, time.Now()); ok {
+	if expected, ok := g.leaderView.ExpectedTime(endpoint.Absent{Model: model}, time.Now()); ok {
 		return expected
 	}
 	// Only the leader knows where cached copies are. Most models have one, and a new leader is about to report it,
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 
 // Plan returns the orders to give now, at most one per endpoint.
 func (p *Planner) Plan(now time.Time) []Order {
+	clear(p.unmet)
+	clear(p.resumedWaits)
 	var orders []Order
 	for _, service := range sortedKeys(p.engines) {
 		orders = append(orders, p.planService(service, p.engines[service], now)...)
@@ -96,6 +99,7 @@
 	if o, ok := p.prefetchOrder(&f); ok {
 		orders = append(orders, o)
 	}
+	p.updateResumedWaits(&f)
 	return orders
 }
 
@@ -140,7 +144,7 @@
 		if !f.copyAvailable(m.Name) {
 			continue
 		}
-		if o, ok := p.place(f, need{model: m, prefetch: true}); ok {
+		if o, _, ok := p.place(f, need{model: m, prefetch: true}); ok {
 			p.lastPrefetch = f.now
 			return o, true
 		}
@@ -156,9 +160,10 @@
 	requestsPerReplica float64
 	// prefetch reports whether no request is waiting for the model.
 	prefetch bool
-	// resuming reports whether resumed streams wait for the model at endpoints with the software version.
-	resuming bool
-	software string
+	// resuming reports whether resumed streams want the model at endpoints with the software version; they get it from a local copy unless
+	// fromStore is set.
+	resuming, fromStore bool
+	software            string
 }
 
 // overloadedRequests is the number of requests per replica from which a model is as urgent as models without replicas, which have
@@ -167,7 +172,7 @@
 
 // rank returns the priority of the need; lower ranks are served first.
 func (n need) rank() int {
-	if n.resuming {
+	if n.resuming && !n.fromStore {
 		return -1
 	}
 	if n.replicas == 0 || n.requestsPerReplica >= overloadedRequests {
@@ -231,32 +236,44 @@
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.requestsPerReplica, a.requestsPerReplica))
 	})
 	for _, n := range needs {
-		if o, ok := p.place(f, n); ok {
+		o, obstacles, ok := p.place(f, n)
+		if ok {
 			return o, true
 		}
+		if n.fromStore {
+			p.unmet[ModelVersion{n.model.Name, n.software}] = obstacles
+		}
 	}
 	return Order{}, false
 }
 
-// place returns the order for the endpoint where the model can be loaded at the lowest cost in load time and evictions.
-func (p *Planner) place(f *planState, n need) (Order, bool) {
+// place returns the order for the endpoint where the model can be loaded at the lowest cost in load time and evictions, or what keeps the
+// endpoints from loading it.
+func (p *Planner) place(f *planState, n need) (o Order, obstacles Obstacles, ok bool) {
 	var best *trackedEndpoint
 	var bestEvict []string
 	bestCost := 0.0
 	hasCopy := f.copyAvailable(n.model.Name)
+	if n.fromStore {
+		hasCopy = p.copyAvailableAt(f, n)
+	}
 	for _, t := range f.endpoints {
-		if t.busy(f.now) || t.reservedFor != "" || t.state.Limit.Named || t.state.Holds(n.model.Name) {
+		if n.resuming && t.state.Software != n.software {
 			continue
 		}
-		if n.resuming && !n.canResume(t) {
+		obstacles.Endpoints++
+		if t.busy(f.now) || t.reservedFor != "" || t.state.Limit.Named || t.state.Holds(n.model.Name) {
+			obstacles.Busy++
 			continue
 		}
 		source := t.sourceOf(n.model.Name)
-		if source == SourceStore && (n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
+		if source == SourceStore && (n.resuming && !n.fromStore || n.prefetch || !f.mayLoadFromStore(n, hasCopy) || p.lastAdapterEndpoint(f, t)) {
+			obstacles.WithoutCopy++
 			continue
 		}
-		evict, evictCost, ok := p.evictions(f, t, n)
-		if !ok {
+		evict, evictCost, fits := p.evictions(f, t, n)
+		if !fits {
+			obstacles.Full++
 			continue
 		}
 		utilizationCost := fullEndpointCostSeconds * float64(t.state.Load.Running+t.state.Load.Waiting) / float64(max(t.state.Slots, 1))
@@ -266,9 +283,9 @@
 		}
 	}
 	if best == nil {
-		return Order{}, false
+		return Order{}, obstacles, false
 	}
-	return p.createOrder(f, best, n, bestEvict), true
+	return p.createOrder(f, best, n, bestEvict), obstacles, true
 }
 
 // lastAdapterEndpoint reports whether the endpoint is the last one that accepts adapter orders for a model in demand. During a load
@@ -304,7 +321,7 @@
 		return false
 	}
 	if n.replicas == 0 {
-		return (!hasCopy || n.requestsPerReplica > minWaitingForStore) && f.storeLoads < f.storeLimit
+		return (!hasCopy || n.requestsPerReplica > minWaitingForStore && !n.resuming) && f.storeLoads < f.storeLimit
 	}
 	if n.requestsPerReplica >= overloadedRequests {
 		return f.storeLoads < f.storeLimit
@@ -363,22 +380,23 @@
 	return expected, true
 }
 
-// MissingModels returns the models that no endpoint holds, with the time until each could serve.
-func (p *Planner) MissingModels(now time.Time) map[string]endpoint.Expected {
+// MissingModels returns the models that no endpoint holds, and those that resumed streams want and no endpoint of their version holds, with
+// the time until each could serve there.
+func (p *Planner) MissingModels(now time.Time) map[endpoint.Absent]endpoint.Expected {
 	held := map[string]bool{}
 	for _, t := range p.endpoints {
 		for _, m := range t.state.Models {
 			held[m.Name] = held[m.Name] || m.Name != t.unloading
 		}
 	}
-	missing := map[string]endpoint.Expected{}
+	missing := maps.Clone(p.resumedWaits)
 	for service, engine := range p.engines {
 		for _, m := range engine.Models {
 			if held[m.Name] {
 				continue
 			}
 			if expected, ok := p.Expect(service, m.Name, now); ok {
-				missing[m.Name] = expected
+				missing[endpoint.Absent{Model: m.Name}] = expected
 			}
 		}
 	}
--- a/scaling/software_test.go
+++ b/scaling/software_test.go
@@ -1,9 +1,12 @@
 package scaling
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"burdocksaddle/endpoint"
 )
 
@@ -56,10 +59,10 @@
 		want  int
 		loads map[Source]int
 	}{
-		"copy at its version":            {[]int{1, 2, 3}, 1, map[Source]int{SourceDisk: 1}},
-		"copies at other versions only":  {[]int{2, 3}, -1, map[Source]int{}},
-		"copies at both of its version":  {[]int{0, 1}, 1, map[Source]int{SourceDisk: 1}},
-		"no copy, not loaded from store": {nil, -1, map[Source]int{}},
+		"copy at its version":           {[]int{1, 2, 3}, 1, map[Source]int{SourceDisk: 1}},
+		"copies at other versions only": {[]int{2, 3}, -1, map[Source]int{}},
+		"copies at both of its version": {[]int{0, 1}, 1, map[Source]int{SourceDisk: 1}},
+		"no copy, last for adapters":    {nil, -1, map[Source]int{}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -97,16 +100,16 @@
 func TestLastReplicaStaysForResumedStreams(t *testing.T) {
 	v1 := ModelVersion{modelName(0), "v1"}
 	tests := map[string]struct {
-		starts   map[ModelVersion]bool
+		starts   map[ModelVersion]int
 		resuming []Resuming
 		second   bool
 		stays    bool
 	}{
-		"recent starts":                    {starts: map[ModelVersion]bool{v1: true}, stays: true},
+		"recent starts":                    {starts: map[ModelVersion]int{v1: 1}, stays: true},
 		"waiting resumed streams":          {resuming: []Resuming{{Software: "v1", Waiting: 1}}, stays: true},
-		"starts at another version":        {starts: map[ModelVersion]bool{{modelName(0), "v2"}: true}},
+		"starts at another version":        {starts: map[ModelVersion]int{{modelName(0), "v2"}: 1}},
 		"no starts":                        {},
-		"another replica at their version": {starts: map[ModelVersion]bool{v1: true}, second: true},
+		"another replica at their version": {starts: map[ModelVersion]int{v1: 1}, second: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -131,3 +134,99 @@
 		})
 	}
 }
+
+// TestUnmetResumedStreamsAreExplained guards against waits of resumed streams that no log line explains.
+func TestUnmetResumedStreamsAreExplained(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(w *simulation)
+		want    Obstacles
+	}{
+		"no copy": {func(*simulation) {}, Obstacles{Endpoints: 2, WithoutCopy: 2}},
+		"no room": {func(w *simulation) {
+			for i := range 2 {
+				w.addDiskCopy(i, modelName(0))
+				w.addModel(i, modelName(1))
+				w.addModel(i, modelName(2))
+			}
+			w.planner.RecordStarts(map[ModelVersion]int{{modelName(1), "v1"}: 9, {modelName(2), "v1"}: 9})
+			w.running[modelName(1)], w.running[modelName(2)] = 4*targetConcurrency, 4*targetConcurrency
+		}, Obstacles{Endpoints: 2, Full: 2}},
+		"no holder": {func(w *simulation) { w.unheld["w00"] = true }, Obstacles{Endpoints: 2, Busy: 1, WithoutCopy: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionSimulation(t, 3)
+			w.planner.storeConcurrency = 0
+			w.addModel(2, modelName(0))
+			test.prepare(w)
+			w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+			w.run(2*simStep, func(time.Duration) {})
+			if diff := cmp.Diff(map[ModelVersion]Obstacles{{modelName(0), "v1"}: test.want}, w.planner.Unmet()); diff != "" {
+				t.Errorf("unmet (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestResumedStreamsGetModelWithoutCopyAtTheirVersion guards against resumed streams that no endpoint ever serves again because only other
+// versions have copies of their model.
+func TestResumedStreamsGetModelWithoutCopyAtTheirVersion(t *testing.T) {
+	w := newVersionSimulation(t, 3)
+	w.addModel(2, modelName(0))
+	w.addModel(0, modelName(1))
+	w.addModel(1, modelName(2))
+	w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+	w.run(simStep, func(time.Duration) {})
+	w.resuming[modelName(0)] = []Resuming{{Software: "v1", Missed: 3}}
+	w.run(simStep, func(time.Duration) {})
+	delete(w.resuming, modelName(0))
+	w.run(7*time.Second, func(time.Duration) {})
+	at := slices.IndexFunc(w.simEndpoints[:2], func(e *simEndpoint) bool { return e.state.Holds(modelName(0)) })
+	if at < 0 || w.loads[SourceStore] != 1 {
+		t.Errorf("endpoint %d of the version holds the model, loads %v", at, w.loads)
+	}
+}
+
+// TestBusyModelYieldsToResumedStreams guards against resumed streams that leave because the only endpoint of their version with a copy of
+// their model holds models with many requests, which other endpoints of the version hold, too.
+func TestBusyModelYieldsToResumedStreams(t *testing.T) {
+	w := newVersionSimulation(t, 3)
+	w.planner.storeConcurrency = 0
+	for i := range 2 {
+		w.addModel(i, modelName(1))
+		w.addModel(i, modelName(2))
+	}
+	w.addDiskCopy(0, modelName(0))
+	w.running[modelName(1)], w.running[modelName(2)] = 2*targetConcurrency, 2*targetConcurrency
+	w.run(time.Second, func(time.Duration) {})
+	w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 4 * targetConcurrency}}
+	w.run(resumedLoadLimit, func(time.Duration) {})
+	if !w.simEndpoints[0].state.Holds(modelName(0)) {
+		t.Errorf("not loaded, models %v", w.simEndpoints[0].state.Models)
+	}
+}
+
+// TestWaitOfResumedStreams checks the time that gateways are told until a model can serve at a version.
+func TestWaitOfResumedStreams(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(w *simulation)
+		want    endpoint.Expected
+	}{
+		"from the store":         {func(*simulation) {}, endpoint.Expected{Wait: 6*time.Second + planningDelay, Loading: true}},
+		"from disk":              {func(w *simulation) { w.addDiskCopy(0, modelName(0)) }, endpoint.Expected{Wait: 500*time.Millisecond + planningDelay, Loading: true}},
+		"no load from the store": {func(w *simulation) { w.planner.storeConcurrency = 0 }, endpoint.Expected{Wait: 6*time.Second + planningDelay}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionSimulation(t, 1)
+			w.addModel(2, modelName(0))
+			test.prepare(w)
+			w.resuming[modelName(0)] = []Resuming{{Software: "v1", Waiting: 3}}
+			w.run(simStep, func(time.Duration) {})
+			want := map[endpoint.Absent]endpoint.Expected{{Model: modelName(0), Software: "v1"}: test.want}
+			if diff := cmp.Diff(want, w.planner.MissingModels(w.now)); diff != "" {
+				t.Errorf("missing (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/steward/software.go
+++ b/steward/software.go
@@ -44,17 +44,29 @@
 // after a break, and most streams have ended by then.
 const recentStartAge = 5 * time.Second
 
-// recentStarts returns the models that have begun streams lately, by software version, as far as gateways reported them.
-func (s *Steward) recentStarts(now time.Time) map[scaling.ModelVersion]bool {
+// recentStarts returns how many streams models have begun lately, by software version, as far as gateways reported them.
+func (s *Steward) recentStarts(now time.Time) map[scaling.ModelVersion]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	recent := map[scaling.ModelVersion]bool{}
+	recent := map[scaling.ModelVersion]int{}
 	for start := range s.starts.Since(now.Add(-recentStartAge)) {
-		recent[scaling.ModelVersion{Model: start.Model, Software: start.Origin.Software}] = true
+		recent[scaling.ModelVersion{Model: start.Model, Software: start.Origin.Software}]++
 	}
 	return recent
 }
 
+// logUnmet logs the models that resumed streams wait for and why none is ordered, where that has changed.
+func (l *leader) logUnmet() {
+	unmet := l.planner.Unmet()
+	for at, o := range unmet {
+		if before, logged := l.loggedUnmet[at]; !logged || before != o {
+			l.log.Info("resumed streams wait for a model", "model", at.Model, "software", at.Software, "replicas", o.Replicas, "endpoints", o.Endpoints,
+				"busy", o.Busy, "withoutCopy", o.WithoutCopy, "full", o.Full)
+		}
+	}
+	l.loggedUnmet = unmet
+}
+
 // publishable returns the endpoints whose software version is committed, so that no stream begins at a version that the log doesn't
 // know. The caller must hold the lock.
 func (s *Steward) publishable(endpoints []endpoint.State) []endpoint.State {
