--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -64,8 +64,8 @@
 	left := t.deadline.Sub(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mayBeCut := t.route.Kind != route.KindStream || t.pendingCtx.Err() == nil
-	if expected, ok := t.answerTimes[t.route.Name]; ok && mayBeCut {
+	usualTimesCount := t.route.Kind != route.KindStream || t.pendingCtx.Err() == nil
+	if expected, ok := t.answerTimes[t.route.Name]; ok && usualTimesCount {
 		left = min(left, expected.longest())
 	}
 	return now.Add(left).Before(*stopsAt)
