--- a/holder/holder.go
+++ b/holder/holder.go
@@ -32,9 +32,15 @@
 	maxAdapterConflicts = 2
 	// maxEstimateAge is the maximum age of the last report for orders to be derived from the estimate.
 	maxEstimateAge = 2 * time.Second
-	// leaseMargin is added to the platform's lease of a holder. It covers the former holder's last order in flight and the age of the
-	// quorum proof that order may rely on.
-	leaseMargin = 700 * time.Millisecond
+)
+
+const (
+	// MaxProofAge is the maximum age of the quorum proof that an order relies on.
+	MaxProofAge = 150 * time.Millisecond
+	// OrderTimeout is how long an order may be in flight.
+	OrderTimeout = 550 * time.Millisecond
+	// leaseMargin is added to the platform's lease of a holder; it covers the former holder's last order.
+	leaseMargin = MaxProofAge + OrderTimeout
 )
 
 // Metric names. Each label has a small, fixed set of values.
--- a/steward/hold.go
+++ b/steward/hold.go
@@ -156,7 +156,7 @@
 	return a.Steward == s.config.Address && a.Fence == fence
 }
 
-// verifyQuorum reports whether this steward has applied everything that was committed up to maxOrderProofAge ago.
+// verifyQuorum reports whether this steward has applied everything that was committed up to holder.MaxProofAge ago.
 func (s *Steward) verifyQuorum(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, quorumCheckTimeout)
 	defer cancel()
@@ -166,7 +166,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	if time.Since(s.quorumVerifiedAt) < maxOrderProofAge {
+	if time.Since(s.quorumVerifiedAt) < holder.MaxProofAge {
 		return true
 	}
 	start := time.Now()
@@ -175,7 +175,7 @@
 		return false
 	}
 	s.quorumVerifiedAt = start
-	return time.Since(start) < maxOrderProofAge
+	return time.Since(start) < holder.MaxProofAge
 }
 
 // reportToLeader reports the held endpoints to the leader: those with unreported changes, or all of them if the leader is not the
--- a/steward/lead.go
+++ b/steward/lead.go
@@ -24,10 +24,7 @@
 	// maxEndpointReportAge and maxDemandAge are the ages at which an endpoint's and a gateway's last report are dropped.
 	maxEndpointReportAge = 2 * time.Second
 	maxDemandAge         = time.Second
-	// maxOrderProofAge is the maximum age of a quorum proof for an order. A machine that resumes after a freeze may act on old
-	// state for 300 ms.
-	maxOrderProofAge   = 150 * time.Millisecond
-	quorumCheckTimeout = 250 * time.Millisecond
+	quorumCheckTimeout   = 250 * time.Millisecond
 	// orderTimeout bounds a call to a holder.
 	orderTimeout    = time.Second
 	resultQueueSize = 256
