Don't lock a connection for each write

TestThousandSlowReaders, which ends a thousand slow clients within 10 s with the race detector, failed more often since connections record that a response has begun: each write took a lock. Change: an atomic flag that is set once.

--- a/graceful/conn.go
+++ b/graceful/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,8 +30,10 @@
 	idleSince time.Time
 	// waiting is set while net/http waits for the first bytes of a request.
 	waiting bool
-	// responded is set once a byte of the response to the current request has been written, left once the client has closed.
-	responded, left, closed bool
+	// left is set once the client has closed.
+	left, closed bool
+	// responded is set once a byte of the response to the current request has been written.
+	responded atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -49,7 +52,8 @@
 		if timedOut || c.state == stateInterrupted {
 			_ = c.Conn.SetReadDeadline(c.server.headerDeadline())
 		}
-		c.state, c.responded = stateBusy, false
+		c.state = stateBusy
+		c.responded.Store(false)
 	}
 	return n, err
 }
@@ -76,10 +80,8 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	if n > 0 {
-		c.mu.Lock()
-		c.responded = true
-		c.mu.Unlock()
+	if n > 0 && !c.responded.Load() {
+		c.responded.Store(true)
 	}
 	return n, err
 }
@@ -95,7 +97,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	if !c.closed && c.state == stateBusy && !c.responded && !c.left {
+	if !c.closed && c.state == stateBusy && !c.responded.Load() && !c.left {
 		c.server.unanswered.Add(1)
 	}
 	c.closed = true
@@ -126,7 +128,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != stateBusy && c.waiting {
-		c.state, c.responded = stateBusy, false
+		c.state = stateBusy
+		c.responded.Store(false)
 	}
 	c.waiting = true
 	return c.Conn.SetReadDeadline(t)
