Let a server close whose listener was closed before

A gateway that was stopped in calm ended with exit status 1 now and then, although it had answered every request.

Cause: it stops accepting and, if no connection is left, closes its server at once. net/http then still has the listener, closes it again and returns that error.

Evidence: seen twice in one run of the unit tests, both since: TestSignalsDuringDrainDoNotEndProcess/gateway (exit status 1) and TestEndpointLimitHoldsForAllGatewaysTogether ("gateway: close tcp ...: use of closed network connection"). TestCloseOfStoppedServerIsNoError, which holds the accept back, before:

close tcp 127.0.0.1:41435: use of closed network connection

Change: the second close of a listener is no error.

--- a/graceful/graceful_test.go
+++ b/graceful/graceful_test.go
@@ -267,3 +267,34 @@
 	defer cancel()
 	server.CloseIdle(ctx, 0)
 }
+
+// slowListener is a listener whose Accept returns only once it is released.
+type slowListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
+
+// TestCloseOfStoppedServerIsNoError guards against a process that ends with an error because its server closed before it had noticed the end of its
+// listener.
+func TestCloseOfStoppedServerIsNoError(t *testing.T) {
+	accepting, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, release, ended := New(&http.Server{ReadHeaderTimeout: testTimeout}), make(chan struct{}), make(chan error, 1)
+	go func() { ended <- server.Serve(slowListener{accepting, release}) }()
+	time.Sleep(50 * time.Millisecond)
+	server.StopAccepting()
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	if err := server.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		t.Error(err)
+	}
+}
--- a/graceful/server.go
+++ b/graceful/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -108,7 +109,7 @@
 	s.shuttingDown.Store(true)
 	s.StopAccepting()
 	s.CloseIdle(ctx, shutdownIdleTime)
-	_ = s.Close() // fails only because the listener is closed already
+	_ = s.Close() // the listener is closed already
 }
 
 // Close closes the listeners and all connections.
@@ -155,3 +156,12 @@
 	l.server.conns[c] = struct{}{}
 	return c, nil
 }
+
+// Close implements net.Listener. It may be called again after the server has stopped accepting.
+func (l trackingListener) Close() error {
+	err := l.Listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
