Reserve the loopback address of the test of signals in cmd

The test derived its subnet from the process ID, as the fault test did before it reserved subnets: two test processes could have the same address. Found by reading; go test -race ./cmd ./platform/standin passes.

--- a/cmd/platform_test.go
+++ b/cmd/platform_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -70,7 +69,12 @@
 func TestSignalsDuringDrainDoNotEndProcess(t *testing.T) {
 	for command, want := range map[string]int{"gateway": http.StatusServiceUnavailable, "steward": http.StatusNotFound} {
 		t.Run(command, func(t *testing.T) {
-			ip := fmt.Sprintf("127.%d.7.1", 9+os.Getpid()%200)
+			subnet, err := standin.ReserveSubnet(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(subnet.Close)
+			ip := subnet.IP(0, 0)
 			path, address := filepath.Join(t.TempDir(), "node.json"), net.JoinHostPort(ip, "8149")
 			node := standin.Node{
 				Name: "n", IP: ip, Port: 7380, FirstStart: true, DataDir: t.TempDir(), List: net.JoinHostPort(ip, "1"), Grace: 3 * time.Second,
