Log a request's time limit and whether the gateway broke an attempt off

Neither line told whether a stream was cut at its time limit or because its endpoint was silent: both say "use of closed network connection". request ended has limitMs now, attempt failed has stalled.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -246,7 +246,7 @@
 		t.release(c, err)
 	}
 	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "software", c.state.Software, "model", t.request.Model, "send", t.sends,
-		"ran", t.executions, "begun", t.begun, "attemptEvents", t.attemptEvents, "events", t.events, "key", formatKey(t.request.Key), "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
+		"ran", t.executions, "begun", t.begun, "stalled", t.stalled.Load(), "attemptEvents", t.attemptEvents, "events", t.events, "key", formatKey(t.request.Key), "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
 	if t.clientDisconnected() {
 		t.outcome = outcomeClientLeft
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -83,6 +83,8 @@
 	route     route.Route
 	service   string
 	arrivedAt time.Time
+	// clientTimeout is how long the client waits for the final response.
+	clientTimeout time.Duration
 	// deadline is when the final response is due.
 	deadline time.Time
 	table    *route.Table
@@ -158,11 +160,11 @@
 	if t.route.Kind == route.KindStream {
 		t.request.maxHold = t.route.LatencyObjective / maxHoldShare
 	}
-	clientTimeout := t.route.Timeout
+	t.clientTimeout = t.route.Timeout
 	if request.ClientTimeout > 0 {
-		clientTimeout = min(clientTimeout, request.ClientTimeout)
+		t.clientTimeout = min(t.clientTimeout, request.ClientTimeout)
 	}
-	t.deadline = t.arrivedAt.Add(clientTimeout - min(responseMargin, clientTimeout/10))
+	t.deadline = t.arrivedAt.Add(t.clientTimeout - min(responseMargin, t.clientTimeout/10))
 	if !t.completesBeforeStop(time.Now()) {
 		t.refuse(otherGatewayRetryAfter, stoppingReason)
 		t.recordOutcome()
@@ -189,7 +191,7 @@
 	t.recordOutcome()
 	g.log.Info("request ended", t.withTeam("id", request.ID, "key", formatKey(t.request.Key), "route", t.route.Name, "model", request.Model, "adapter", request.Adapter,
 		"outcome", t.outcome, "endpoint", t.endpoint, "software", t.software, "resumes", request.Resumes, "origin", t.originSoftware(), "waitedFor", t.waitedFor, "sends", t.sends, "events", t.events, "sentMs", t.firstSentAfter.Milliseconds(),
-		"firstMs", t.firstEventAfter.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "ms", time.Since(t.arrivedAt).Milliseconds(), "version", t.table.Version)...)
+		"firstMs", t.firstEventAfter.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "limitMs", t.clientTimeout.Milliseconds(), "ms", time.Since(t.arrivedAt).Milliseconds(), "version", t.table.Version)...)
 }
 
 // routed is what the routing table determines for a request.
