Let requests that were passed on wait at a stopping gateway

Callers saw streams that ended in the middle while their gateway stopped, with seconds left of their time and of the grace period: their endpoint had broken off or been given up, no other was free in that moment, and the gateway did not wait.

Cause: RefuseWaiting ended every wait for an endpoint. That is right for requests that have not been sent, which another gateway serves sooner. A request that an endpoint may have run has no other gateway; a stream that has begun is cut.

TestStreamOfStoppingGatewayWaitsForAnotherEndpoint failed before.

Such requests now wait until their time or the grace period ends.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -352,8 +352,12 @@
 			t.giveUp(reason, after)
 			return choice{}, false
 		}
+		stopping := t.pendingCtx.Done()
+		if t.executions > 0 {
+			stopping = nil // no other gateway can complete it
+		}
 		select {
-		case <-t.pendingCtx.Done():
+		case <-stopping:
 			t.giveUp(stoppingReason, otherGatewayRetryAfter)
 			return choice{}, false
 		case <-changed:
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -43,8 +43,8 @@
 	g.log.Info("draining", "active", g.Active(), "ms", time.Until(until).Milliseconds())
 }
 
-// RefuseWaiting refuses the requests that wait for an endpoint, all later ones that find none, and all later streams that might be cut, because
-// another gateway can serve them sooner.
+// RefuseWaiting refuses the requests that wait for their first endpoint, all later ones that find none, and all later streams that might be cut,
+// because another gateway can serve them sooner.
 func (g *Gateway) RefuseWaiting() { g.cancelPending() }
 
 // CancelActive ends every active request with a final response.
