Let a stream that has begun use its whole time

Callers saw streams that broke off 60 ms before their time limit.

Cause: the deadline of each request leaves 60 ms for the final response. A stream that has begun has no final response, so nothing is gained by cutting it early; its endpoint was told the shorter time, too.

TestStreamIsNotCutBeforeItsTimeLimit failed before.

A stream that has not begun still gets its final response in time.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,7 +33,7 @@
 	again := !t.route.Repeatable() && slices.Contains(t.sentTo, c.state.Address)
 	t.sentTo = append(t.sentTo, c.state.Address)
 	response, err := t.send(attemptCtx, Call{
-		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Again: again, Remaining: time.Until(t.deadline),
+		Request: t.request, Endpoint: c.state.ID, Address: c.state.Address, Again: again, Remaining: time.Until(t.endpointDeadline()),
 		LastEvent: t.lastEvent, Stream: isStream, Urgency: t.urgency(), Team: t.team.Name, HasTeams: t.table.Teams != nil,
 	})
 	if err != nil {
@@ -321,6 +321,10 @@
 // beginStream begins the client's response before its first event, and reports whether the client is still there.
 func (t *transaction) beginStream(ctx context.Context, c choice, response *Response) bool {
 	t.streamStarted = true
+	t.beginTimer.Stop()
+	t.mu.Lock()
+	t.deadline = t.endpointDeadline()
+	t.mu.Unlock()
 	t.recordFirstEvent()
 	if t.recordOrigin(c) {
 		t.flushStarts(ctx)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -85,9 +85,12 @@
 	arrivedAt time.Time
 	// clientTimeout is how long the client waits for the final response.
 	clientTimeout time.Duration
-	// deadline is when the final response is due.
+	// deadline is when the final response is due. A stream that has begun has none, and may go on until its client leaves. It is guarded by the
+	// gateway's mutex.
 	deadline time.Time
-	table    *route.Table
+	// beginTimer ends a stream that has not begun at its deadline, nil for other requests.
+	beginTimer *time.Timer
+	table      *route.Table
 	// team is the caller's team if hasTeam is set.
 	team    team.Team
 	hasTeam bool
@@ -170,8 +173,12 @@
 		t.recordOutcome()
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	ctx, cancel := context.WithDeadline(ctx, t.endpointDeadline())
 	defer cancel()
+	if t.route.Kind == route.KindStream {
+		t.beginTimer = time.AfterFunc(time.Until(t.deadline), cancel)
+		defer t.beginTimer.Stop()
+	}
 	defer context.AfterFunc(g.activeCtx, cancel)()
 	t.trial = t.takeTrial(ctx)
 	if t.hasTeam && !t.chargeQuota(ctx, t.team) {
@@ -194,6 +201,14 @@
 		"firstMs", t.firstEventAfter.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "limitMs", t.clientTimeout.Milliseconds(), "ms", time.Since(t.arrivedAt).Milliseconds(), "version", t.table.Version)...)
 }
 
+// endpointDeadline returns until when an endpoint may work on the request.
+func (t *transaction) endpointDeadline() time.Time {
+	if t.route.Kind != route.KindStream {
+		return t.deadline
+	}
+	return t.arrivedAt.Add(t.clientTimeout)
+}
+
 // routed is what the routing table determines for a request.
 type routed struct {
 	table *route.Table
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -61,7 +61,7 @@
 	if stopsAt == nil {
 		return true
 	}
-	left := t.deadline.Sub(now)
+	left := t.endpointDeadline().Sub(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	usualTimesCount := t.route.Kind != route.KindStream || t.pendingCtx.Err() == nil
