Keep a silent endpoint until another one has taken its stream

Callers saw streams that broke off about a second after their endpoint's last event, though it was sound and would have gone on.

Cause: after a pause of a second the gateway broke the attempt off if another endpoint seemed to have room, and only then asked that one. If it refused, answered with an error, could not load the adapter or was out of reach, the stream had no endpoint any more and was cut. The platform's rules say that a worker's silence is no reason to end an answer sooner.

The next endpoint is asked first. The silent one is given up once that has taken the stream, or has not refused it for 0.3 s; until then its next event ends the move. Both never go on at the same time for longer than that.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,8 +28,8 @@
 	t.endpoint, t.begun, t.attemptEvents, t.sentAt = c.state.ID, false, 0, time.Now()
 	t.stalled.Store(false)
 	isStream := t.route.Kind == route.KindStream
-	idleTimer := t.watchdog(cancel, t.firstResponseTimeout(), c.endpoint.Name)
-	defer idleTimer.Stop()
+	beginTimer := t.watchdog(cancel, t.firstResponseTimeout(), c.endpoint.Name)
+	defer beginTimer.Stop()
 	again := !t.route.Repeatable() && slices.Contains(t.sentTo, c.state.Address)
 	t.sentTo = append(t.sentTo, c.state.Address)
 	response, err := t.send(attemptCtx, Call{
@@ -58,7 +58,13 @@
 		return t.handleBuffered(ctx, c, response)
 	}
 	t.executions++
-	return t.relayStream(ctx, c, response, idleTimer)
+	done, moved := t.relayStream(ctx, c, response, func() { beginTimer.Stop() }, cancel)
+	for moved != nil {
+		defer moved.cancel()
+		defer moved.response.Close()
+		done, moved = t.relayStream(ctx, moved.to, moved.response, func() {}, moved.cancel)
+	}
+	return done
 }
 
 // urgency returns the urgency to send the request with. Where a service runs several software versions, new requests are one step less
@@ -211,6 +217,16 @@
 
 // handleNotRun handles an endpoint's response that it did not execute the request.
 func (t *transaction) handleNotRun(ctx context.Context, c choice, response *Response) bool {
+	t.recordNotRun(c, response, t.sends)
+	t.release(c, nil)
+	if response.Pause > 0 {
+		return false // the endpoint is not chosen again soon, so there is no need to wait
+	}
+	return !t.waitRetryInterval(ctx)
+}
+
+// recordNotRun records that an endpoint did not execute the request, which was sent for the given time.
+func (t *transaction) recordNotRun(c choice, response *Response, send int) {
 	now := time.Now()
 	t.mu.Lock()
 	switch {
@@ -225,18 +241,27 @@
 		t.router.RecordBusy(c.endpoint.Name, now)
 	}
 	t.mu.Unlock()
-	t.release(c, nil)
 	t.count(fmt.Sprintf("%s{elsewhere=%q}", metricNotRun, strconv.FormatBool(response.Misdirected)))
 	t.log.Info("endpoint did not run the request", "id", t.request.ID, "endpoint", c.state.ID, "status", response.Status,
-		"model", t.request.Model, "adapter", t.request.Adapter, "send", t.sends)
-	if response.Pause > 0 {
-		return false // the endpoint is not chosen again soon, so there is no need to wait
-	}
-	return !t.waitRetryInterval(ctx)
+		"model", t.request.Model, "adapter", t.request.Adapter, "send", send)
 }
 
 // handleFailure handles an attempt without a usable response.
 func (t *transaction) handleFailure(ctx context.Context, c choice, err error) bool {
+	t.recordFailure(ctx, c, err)
+	if t.clientDisconnected() {
+		t.outcome = outcomeClientLeft
+		return true
+	}
+	if ctx.Err() == nil && time.Now().Before(t.deadline) && (IsErrNotSent(err) || t.canRetry()) {
+		return false
+	}
+	t.finishIncomplete()
+	return true
+}
+
+// recordFailure records an attempt without a usable response and releases its endpoint.
+func (t *transaction) recordFailure(ctx context.Context, c choice, err error) {
 	if ctx.Err() == nil && !t.stalled.Load() && IsErrIncompleteResponse(err) {
 		t.recordBreak(c)
 	}
@@ -248,15 +273,6 @@
 	t.log.Info("attempt failed", "id", t.request.ID, "endpoint", c.state.ID, "software", c.state.Software, "model", t.request.Model, "send", t.sends,
 		"ran", t.executions, "begun", t.begun, "stalled", t.stalled.Load(), "attemptEvents", t.attemptEvents, "events", t.events, "key", formatKey(t.request.Key), "parts", formatParts(t.request.SharedParts), "error", err.Error(), "ms", time.Since(t.arrivedAt).Milliseconds())
 	t.avoid = append(t.avoid, c.state.ID)
-	if t.clientDisconnected() {
-		t.outcome = outcomeClientLeft
-		return true
-	}
-	if ctx.Err() == nil && time.Now().Before(t.deadline) && (IsErrNotSent(err) || t.canRetry()) {
-		return false
-	}
-	t.finishIncomplete()
-	return true
 }
 
 // clientDisconnected reports whether the client has closed its connection.
@@ -333,12 +349,14 @@
 	return t.responder.Begin(response.Status, response.Header) == nil
 }
 
-// relayStream forwards a stream's events as they arrive, and resumes at another endpoint where the route allows it.
-func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, idleTimer *time.Timer) bool {
-	var previousAt, steadyAt time.Time
-	var pace streamPace
+// relayStream forwards a stream's events as they arrive. It returns the move that goes on with the stream, if there is one. The functions are
+// called at the first event, and to give the endpoint up.
+func (t *transaction) relayStream(ctx context.Context, c choice, response *Response, begun, giveUp func()) (done bool, moved *streamMove) {
+	var progress streamProgress
 	previousID := t.lastEvent
-	defer func() { t.recordPace(c, &pace) }()
+	defer func() { t.recordPace(c, &progress.pace) }()
+	mover := t.newMover(ctx, c, giveUp)
+	defer mover.close()
 	for {
 		event, id, err := response.Next()
 		if errors.Is(err, io.EOF) {
@@ -351,51 +369,80 @@
 			if !t.streamStarted && t.responder.Begin(response.Status, response.Header) != nil {
 				t.outcome = outcomeClientLeft
 			}
-			return true
+			return true, nil
 		}
-		if err != nil {
-			return t.handleFailure(ctx, c, err)
+		if err == nil && !t.follows(previousID, id) {
+			err = ErrIncompleteResponse{Endpoint: c.state.ID, Cause: ErrEventOrder{Previous: previousID, ID: id}}
 		}
-		if !t.follows(previousID, id) {
-			return t.handleFailure(ctx, c, ErrIncompleteResponse{Endpoint: c.state.ID, Cause: ErrEventOrder{Previous: previousID, ID: id}})
+		if err == nil && !mover.advance(id) {
+			err = ErrIncompleteResponse{Endpoint: c.state.ID, Cause: context.Canceled}
 		}
+		if err != nil {
+			if moved := mover.next(); moved != nil {
+				t.takeMoved(ctx, c, err, moved)
+				return false, moved
+			}
+			return t.handleFailure(ctx, c, err), nil
+		}
+		begun()
 		if !t.streamStarted && !t.beginStream(ctx, c, response) {
 			t.release(c, nil)
 			t.outcome = outcomeClientLeft
-			return true
+			return true, nil
 		}
 		if t.lastEvent = id; id != "" {
 			previousID = id
 		}
-		t.events++
-		t.attemptEvents++
-		now := time.Now()
-		t.lastEventAt = now
-		if c.byWork && t.attemptEvents == 1 {
-			t.recordPrefilled()
-		}
-		t.recordEvent(c, &pace, now)
-		if steadyAt.IsZero() {
-			steadyAt = now.Add(steadyStreamTime)
-		} else if now.After(steadyAt) {
-			t.recordAnswer()
-			steadyAt = now.Add(steadyStreamTime)
-		}
-		if !previousAt.IsZero() {
-			t.longestGap = max(t.longestGap, now.Sub(previousAt))
-		}
-		previousAt = now
-		idleTimer.Stop() // while the client is far behind, the endpoint is not idle
+		t.recordProgress(c, &progress)
 		if err := t.responder.Event(event); err != nil {
 			t.release(c, nil)
 			t.outcome = writeFailureOutcome(err)
-			return true
+			return true, nil
 		}
-		pace.recordWritten(time.Now())
+		progress.pace.recordWritten(time.Now())
 		if t.canRetry() {
-			idleTimer.Reset(max(minIdleTimeout, idleTimeoutFactor*t.route.MaxEventGap))
-		} else {
-			idleTimer.Reset(max(time.Until(t.deadline), time.Millisecond))
+			mover.expect(max(minIdleTimeout, idleTimeoutFactor*t.route.MaxEventGap))
 		}
 	}
 }
+
+// streamProgress is what a transaction knows of the events of the current attempt.
+type streamProgress struct {
+	previousAt, steadyAt time.Time
+	pace                 streamPace
+}
+
+// recordProgress records an event from the endpoint.
+func (t *transaction) recordProgress(c choice, p *streamProgress) {
+	t.events++
+	t.attemptEvents++
+	now := time.Now()
+	t.lastEventAt = now
+	if c.byWork && t.attemptEvents == 1 {
+		t.recordPrefilled()
+	}
+	t.recordEvent(c, &p.pace, now)
+	if p.steadyAt.IsZero() {
+		p.steadyAt = now.Add(steadyStreamTime)
+	} else if now.After(p.steadyAt) {
+		t.recordAnswer()
+		p.steadyAt = now.Add(steadyStreamTime)
+	}
+	if !p.previousAt.IsZero() {
+		t.longestGap = max(t.longestGap, now.Sub(p.previousAt))
+	}
+	p.previousAt = now
+}
+
+// takeMoved makes the endpoint that a stream was moved to that of the current attempt.
+func (t *transaction) takeMoved(ctx context.Context, from choice, err error, moved *streamMove) {
+	t.recordFailure(ctx, from, err)
+	t.mu.Lock()
+	t.countSecondLocked(false)
+	t.mu.Unlock()
+	t.stalled.Store(false)
+	t.endpoint, t.software, t.sentAt = moved.to.state.ID, moved.to.state.Software, moved.sentAt
+	t.begun, t.attemptEvents = true, 0
+	t.sentTo = append(t.sentTo, moved.to.state.Address)
+	t.recordNotices(moved.to, moved.response)
+}
--- a/gateway/error.go
+++ b/gateway/error.go
@@ -45,6 +45,20 @@
 	return errors.As(err, &e)
 }
 
+// ErrAdapterNotLoaded reports an endpoint that could not be made to load a request's adapter.
+type ErrAdapterNotLoaded struct{ Model, Adapter string }
+
+// Error implements error.
+func (e ErrAdapterNotLoaded) Error() string {
+	return "adapter " + e.Adapter + " of model " + e.Model + " could not be loaded"
+}
+
+// IsErrAdapterNotLoaded reports whether an error is an ErrAdapterNotLoaded.
+func IsErrAdapterNotLoaded(err error) bool {
+	var e ErrAdapterNotLoaded
+	return errors.As(err, &e)
+}
+
 // ErrUnsigned reports a success response without the endpoint's signature.
 type ErrUnsigned struct{ Endpoint string }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -367,23 +367,31 @@
 			t.giveUp(reason, after)
 			return choice{}, false
 		}
-		stopping := t.pendingCtx.Done()
-		if t.executions > 0 {
-			stopping = nil // no other gateway can complete it
-		}
-		select {
-		case <-stopping:
-			t.giveUp(stoppingReason, otherGatewayRetryAfter)
-			return choice{}, false
-		case <-changed:
-		case <-time.After(retryInterval):
-		case <-ctx.Done():
-			t.giveUp("no endpoint in time", defaultRetryAfter)
+		if !t.awaitChange(ctx, changed) {
 			return choice{}, false
 		}
 	}
 }
 
+// awaitChange waits until an endpoint may be found, or returns false if the request was refused.
+func (t *transaction) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+	stopping := t.pendingCtx.Done()
+	if t.executions > 0 {
+		stopping = nil // no other gateway can complete it
+	}
+	select {
+	case <-stopping:
+		t.giveUp(stoppingReason, otherGatewayRetryAfter)
+		return false
+	case <-ctx.Done():
+		t.giveUp("no endpoint in time", defaultRetryAfter)
+		return false
+	case <-changed:
+	case <-time.After(retryInterval):
+	}
+	return true
+}
+
 // hopeless returns why a request for which no endpoint is available now cannot be served in time and when the client should retry, or
 // "". loadTime is the time until its model is loaded, 0 if that is unknown or an endpoint holds it; turnWait is the time until an endpoint
 // with a limit can take the request, 0 if it need not wait for that.
