Keep a silent endpoint for as long as the next one may be out of reach

The overlap is longer than the dial timeout now, and still below the 0.4 s for which two endpoints may work on one stream.

--- a/gateway/mover.go
+++ b/gateway/mover.go
@@ -12,8 +12,8 @@
 
 const (
 	// moveOverlap is how long the endpoint of a silent stream is kept after the next one has been sent the stream. An endpoint without room
-	// refuses within milliseconds.
-	moveOverlap = 300 * time.Millisecond
+	// refuses within milliseconds, one that is out of reach shows within the sender's dial timeout of 300 ms.
+	moveOverlap = 350 * time.Millisecond
 	// moveInterval is the time between two attempts to move a stream.
 	moveInterval = 200 * time.Millisecond
 )
