Never end a request whose client left with an empty success

A client that closes its own side of the connection after its request, and waits for the answer, got "200 OK" with an empty body, without an endpoint's stamp. A stream in progress could end as if it were complete.

Cause: net/http takes the end of what a client sends for the end of the client. The gateway then returned from the handler without a response, which net/http completes as an empty 200.

Such a client now gets 503 if its request did not run, 502 if it may have, and a begun stream is cut.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -250,7 +250,7 @@
 func (t *transaction) handleFailure(ctx context.Context, c choice, err error) bool {
 	t.recordFailure(ctx, c, err)
 	if t.clientDisconnected() {
-		t.outcome = outcomeClientLeft
+		t.endLeft()
 		return true
 	}
 	if ctx.Err() == nil && time.Now().Before(t.deadline) && (IsErrNotSent(err) || t.canRetry()) {
@@ -284,7 +284,7 @@
 // executed it.
 func (t *transaction) giveUp(reason string, after time.Duration) {
 	if t.clientDisconnected() {
-		t.outcome = outcomeClientLeft
+		t.endLeft()
 		return
 	}
 	if t.executions > 0 {
@@ -309,6 +309,20 @@
 	t.responder.Refuse(Refusal{Status: http.StatusServiceUnavailable, RetryAfter: after, Reason: reason})
 }
 
+// endLeft ends a request whose client has closed its connection. The client may have closed only its own side, and gets an answer then.
+func (t *transaction) endLeft() {
+	const reason = "its client has left"
+	t.outcome = outcomeClientLeft
+	switch {
+	case t.streamStarted:
+		t.responder.Abort()
+	case t.executions > 0:
+		t.responder.Refuse(Refusal{Status: http.StatusBadGateway, Reason: reason})
+	default:
+		t.responder.Refuse(Refusal{Status: http.StatusServiceUnavailable, RetryAfter: defaultRetryAfter, Reason: reason})
+	}
+}
+
 // finishIncomplete ends a request that has no complete response; an endpoint may have executed it.
 func (t *transaction) finishIncomplete() {
 	switch {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -194,7 +194,7 @@
 // rejectForQuota answers a request that its team's limit doesn't admit.
 func (t *transaction) rejectForQuota(charged team.Team, amount float64, result quotaResult) {
 	if t.clientDisconnected() {
-		t.outcome = outcomeClientLeft
+		t.endLeft()
 		return
 	}
 	t.mu.Lock()
