--- a/gateway/mover.go
+++ b/gateway/mover.go
@@ -166,7 +166,7 @@
 func (m *mover) begin(cancel context.CancelFunc) (move *streamMove, lastEvent string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.closed || m.current != nil {
+	if m.closed || m.current != nil || m.ctx.Err() != nil {
 		return nil, ""
 	}
 	to, ok := m.reserveLocked()
