Do not move a stream whose event has just arrived

The timer may have fired while an event was being recorded. A move that began right after it would have spent a retry token for nothing; the stream's next event would have ended it.

--- a/gateway/mover.go
+++ b/gateway/mover.go
@@ -29,8 +29,10 @@
 	giveUp context.CancelFunc
 
 	// mu is locked before the gateway's mutex.
-	mu        sync.Mutex
-	timer     *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// due is when the next move begins, the zero time for never; the timer may fire although an event has just arrived.
+	due       time.Time
 	lastEvent string
 	// current is the move under way, or the one that has succeeded.
 	current *streamMove
@@ -67,6 +69,11 @@
 func (m *mover) expect(within time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.scheduleLocked(within)
+}
+
+func (m *mover) scheduleLocked(within time.Duration) {
+	m.due = time.Now().Add(within)
 	if m.timer == nil {
 		m.timer = time.AfterFunc(within, m.move)
 		return
@@ -79,7 +86,7 @@
 func (m *mover) advance(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stopTimerLocked()
+	m.unscheduleLocked()
 	m.countLocked()
 	if m.current != nil {
 		if m.current.committed {
@@ -95,7 +102,7 @@
 // next returns the move that has succeeded after the attempt at the endpoint has failed, or nil. It waits for a move under way.
 func (m *mover) next() *streamMove {
 	m.mu.Lock()
-	m.stopTimerLocked()
+	m.unscheduleLocked()
 	move := m.current
 	if move != nil {
 		move.committed = true
@@ -118,7 +125,7 @@
 func (m *mover) close() {
 	m.mu.Lock()
 	m.closed = true
-	m.stopTimerLocked()
+	m.unscheduleLocked()
 	if m.current != nil {
 		m.current.cancel()
 	}
@@ -136,7 +143,8 @@
 	}
 }
 
-func (m *mover) stopTimerLocked() {
+func (m *mover) unscheduleLocked() {
+	m.due = time.Time{}
 	if m.timer != nil {
 		m.timer.Stop()
 	}
@@ -166,12 +174,12 @@
 func (m *mover) begin(cancel context.CancelFunc) (move *streamMove, lastEvent string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.closed || m.current != nil || m.ctx.Err() != nil {
+	if m.due.IsZero() || time.Now().Before(m.due) || m.current != nil || m.ctx.Err() != nil {
 		return nil, ""
 	}
 	to, ok := m.reserveLocked()
 	if !ok {
-		m.timer.Reset(retryInterval)
+		m.scheduleLocked(retryInterval)
 		return nil, ""
 	}
 	m.sends++
@@ -265,7 +273,9 @@
 	m.refused = append(m.refused, move.to.endpoint.Name)
 	if !canceled && !move.committed {
 		m.current = nil
-		m.timer.Reset(moveInterval)
+		if !m.closed {
+			m.scheduleLocked(moveInterval)
+		}
 	}
 }
 
