--- a/review/_core/main.go
+++ b/review/_core/platform/main.go
@@ -1,4 +1,4 @@
-// Command _core plays review case 7: an operator replaces core machines of a small deployment. Three new stewards are started beside the three
+// Command platform plays review case 7: an operator replaces core machines of a small deployment. Three new stewards are started beside the three
 // old ones and have time to catch up, then two of the old ones are asked to stop, one after the other.
 package main
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/core ./review/_core
+go build -o target/review/core ./review/_core/platform
