Refuse bodies beyond the routing table's limit without reading them

What callers saw: a body of up to 16 MB was read and held although the table allows 4 MB, and passed on to an endpoint; such bodies used up the share of legal ones, which were refused.

Cause: MaxBodyBytes of the table was decoded and never used; the gateway knew its own limit only, and looked at a declared length only once it had read that much.

With the old limit a body that is declared longer got no answer before it was sent (none in 15 s), and one in chunks that went on beyond the limit got 408 after 5 s.

Change: the ingress asks for the current table's limit.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,6 +191,14 @@
 	return http.StatusOK
 }
 
+// Limits returns the limits on client requests in the current table, zero without one.
+func (g *Gateway) Limits() route.Limits {
+	if table := g.table.Load(); table != nil {
+		return table.Limits
+	}
+	return route.Limits{}
+}
+
 // SetStewards replaces the stewards' addresses after a change of the settings at run time.
 func (g *Gateway) SetStewards(stewards []string) {
 	g.stewardLinks.SetStewards(stewards)
