--- a/graceful/server.go
+++ b/graceful/server.go
@@ -31,16 +31,21 @@
 	conns   map[*conn]struct{}
 }
 
-// New returns a Server that serves as configured in server, which must not be used otherwise.
+// New returns a Server that serves as configured in server, which must not be used otherwise. Its ConnState and ConnContext get the connections
+// as the listener accepted them.
 func New(server *http.Server) *Server {
 	s := &Server{http: server, conns: map[*conn]struct{}{}}
 	configured := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		s.recordState(c.(*conn), state)
+		tracked := c.(*conn)
+		s.recordState(tracked, state)
 		if configured != nil {
-			configured(c, state)
+			configured(tracked.Conn, state)
 		}
 	}
+	if connContext := server.ConnContext; connContext != nil {
+		server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return connContext(ctx, c.(*conn).Conn) }
+	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.shuttingDown.Load() {
