Count the frames and streams of internal sessions toward the account

What callers saw: 20 sessions with unfinished frames, or with streams that carry no call, took 335 and 489 MB of a steward on a machine of 96 MB; with everything at once reads of the configuration and internal calls were not answered while the crowd was there.

Cause: each stream of a session could hold a frame of 72 MB and 256 KB that yamux had received; sessions and their streams were bounded by number only, and far too high.

Change: the internal listener is one of the account's. A stream, its frames and the data that has arrived and was not read yet (counted by the lengths in yamux's headers) take memory from it; without room the session ends. A session closes before its streams, what is left on a closed stream is discarded, and closed streams are kept for 30 s at most. A session that has made a call is not closed to make room.

--- a/wire/error.go
+++ b/wire/error.go
@@ -33,6 +33,20 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// ErrNoMemory reports the length of a frame that there is no room for.
+type ErrNoMemory struct{ Bytes int }
+
+// Error returns the length.
+func (err ErrNoMemory) Error() string {
+	return "there is no memory left for a frame of " + strconv.Itoa(err.Bytes) + " bytes"
+}
+
+// IsErrNoMemory reports whether err wraps an ErrNoMemory.
+func IsErrNoMemory(err error) bool {
+	var e ErrNoMemory
+	return errors.As(err, &e)
+}
+
 // ErrFrameTooLarge reports the length of a frame that exceeds MaxFrameBytes.
 type ErrFrameTooLarge struct{ Bytes uint64 }
 
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -18,6 +18,8 @@
 	// connectionTimeout is how long a write or a keep-alive may wait for the peer before the session is closed.
 	connectionTimeout = 2 * time.Second
 	acceptBacklog     = 1024
+	// streamCloseTimeout is how long a closed stream is kept if the peer does not close it, too.
+	streamCloseTimeout = 30 * time.Second
 )
 
 // Pool keeps one session per address and opens streams on it.
@@ -236,6 +238,7 @@
 	config.KeepAliveInterval = keepAliveInterval
 	config.ConnectionWriteTimeout = connectionTimeout
 	config.StreamOpenTimeout = 0
+	config.StreamCloseTimeout = streamCloseTimeout
 	config.LogOutput = io.Discard
 	return config
 }
--- a/wire/server.go
+++ b/wire/server.go
@@ -16,6 +16,11 @@
 	firstFrameTimeout = 5 * time.Second
 	replyTimeout      = 5 * time.Second
 	maxSessions       = 4096
+	// maxStreams limits the open streams of a session, streamBytes is the memory that one takes up.
+	maxStreams  = 2048
+	streamBytes = 24 << 10
+	// maxUnreadBytes is how much a peer may have sent that the handler of its call did not read.
+	maxUnreadBytes = 64 << 10
 	// minAcceptDelay and maxAcceptDelay bound the pause after a failed accept. Accepts that fail for acceptPatience end the server.
 	minAcceptDelay = 5 * time.Millisecond
 	maxAcceptDelay = time.Second
@@ -47,15 +52,34 @@
 	Quota        func(context.Context, *wirepb.QuotaRequest) *wirepb.Frame
 }
 
+// ServeOption configures Serve.
+type ServeOption func(*server)
+
+// WithMemory sets the functions that count the bytes of streams and of the frames that arrive on them: take reports whether there is room.
+func WithMemory(take func(bytes int) bool, giveBack func(bytes int)) ServeOption {
+	return func(s *server) { s.take, s.giveBack = take, giveBack }
+}
+
+// server accepts sessions and calls the handlers.
+type server struct {
+	Handlers
+	take     func(bytes int) bool
+	giveBack func(bytes int)
+}
+
 // Serve accepts sessions until the context ends. The returned channel receives one value once all sessions have ended: the error that
 // stopped it, or nil. Accepts that fail for a while, as without a free file descriptor, don't stop it.
-func Serve(ctx context.Context, listener net.Listener, handlers Handlers) <-chan error {
+func Serve(ctx context.Context, listener net.Listener, handlers Handlers, options ...ServeOption) <-chan error {
+	s := &server{Handlers: handlers, take: func(int) bool { return true }, giveBack: func(int) {}}
+	for _, option := range options {
+		option(s)
+	}
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, listener, handlers) }()
+	go func() { ended <- s.serve(ctx, listener) }()
 	return ended
 }
 
-func serve(ctx context.Context, listener net.Listener, handlers Handlers) error {
+func (s *server) serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	closed := make(chan struct{})
 	context.AfterFunc(ctx, func() {
@@ -93,7 +117,7 @@
 		}
 		sessions.Go(func() {
 			defer func() { <-slots }()
-			serveSession(ctx, conn, handlers)
+			s.serveSession(ctx, conn)
 		})
 	}
 }
@@ -120,39 +144,71 @@
 	return true
 }
 
-func serveSession(ctx context.Context, conn net.Conn, handlers Handlers) {
-	session, err := yamux.Server(conn, sessionConfig())
+func (s *server) serveSession(ctx context.Context, conn net.Conn) {
+	unread := &backlog{take: s.take, giveBack: s.giveBack}
+	session, err := yamux.Server(&backlogConn{Conn: conn, backlog: unread}, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
-	defer stop()
+	streamsCtx, cancelStreams := context.WithCancel(context.WithoutCancel(ctx))
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		// The session closes first: yamux keeps a stream that closes before its session until a timer expires.
+		_ = session.Close()
+		cancelStreams()
+	})
+	closeSession := func() {
+		cancel()
+		<-closed
+	}
 	var streams sync.WaitGroup
-	defer streams.Wait()
-	defer cancel()
+	defer func() {
+		closeSession()
+		streams.Wait()
+		unread.close()
+	}()
+	admit := sync.OnceFunc(func() {
+		if counted, ok := conn.(interface{ Admit() }); ok {
+			counted.Admit()
+		}
+	})
 	for {
 		accepted, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		if session.NumStreams() > maxStreams || !s.take(streamBytes) {
+			return // yamux would keep what arrives on a stream that is closed alone
+		}
 		streams.Go(func() {
-			streamCtx, done := context.WithCancel(ctx)
+			defer s.giveBack(streamBytes)
+			streamCtx, done := context.WithCancel(streamsCtx)
 			defer done()
 			stream := newStream(streamCtx, accepted, conn.RemoteAddr().String())
-			defer stream.Close()
-			serveStream(streamCtx, stream, handlers)
+			stream.take, stream.giveBack, stream.incoming.consumed = s.take, s.giveBack, unread.remove
+			defer stream.releaseFrame()
+			if IsErrNoMemory(s.serveStream(streamCtx, stream, admit)) {
+				closeSession()
+			}
+			stream.Close()
+			for !stream.discard(accepted) {
+				closeSession()
+			}
 		})
 	}
 }
 
-func serveStream(ctx context.Context, stream *Stream, handlers Handlers) {
+// serveStream handles the call on a stream, and returns the error if its first frame can't be received.
+func (s *server) serveStream(ctx context.Context, stream *Stream, admit func()) error {
 	first, err := stream.Receive(firstFrameTimeout)
 	if err != nil {
-		return
+		return err
 	}
+	admit()
+	handlers := s.Handlers
 	switch body := first.GetBody().(type) {
 	case *wirepb.Frame_Dispatch:
 		if handlers.Dispatch != nil {
@@ -179,6 +235,7 @@
 			_ = stream.Send(reply, replyTimeout)
 		}
 	}
+	return nil
 }
 
 // replyTo handles calls that consist of one request and one reply frame; it returns nil if there is no handler.
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
@@ -39,6 +40,10 @@
 	buffer   []byte
 	stop     func() bool
 	peer     string
+	// take and giveBack count the memory of frames; taken is what is counted for the last one.
+	take     func(bytes int) bool
+	giveBack func(bytes int)
+	taken    atomic.Int64
 }
 
 // incoming reads from a connection. Each read may take as long as the timeout, so that a frame is not given up while it arrives.
@@ -48,6 +53,8 @@
 	// failure is the error of an earlier read of the same frame.
 	failure error
 	closed  atomic.Bool
+	// consumed gets the number of bytes of each read, if it is set.
+	consumed func(bytes int)
 }
 
 func (i *incoming) Read(p []byte) (n int, err error) {
@@ -61,7 +68,11 @@
 	if i.closed.Load() { // otherwise the deadline above may have replaced the one that close set
 		return 0, net.ErrClosed
 	}
-	return i.conn.Read(p)
+	n, err = i.conn.Read(p)
+	if i.consumed != nil {
+		i.consumed(n)
+	}
+	return n, err
 }
 
 func (i *incoming) close() {
@@ -147,14 +158,38 @@
 func (s *Stream) Receive(timeout time.Duration) (*wirepb.Frame, error) {
 	s.incoming.timeout, s.incoming.failure = timeout, nil
 	frame := &wirepb.Frame{}
-	if err := readFrame(s.reader, frame); err != nil {
+	s.releaseFrame()
+	if err := readFrame(s.reader, frame, s.takeFrame); err != nil {
 		return nil, ErrStreamBroken{Peer: s.peer, Step: "receive", Cause: err}
 	}
 	return frame, nil
 }
 
-// readFrame reads a length and a frame. Its buffer grows with what arrives, not with the length that the peer announces.
-func readFrame(reader *bufio.Reader, frame *wirepb.Frame) error {
+// takeFrame counts memory for the frame that arrives, and reports whether there is room for it.
+func (s *Stream) takeFrame(bytes int) bool {
+	if s.take == nil {
+		return true
+	}
+	if !s.take(bytes) {
+		return false
+	}
+	s.taken.Add(int64(bytes))
+	return true
+}
+
+// releaseFrame ends the use of memory by the last frame.
+func (s *Stream) releaseFrame() {
+	if taken := s.taken.Swap(0); taken > 0 {
+		s.giveBack(int(taken))
+	}
+}
+
+// frameCopies is how many copies of a frame's data there are once it is decoded.
+const frameCopies = 2
+
+// readFrame reads a length and a frame. Its buffer grows with what arrives, not with the length that the peer announces. Frames that are longer
+// than the reader's buffer are counted by take.
+func readFrame(reader *bufio.Reader, frame *wirepb.Frame, take func(bytes int) bool) error {
 	length, err := binary.ReadUvarint(reader)
 	if err != nil {
 		return err
@@ -171,6 +206,9 @@
 		defer func() { _, _ = reader.Discard(size) }() // it is buffered
 		return proto.Unmarshal(data, frame)
 	}
+	if !take(frameCopies * min(size, firstFrameBytes)) {
+		return ErrNoMemory{Bytes: size}
+	}
 	data := make([]byte, 0, min(size, firstFrameBytes))
 	for {
 		n, err := io.ReadFull(reader, data[len(data):cap(data)])
@@ -181,7 +219,11 @@
 		if len(data) == size {
 			return proto.Unmarshal(data, frame)
 		}
-		data = append(make([]byte, 0, min(size, 2*cap(data))), data...)
+		larger := min(size, 2*cap(data))
+		if !take(frameCopies * (larger - cap(data))) {
+			return ErrNoMemory{Bytes: size}
+		}
+		data = append(make([]byte, 0, larger), data...)
 	}
 }
 
@@ -199,6 +241,15 @@
 	s.incoming.close()
 }
 
+// discard discards what has arrived on a closed stream of a server and releases its buffer. It returns false if there is more than a peer sends that
+// waits for the end of its call.
+func (s *Stream) discard(accepted *yamux.Stream) bool {
+	n, _ := io.CopyN(io.Discard, accepted, maxUnreadBytes) // the deadline has expired: what is there can be read, nothing is waited for
+	s.incoming.consumed(int(n))
+	accepted.Shrink()
+	return n < maxUnreadBytes
+}
+
 func deadline(timeout time.Duration) time.Time {
 	if timeout <= 0 {
 		return time.Time{}
