--- a/agent/agent.go
+++ b/agent/agent.go
@@ -82,7 +82,7 @@
 		option(a)
 	}
 	a.singleUseHTTP = newSingleUseClient(a.http)
-	a.http = &http.Client{Transport: a.http.Transport, CheckRedirect: noRedirect}
+	a.http = newEndpointClient(a.http.Transport)
 	return a
 }
 
--- a/agent/claimed_call.go
+++ b/agent/claimed_call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"burdocksaddle/engineapi"
 	"burdocksaddle/wire"
 	"burdocksaddle/wirepb"
 )
@@ -29,11 +30,18 @@
 func newSingleUseClient(base *http.Client) *http.Client {
 	transport, ok := base.Transport.(*http.Transport)
 	if !ok {
-		return &http.Client{Transport: base.Transport, CheckRedirect: noRedirect}
+		return newEndpointClient(base.Transport)
 	}
 	singleUse := transport.Clone()
 	singleUse.DisableKeepAlives = true
-	return &http.Client{Transport: singleUse, CheckRedirect: noRedirect}
+	return newEndpointClient(singleUse)
+}
+
+func newEndpointClient(transport http.RoundTripper) *http.Client {
+	if transport == nil {
+		transport = http.DefaultTransport
+	}
+	return &http.Client{Transport: engineapi.CheckedTransport{Base: transport}, CheckRedirect: noRedirect}
 }
 
 // endpointTransport keeps up to one idle connection per slot, ignores proxy settings and doesn't request compression.
--- a/agent/endless_engine_test.go
+++ b/agent/endless_engine_test.go
@@ -45,6 +45,28 @@
 	return "http://" + listener.Addr().String(), sent
 }
 
+// TestEngineResponseWithStatusZero guards against an agent that takes a response without a valid status for one, which doJSON would count as success.
+func TestEngineResponseWithStatusZero(t *testing.T) {
+	url, _ := startEndlessEngine(t, "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}", " ")
+	s := setting.Defaults()
+	s.Agent.EndpointURL = url
+	a := New(s, wire.NewPool(), "p")
+	for _, client := range []*http.Client{a.http, a.singleUseHTTP} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			t.Errorf("a response with status %q", response.Status)
+		}
+	}
+	if err := a.doJSON(t.Context(), http.MethodPost, url, nil, nil); err == nil {
+		t.Error("a call that got status 000 counts as successful")
+	}
+}
+
 // TestEngineResponseWithoutEnd guards against an agent that keeps what is no response: of heads it reads little, of an event up to its limit.
 func TestEngineResponseWithoutEnd(t *testing.T) {
 	const underWay, mebibytes = 8, 1 << 20
