Count the memory of a session by its connection, and limit the product's own roles alike

What callers saw: a crowd at the address for internal calls of a process with the roles control or agent took its memory, as it did at a steward; crowds of callers and of operators did the same with heads, bodies and connections, which nothing bounded there.

Cause: these processes had no account. And what a session had taken was not known to its connection, so a session of many streams without a call was not found as the one that holds most, and a session that closed returned its memory before its streams had ended.

Change: intake.Conn counts what its session takes; wire asks the connection, so no option is needed. A session has 256 streams until its first call and counts as 128 KB for the kernel's buffers until then. Processes with the product's own roles get an account from the new settings Limits.MemoryMB (4096 by default) and Limits.FileDescriptors (the operating system's limit by default), which callers' bodies count toward, too.

--- a/buffering/account.go
+++ b/buffering/account.go
@@ -7,6 +7,8 @@
 	// RequestBytes is what a request in progress takes up besides its head and bodies: goroutines, the buffers of its connection to an endpoint,
 	// and what the kernel holds for the client in both directions.
 	RequestBytes = 48 << 10
+	// SessionBytes is what the kernel may hold for an internal session whose peer has not made a call yet.
+	SessionBytes = 128 << 10
 	// FieldBytes is what a header field takes up besides its text, in the incoming and the outgoing request.
 	FieldBytes = 256
 	// textCopies is how many copies of the text of a head are kept.
--- a/cmd/run.go
+++ b/cmd/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -30,6 +31,7 @@
 			if err != nil {
 				return err
 			}
+			debug.SetMemoryLimit(int64(settings.Limits.MemoryMB) << 20 / 100 * heapShare)
 			abort, stop := secondSignal(ctx)
 			defer stop()
 			return withLog(ctx, os.Stdout, settings.Log.Verbosity, func(writer *logging.Writer, log logr.Logger) error {
@@ -40,6 +42,9 @@
 	}
 }
 
+// heapShare is the percentage of the process's memory that is the garbage collector's limit; the rest is for stacks and for the kernel.
+const heapShare = 60
+
 const metricDroppedLines = "burdocksaddle_dropped_log_lines"
 
 // secondSignal returns a context that is canceled by the next SIGINT or SIGTERM after ctx has ended.
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -74,6 +74,12 @@
 	{"answers that nobody reads", many, readNothing(http.MethodGet, "")},
 }
 
+// crowdsAtSessions are the kinds of clients that come to addresses for internal calls.
+var crowdsAtSessions = []crowd{
+	{"large frames short of their end", 20, sendFrames}, {"streams without a call", 20, openStreams}, {"idle connections", many, stayIdle},
+	{"bytes that are no session", many, sendAlmostAll(legalBodyBytes)},
+}
+
 // door is an address that a process listens on, with a path there.
 type door struct {
 	name, role, path string
@@ -101,10 +107,7 @@
 	{"reads by operators", "steward", "/api/config/describe", operatorAddress, crowdsAtHTTP, false},
 	{"ready of a steward", "steward", readyPath, operatorAddress, crowdsAtHTTP, false},
 	{"metrics of a steward", "steward", metricsPath, metricsAddress, crowdsAtHTTP, false},
-	{"internal calls", "steward", "/", func(v *vm) string { return v.bindAddress + ":7380" }, []crowd{
-		{"large frames short of their end", 20, sendFrames}, {"streams without a call", 20, openStreams}, {"idle connections", many, stayIdle},
-		{"bytes that are no session", many, sendAlmostAll(legalBodyBytes)},
-	}, true},
+	{"internal calls", "steward", "/", func(v *vm) string { return v.bindAddress + ":7380" }, crowdsAtSessions, true},
 }
 
 // TestCrowds has crowds of clients that don't behave at each address of each process, one kind of clients after the other and all at once. The process must
@@ -146,14 +149,7 @@
 		t.Fatalf("%s ended: %v", name, err)
 	default:
 	}
-	limit := c.shape.memoryMB << 20
-	if used.memory+used.queued > limit || used.peak > limit {
-		t.Errorf("%s: more memory than its machine's %d MB: %v", name, c.shape.memoryMB, used)
-	}
-	if most := c.shape.descriptors - reservedDescriptors; used.sockets > most {
-		t.Errorf("%s: more than %d sockets: %v", name, most, used)
-	}
-	t.Logf("%s: %v", name, used)
+	checkFootprint(t, name, used, c.shape.memoryMB, c.shape.descriptors)
 }
 
 // startCrowdCluster starts a deployment that serves.
--- a/e2e/layout_test.go
+++ b/e2e/layout_test.go
@@ -35,6 +35,8 @@
 	dir      string
 	controls int
 	learners int
+	// limits are the limits of each node's process.
+	limits setting.Limits
 	// host returns the host address of the VM on which the named node or stand-in runs.
 	host func(name string) string
 }
@@ -78,6 +80,9 @@
 	return "http://" + l.host(name) + ":" + operatorPort
 }
 
+// withLimits sets the limits of each node's process.
+func withLimits(limits setting.Limits) func(*layout) { return func(l *layout) { l.limits = limits } }
+
 func writeJSON(file string, value any) error {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
@@ -91,6 +96,9 @@
 	v := setting.Defaults()
 	v.Node, v.DataCentre, v.Log.Verbosity = name, "first", 1
 	v.Entry.DrainMS, v.Entry.BalancerMS = 8_000, balancerDelay.Milliseconds()
+	if l.limits != (setting.Limits{}) {
+		v.Limits = l.limits
+	}
 	v.Operator.Listen = l.host(name) + ":" + operatorPort
 	for i := range l.controls + l.learners {
 		v.Controls = append(v.Controls, l.host(controlName(i))+":"+wirePort)
--- a/e2e/process_cluster_test.go
+++ b/e2e/process_cluster_test.go
@@ -30,7 +30,7 @@
 }
 
 // newProcessCluster builds the binary, starts the stand-ins and all nodes and waits until the entries are ready.
-func newProcessCluster(t *testing.T, controls, learners int) *processCluster {
+func newProcessCluster(t *testing.T, controls, learners int, options ...func(*layout)) *processCluster {
 	t.Helper()
 	// Not t.TempDir, which is removed even when the test fails; the logs of a failed or timed-out run are kept.
 	dir, err := os.MkdirTemp("", "burdocksaddle-e2e-")
@@ -41,6 +41,9 @@
 		t: t, processes: map[string]*process{},
 		layout: layout{dir: dir, controls: controls, learners: learners, host: loopbackHosts(t)},
 	}
+	for _, option := range options {
+		option(&c.layout)
+	}
 	c.binary = buildBinary(t)
 	t.Cleanup(c.close)
 	if err := c.writeCatalog(); err != nil {
--- a/intake/account.go
+++ b/intake/account.go
@@ -235,13 +235,7 @@
 
 // Listen opens a listener of which at most the given number of connections are open at a time.
 func (a *Account) Listen(ctx context.Context, address string, conns int, options ...ListenOption) (net.Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			// Connections inherit the sizes. Where they can't be set, the kernel's own apply.
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
-		})
-	}}
+	config := net.ListenConfig{Control: LimitBuffers}
 	opened, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -249,7 +243,16 @@
 	return a.Wrap(opened, conns, options...), nil
 }
 
-// Wrap is like Listen for a listener that is open already.
+// LimitBuffers is the Control function of a net.ListenConfig that limits what the kernel holds for the listener's connections.
+func LimitBuffers(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// Connections inherit the sizes. Where they can't be set, the kernel's own apply.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
+	})
+}
+
+// Wrap is like Listen for a listener that is open already; LimitBuffers should have been applied to it.
 func (a *Account) Wrap(opened net.Listener, conns int, options ...ListenOption) net.Listener {
 	l := &listener{Listener: opened, account: a, most: conns, headLimit: func() int { return 0 }}
 	for _, option := range options {
@@ -294,8 +297,8 @@
 	l.account.conns[c] = struct{}{}
 	l.account.counts.Connect()
 	if l.peers { // what arrives may wait in the kernel at any time
-		c.phase, c.requested = buffering.Sending, true
-		l.account.counts.Return(-buffering.RequestBytes)
+		c.phase, c.reserved = buffering.Sending, buffering.SessionBytes
+		l.account.counts.Return(-buffering.SessionBytes)
 	}
 	l.account.pressLocked()
 	return c
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -44,9 +44,9 @@
 	taken int
 	// aheadLines is the number of lines in what net/http may have read of the next request.
 	aheadLines int
-	// requested is set while a request is counted, expected is what the account expects to be released.
-	requested bool
-	expected  int
+	// reserved is the memory that is counted for the request in progress, or for a session without a call. expected is what the account expects to be
+	// released.
+	reserved, expected int
 }
 
 // head counts the lines of a request's head as it arrives.
@@ -146,6 +146,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = buffering.Peer
+	c.endRequestLocked()
+}
+
+// Take counts bytes that an internal session takes up until they are returned, and reports whether there is room for them.
+func (c *Conn) Take(bytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || !c.account.Take(bytes) {
+		return false
+	}
+	c.taken += bytes
+	return true
+}
+
+// Return ends the use of bytes that Take counted.
+func (c *Conn) Return(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken -= bytes
+	c.account.Return(bytes)
+	c.releaseExpectedLocked()
 }
 
 // begin counts the memory of a request whose head has been read, and reports whether there is room for it.
@@ -158,7 +179,7 @@
 	if !c.account.Take(buffering.RequestBytes) {
 		return false
 	}
-	c.requested = true
+	c.reserved = buffering.RequestBytes
 	if c.phase == buffering.Idle { // it was read together with the request before
 		c.since, c.moved = time.Now(), 0
 	}
@@ -204,10 +225,8 @@
 }
 
 func (c *Conn) endRequestLocked() {
-	if c.requested {
-		c.requested = false
-		c.account.Return(buffering.RequestBytes)
-	}
+	c.account.Return(c.reserved)
+	c.reserved = 0
 }
 
 // holding returns what the connection holds, and false if it is closed.
@@ -218,10 +237,7 @@
 }
 
 func (c *Conn) holdingLocked(now time.Time) buffering.Holding {
-	h := buffering.Holding{Phase: c.phase, For: now.Sub(c.since), Moved: c.moved, Bytes: buffering.ConnBytes + c.taken}
-	if c.requested {
-		h.Bytes += buffering.RequestBytes
-	}
+	h := buffering.Holding{Phase: c.phase, For: now.Sub(c.since), Moved: c.moved, Bytes: buffering.ConnBytes + c.taken + c.reserved}
 	if c.phase == buffering.Sending && !c.head.reading {
 		h.Bytes += c.moved // its body
 	}
@@ -264,11 +280,24 @@
 	c.released = true
 	c.endRequestLocked()
 	c.account.forget(c, 0)
+	if c.listener.peers { // the streams of its session return what they have taken
+		c.account.Return(buffering.ConnBytes)
+		c.releaseExpectedLocked()
+		return err
+	}
 	c.account.release(buffering.ConnBytes+c.taken, c.expected)
 	c.taken = 0
 	return err
 }
 
+// releaseExpectedLocked ends the account's expectation once the streams of a closed session have returned everything.
+func (c *Conn) releaseExpectedLocked() {
+	if c.released && c.taken == 0 {
+		c.account.release(0, c.expected)
+		c.expected = 0
+	}
+}
+
 // answer writes a response to a request whose head is not read to its end. What still arrives of it for a while is discarded: if the connection
 // were closed at once, the client might lose the response.
 func (c *Conn) answer(r refusal) {
--- a/node/node.go
+++ b/node/node.go
@@ -5,19 +5,24 @@
 	"crypto/rand"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"burdocksaddle/agent"
+	"burdocksaddle/buffering"
 	"burdocksaddle/catalog"
 	"burdocksaddle/control"
 	"burdocksaddle/entry"
 	"burdocksaddle/graceful"
+	"burdocksaddle/intake"
 	"burdocksaddle/quorum"
 	"burdocksaddle/setting"
 	"burdocksaddle/web"
@@ -30,6 +35,8 @@
 	idleTimeout         = 2 * time.Minute
 	defaultDrainTimeout = 30 * time.Second
 	processIDBytes      = 16
+	// callerParts, internalParts and operatorParts are the divisors of the process's connections that give those of each listener.
+	callerParts, internalParts, operatorParts = 2, 4, 16
 )
 
 // Node is a process that runs one or more roles.
@@ -42,6 +49,8 @@
 	abort          context.Context
 	agentOptions   []agent.Option
 
+	account       *intake.Account
+	metrics       *metrics.Set
 	member        *control.Member
 	replicatedLog *quorum.Log
 	agent         *agent.Agent
@@ -77,18 +86,38 @@
 
 // New returns a Node for validated settings.
 func New(settings setting.Settings, options ...Option) *Node {
-	n := &Node{settings: settings, log: logr.Discard(), abort: context.Background()}
+	n := &Node{settings: settings, log: logr.Discard(), abort: context.Background(), metrics: metrics.NewSet()}
 	n.listen = func(ctx context.Context, address string) (net.Listener, error) {
-		var config net.ListenConfig
+		config := net.ListenConfig{Control: intake.LimitBuffers}
 		return config.Listen(ctx, "tcp", address)
 	}
 	for _, option := range options {
 		option(n)
 	}
 	n.log = n.log.WithValues("node", settings.Node)
+	n.account = intake.New(buffering.NewLimits(settings.Limits.MemoryMB, descriptors(settings.Limits.FileDescriptors)), intake.WithMetrics(n.metrics))
 	return n
 }
 
+// descriptors returns the number of file descriptors that the settings name, or else the operating system's limit.
+func descriptors(named int) int {
+	var limit syscall.Rlimit
+	if named > 0 || syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return named
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
+// countClients makes room for clients until the context ends.
+func (n *Node) countClients(ctx context.Context) <-chan error {
+	ended, counted := make(chan error, 1), n.account.Run(ctx)
+	go func() {
+		<-counted
+		ended <- nil
+	}()
+	return ended
+}
+
 // Run starts the roles and serves until the context ends, then shuts down gracefully. The channel receives the result once.
 func (n *Node) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
@@ -116,8 +145,10 @@
 		if err != nil {
 			return err
 		}
-		tasks = append(tasks, wire.Serve(ctx, secure(listener), handlers))
+		counted := n.account.Wrap(secure(listener), n.account.Limits().Part(internalParts), intake.WithPeers())
+		tasks = append(tasks, wire.Serve(ctx, counted, handlers))
 	}
+	tasks = append(tasks, n.countClients(ctx))
 	if err := n.serveHTTP(ctx, &tasks); err != nil {
 		return err
 	}
@@ -191,7 +222,7 @@
 			web.NewOperator(n.member, guard).Register(mux)
 		}
 		web.RegisterDebug(mux, guard, n.dump, n.writeMetrics)
-		if err := n.serveOn(ctx, n.settings.Operator.Listen, mux, tasks); err != nil {
+		if err := n.serveOn(ctx, n.settings.Operator.Listen, operatorParts, mux, tasks); err != nil {
 			return err
 		}
 	}
@@ -202,22 +233,25 @@
 	if err != nil {
 		return err
 	}
-	caller := web.NewCaller(n.entry, n.settings.Entry, keys, n.log, rand.Text)
-	return n.serveOn(ctx, n.settings.Entry.CallerListen, caller.Handler(), tasks)
+	caller := web.NewCaller(n.entry, n.settings.Entry, keys, n.log, rand.Text, web.WithMemory(n.account.Take, n.account.Return))
+	return n.serveOn(ctx, n.settings.Entry.CallerListen, callerParts, caller.Handler(), tasks)
 }
 
-func (n *Node) serveOn(ctx context.Context, address string, handler http.Handler, tasks *[]<-chan error) error {
+// serveOn serves HTTP on an address, with one of the given number of parts of the process's connections.
+func (n *Node) serveOn(ctx context.Context, address string, parts int, handler http.Handler, tasks *[]<-chan error) error {
 	listener, err := n.listen(ctx, address)
 	if err != nil {
 		return err
 	}
 	requestCtx, cancelRequests := context.WithCancelCause(context.WithoutCancel(ctx))
-	server := httpServer{graceful.New(&http.Server{
+	config := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		BaseContext: func(net.Listener) context.Context { return requestCtx },
-	}), cancelRequests}
+	}
+	n.account.Protect(config)
+	server := httpServer{graceful.New(config), cancelRequests}
 	n.servers = append(n.servers, server)
-	*tasks = append(*tasks, n.serveUntil(ctx, server, listener))
+	*tasks = append(*tasks, n.serveUntil(ctx, server, n.account.Wrap(listener, n.account.Limits().Part(parts))))
 	return nil
 }
 
@@ -257,6 +291,7 @@
 }
 
 func (n *Node) writeMetrics(to io.Writer) {
+	n.metrics.WritePrometheus(to)
 	if n.entry != nil {
 		n.entry.WriteMetrics(to)
 	}
--- a/setting/defaults.go
+++ b/setting/defaults.go
@@ -18,6 +18,7 @@
 	defaultAdapterBudget     = 30
 	defaultCertificateReload = 60_000
 	defaultLeaseMS           = 4_000
+	defaultMemoryMB          = 4_096
 )
 
 // Defaults returns the value of every setting that a file leaves out.
@@ -49,5 +50,6 @@
 		Operator: Operator{TokenFiles: map[string]string{}},
 		TLS:      TLS{ReloadMS: defaultCertificateReload},
 		Lease:    Lease{LengthMS: defaultLeaseMS},
+		Limits:   Limits{MemoryMB: defaultMemoryMB},
 	}
 }
--- a/setting/load_test.go
+++ b/setting/load_test.go
@@ -89,7 +89,7 @@
 func TestParseRejectsInvalid(t *testing.T) {
 	tests := []struct{ name, data, want string }{
 		{"syntax", `{"Node" "n"}`, `f: the file is malformed (line 1, column 9: invalid character '"' after object name); allowed: JSON with comments and trailing commas`},
-		{"lower case", validPrefix + `"node": "n"}`, `f: node is unknown; allowed: one of Node, Region, DataCentre, Roles, Listen, Advertise, Controls, Entry, Agent, Control, Operator, TLS, Log, Lease`},
+		{"lower case", validPrefix + `"node": "n"}`, `f: node is unknown; allowed: one of Node, Region, DataCentre, Roles, Listen, Advertise, Controls, Entry, Agent, Control, Operator, TLS, Log, Lease, Limits`},
 		{"repeated", validPrefix + `"Log": {"Verbosity": 1, "Verbosity": 2}}`, `f: Log.Verbosity is repeated; allowed: each key once`},
 		{"type", validPrefix + `"Entry": {"MaxBodyBytes": "big"}}`, `f: Entry.MaxBodyBytes is "big"; allowed: a whole number`},
 		{"null", validPrefix + `"Entry": {"ServeStale": null}}`, `f: Entry.ServeStale is null; allowed: true or false`},
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -31,6 +31,7 @@
 	TLS      TLS
 	Log      Log
 	Lease    Lease
+	Limits   Limits
 }
 
 // Entry holds the settings of the entry role.
@@ -128,6 +129,14 @@
 	LengthMS int64 `validate:"min=100,max=60000"`
 }
 
+// Limits holds what the process may use of its VM.
+type Limits struct {
+	// MemoryMB is the memory, of which clients and peers may take up a part.
+	MemoryMB int `validate:"min=64,max=100000000"`
+	// FileDescriptors is the number of file descriptors, 0 for the operating system's limit.
+	FileDescriptors int `validate:"min=0,max=100000000"`
+}
+
 // Kind is the kind of endpoint that an agent serves.
 type Kind string
 
--- a/web/body.go
+++ b/web/body.go
@@ -21,17 +21,29 @@
 	bodiesRetryAfter  = 2 * time.Second
 )
 
-// bodyBudget limits the total memory used for request bodies.
-type bodyBudget struct{ reserved atomic.Int64 }
+// bodyBudget limits the total memory used for request bodies, by itself and by what the process may hold for its clients.
+type bodyBudget struct {
+	reserved atomic.Int64
+	// take and giveBack count the bytes elsewhere, too, if they are set.
+	take     func(bytes int) bool
+	giveBack func(bytes int)
+}
 
 func (b *bodyBudget) reserve(bytes int64) bool {
-	if b.reserved.Add(bytes) > maxTotalBodyBytes {
+	if b.reserved.Add(bytes) > maxTotalBodyBytes || b.take != nil && !b.take(int(bytes)) {
 		b.reserved.Add(-bytes)
 		return false
 	}
 	return true
 }
 
+func (b *bodyBudget) release(bytes int64) {
+	b.reserved.Add(-bytes)
+	if b.giveBack != nil {
+		b.giveBack(int(bytes))
+	}
+}
+
 // parseRequest parses the headers that are common to all requests and then reads the body. release must be called
 // to return the body's memory to the budget.
 func (c *Caller) parseRequest(w http.ResponseWriter, r *http.Request) (request entry.Request, release func(), problem *Problem) {
@@ -79,7 +91,7 @@
 			Code: entry.CodeQueueFull, Run: "NotRun", Detail: "too many bodies are held; come back later", retryAfter: bodiesRetryAfter,
 		}
 	}
-	release := func() { c.bodies.reserved.Add(-size) }
+	release := func() { c.bodies.release(size) }
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.settings.MaxBodyBytes))
--- a/web/caller.go
+++ b/web/caller.go
@@ -43,9 +43,17 @@
 	bodies   bodyBudget
 }
 
+// CallerOption configures a Caller.
+type CallerOption func(*Caller)
+
+// WithMemory sets the functions that count the bytes of bodies: take reports whether there is room.
+func WithMemory(take func(bytes int) bool, giveBack func(bytes int)) CallerOption {
+	return func(c *Caller) { c.bodies.take, c.bodies.giveBack = take, giveBack }
+}
+
 // NewCaller returns the caller API of an entry. keys maps a caller's name to its
 // key; if it is empty, requests need no key. newID generates request IDs.
-func NewCaller(e *entry.Entry, settings setting.Entry, keys map[string]string, log logr.Logger, newID func() string) *Caller {
+func NewCaller(e *entry.Entry, settings setting.Entry, keys map[string]string, log logr.Logger, newID func() string, options ...CallerOption) *Caller {
 	if settings.MaxBodyBytes == 0 {
 		settings.MaxBodyBytes = defaultBodyBytes
 	}
@@ -55,7 +63,11 @@
 	if settings.MaxDeadlineMS == 0 {
 		settings.MaxDeadlineMS = maxDeadlineMS
 	}
-	return &Caller{entry: e, settings: settings, log: log, newID: newID, keys: hashKeys(keys)}
+	c := &Caller{entry: e, settings: settings, log: log, newID: newID, keys: hashKeys(keys)}
+	for _, option := range options {
+		option(c)
+	}
+	return c
 }
 
 // Handler returns a handler with the routes of the caller API.
--- a/wire/backlog.go
+++ b/wire/backlog.go
@@ -16,14 +16,13 @@
 
 // backlog counts the data that has arrived in a session and that its streams have not read yet.
 type backlog struct {
-	take     func(bytes int) bool
-	giveBack func(bytes int)
-	bytes    atomic.Int64
+	memory countedConn
+	bytes  atomic.Int64
 }
 
 // add counts data that has arrived, and reports whether there is room for it.
 func (b *backlog) add(bytes int) bool {
-	if bytes > 0 && !b.take(bytes) {
+	if bytes > 0 && !b.memory.Take(bytes) {
 		return false
 	}
 	b.bytes.Add(int64(bytes))
@@ -34,7 +33,7 @@
 func (b *backlog) remove(bytes int) {
 	if bytes > 0 {
 		b.bytes.Add(-int64(bytes))
-		b.giveBack(bytes)
+		b.memory.Return(bytes)
 	}
 }
 
--- a/wire/server.go
+++ b/wire/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -16,9 +17,10 @@
 	firstFrameTimeout = 5 * time.Second
 	replyTimeout      = 5 * time.Second
 	maxSessions       = 4096
-	// maxStreams limits the open streams of a session, streamBytes is the memory that one takes up.
-	maxStreams  = 2048
-	streamBytes = 24 << 10
+	// maxStreams limits the open streams of a session, maxFirstStreams those before its first call, streamBytes is the memory that one takes up.
+	maxStreams      = 2048
+	maxFirstStreams = 256
+	streamBytes     = 24 << 10
 	// maxUnreadBytes is how much a peer may have sent that the handler of its call did not read.
 	maxUnreadBytes = 64 << 10
 	// minAcceptDelay and maxAcceptDelay bound the pause after a failed accept. Accepts that fail for acceptPatience end the server.
@@ -52,34 +54,37 @@
 	Quota        func(context.Context, *wirepb.QuotaRequest) *wirepb.Frame
 }
 
-// ServeOption configures Serve.
-type ServeOption func(*server)
-
-// WithMemory sets the functions that count the bytes of streams and of the frames that arrive on them: take reports whether there is room.
-func WithMemory(take func(bytes int) bool, giveBack func(bytes int)) ServeOption {
-	return func(s *server) { s.take, s.giveBack = take, giveBack }
+// countedConn is a connection that counts the memory of its session.
+type countedConn interface {
+	// Admit records that the peer has made a call.
+	Admit()
+	// Take counts bytes and reports whether there is room for them, Return ends their use.
+	Take(bytes int) bool
+	Return(bytes int)
 }
 
-// server accepts sessions and calls the handlers.
-type server struct {
-	Handlers
-	take     func(bytes int) bool
-	giveBack func(bytes int)
-}
+// uncounted is the countedConn of connections without limits.
+type uncounted struct{}
+
+// Admit implements countedConn.
+func (uncounted) Admit() {}
+
+// Take implements countedConn.
+func (uncounted) Take(int) bool { return true }
+
+// Return implements countedConn.
+func (uncounted) Return(int) {}
 
 // Serve accepts sessions until the context ends. The returned channel receives one value once all sessions have ended: the error that
-// stopped it, or nil. Accepts that fail for a while, as without a free file descriptor, don't stop it.
-func Serve(ctx context.Context, listener net.Listener, handlers Handlers, options ...ServeOption) <-chan error {
-	s := &server{Handlers: handlers, take: func(int) bool { return true }, giveBack: func(int) {}}
-	for _, option := range options {
-		option(s)
-	}
+// stopped it, or nil. Accepts that fail for a while, as without a free file descriptor, don't stop it. Where the listener's connections count
+// memory, streams, frames and what nobody has read count toward it, and a session that finds none ends.
+func Serve(ctx context.Context, listener net.Listener, handlers Handlers) <-chan error {
 	ended := make(chan error, 1)
-	go func() { ended <- s.serve(ctx, listener) }()
+	go func() { ended <- serve(ctx, listener, handlers) }()
 	return ended
 }
 
-func (s *server) serve(ctx context.Context, listener net.Listener) error {
+func serve(ctx context.Context, listener net.Listener, handlers Handlers) error {
 	ctx, cancel := context.WithCancel(ctx)
 	closed := make(chan struct{})
 	context.AfterFunc(ctx, func() {
@@ -117,7 +122,7 @@
 		}
 		sessions.Go(func() {
 			defer func() { <-slots }()
-			s.serveSession(ctx, conn)
+			serveSession(ctx, conn, handlers)
 		})
 	}
 }
@@ -144,8 +149,12 @@
 	return true
 }
 
-func (s *server) serveSession(ctx context.Context, conn net.Conn) {
-	unread := &backlog{take: s.take, giveBack: s.giveBack}
+func serveSession(ctx context.Context, conn net.Conn, handlers Handlers) {
+	memory, ok := conn.(countedConn)
+	if !ok {
+		memory = uncounted{}
+	}
+	unread := &backlog{memory: memory}
 	session, err := yamux.Server(&backlogConn{Conn: conn, backlog: unread}, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -170,27 +179,32 @@
 		streams.Wait()
 		unread.close()
 	}()
-	admit := sync.OnceFunc(func() {
-		if counted, ok := conn.(interface{ Admit() }); ok {
-			counted.Admit()
+	var admitted atomic.Bool
+	admit := func() {
+		if admitted.CompareAndSwap(false, true) {
+			memory.Admit()
 		}
-	})
+	}
 	for {
 		accepted, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
-		if session.NumStreams() > maxStreams || !s.take(streamBytes) {
+		most := maxStreams
+		if !admitted.Load() {
+			most = maxFirstStreams
+		}
+		if session.NumStreams() > most || !memory.Take(streamBytes) {
 			return // yamux would keep what arrives on a stream that is closed alone
 		}
 		streams.Go(func() {
-			defer s.giveBack(streamBytes)
+			defer memory.Return(streamBytes)
 			streamCtx, done := context.WithCancel(streamsCtx)
 			defer done()
 			stream := newStream(streamCtx, accepted, conn.RemoteAddr().String())
-			stream.take, stream.giveBack, stream.incoming.consumed = s.take, s.giveBack, unread.remove
+			stream.memory, stream.incoming.consumed = memory, unread.remove
 			defer stream.releaseFrame()
-			if IsErrNoMemory(s.serveStream(streamCtx, stream, admit)) {
+			if IsErrNoMemory(serveStream(streamCtx, stream, handlers, admit)) {
 				closeSession()
 			}
 			stream.Close()
@@ -202,13 +216,12 @@
 }
 
 // serveStream handles the call on a stream, and returns the error if its first frame can't be received.
-func (s *server) serveStream(ctx context.Context, stream *Stream, admit func()) error {
+func serveStream(ctx context.Context, stream *Stream, handlers Handlers, admit func()) error {
 	first, err := stream.Receive(firstFrameTimeout)
 	if err != nil {
 		return err
 	}
 	admit()
-	handlers := s.Handlers
 	switch body := first.GetBody().(type) {
 	case *wirepb.Frame_Dispatch:
 		if handlers.Dispatch != nil {
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -40,10 +40,9 @@
 	buffer   []byte
 	stop     func() bool
 	peer     string
-	// take and giveBack count the memory of frames; taken is what is counted for the last one.
-	take     func(bytes int) bool
-	giveBack func(bytes int)
-	taken    atomic.Int64
+	// memory counts that of frames, if it is set; taken is what is counted for the last one.
+	memory countedConn
+	taken  atomic.Int64
 }
 
 // incoming reads from a connection. Each read may take as long as the timeout, so that a frame is not given up while it arrives.
@@ -167,10 +166,10 @@
 
 // takeFrame counts memory for the frame that arrives, and reports whether there is room for it.
 func (s *Stream) takeFrame(bytes int) bool {
-	if s.take == nil {
+	if s.memory == nil {
 		return true
 	}
-	if !s.take(bytes) {
+	if !s.memory.Take(bytes) {
 		return false
 	}
 	s.taken.Add(int64(bytes))
@@ -180,7 +179,7 @@
 // releaseFrame ends the use of memory by the last frame.
 func (s *Stream) releaseFrame() {
 	if taken := s.taken.Swap(0); taken > 0 {
-		s.giveBack(int(taken))
+		s.memory.Return(int(taken))
 	}
 }
 
