Close refused clients that stay, and count a write as blocked only without progress

What callers saw: nothing yet; found in review. A client whose request was refused could keep its connection, and what its head takes up, for as long as it liked by not sending the rest of a short body, since net/http reads that before it closes. And a long response was taken for unread although its client read it, slowly: one write of 4 MB may take longer than 6 s.

Change: a client that was refused a second ago is late, and is closed after 6 s. Long writes are made in parts of 64 KB.

--- a/buffering/close.go
+++ b/buffering/close.go
@@ -51,7 +51,7 @@
 
 // late reports whether the client is too slow to be an ordinary one.
 func (h Holding) late() bool {
-	return (h.Phase == Sending || h.Phase == Unread) && h.behind() > lateAfter
+	return (h.Phase == Sending || h.Phase == Unread || h.Phase == Refused) && h.behind() > lateAfter
 }
 
 // MayClose reports whether the connection may be closed to make room. A request that is complete must get its response.
@@ -95,12 +95,12 @@
 }
 
 // FirstForMemory returns the indices of the connections to close, in this order, to release at least the given number of bytes, or as much as may
-// be: those of late clients first, then, unless onlyLate is set, those that hold most. Idle connections hold little, refused ones end soon; neither is
-// closed.
+// be: those of late clients first, then, unless onlyLate is set, those that hold most. Idle connections hold little, and refused ones that are not late end
+// soon; neither is closed.
 func FirstForMemory(all []Holding, bytes int, onlyLate bool) []int {
 	var order []int
 	for i, h := range all {
-		if h.MayClose() && h.Phase != Idle && h.Phase != Refused && (h.late() || !onlyLate) {
+		if h.MayClose() && (h.late() || !onlyLate && h.Phase != Idle && h.Phase != Refused) {
 			order = append(order, i)
 		}
 	}
--- a/buffering/close_test.go
+++ b/buffering/close_test.go
@@ -23,6 +23,8 @@
 	trickled     = Holding{Phase: Sending, For: 30 * time.Second, Moved: 300, Bytes: 20 << 10}
 	readsNothing = Holding{Phase: Unread, For: 4 * time.Second, Bytes: 300 << 10}
 	longIdle     = Holding{Phase: Idle, For: time.Minute, Bytes: ConnBytes}
+	refused      = Holding{Phase: Refused, For: 300 * time.Millisecond, Bytes: 300 << 10}
+	longRefused  = Holding{Phase: Refused, For: 2 * time.Second, Bytes: 300 << 10}
 	freshHead    = Holding{Phase: Sending, For: 200 * time.Millisecond, Moved: 16 << 10, Bytes: 700 << 10}
 )
 
@@ -38,6 +40,8 @@
 		"a client that reads nothing before an idle one": {[]Holding{longIdle, readsNothing, ordinaryWaiting}, 1},
 		"the one that was idle for longest":              {[]Holding{ordinaryIdle, longIdle, ordinaryUpload}, 1},
 		"an idle one before an upload in time":           {[]Holding{ordinaryUpload, ordinaryIdle}, 1},
+		"a refused one before an idle one":               {[]Holding{ordinarySending, longIdle, refused}, 2},
+		"one that was refused long ago first":            {[]Holding{ordinarySending, refused, longRefused}, 2},
 		"an ordinary request last":                       {[]Holding{ordinarySending, freshHead}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -50,7 +54,7 @@
 
 // TestFirstForMemory checks which connections make room for ordinary requests.
 func TestFirstForMemory(t *testing.T) {
-	all := []Holding{ordinarySending, ordinaryUpload, ordinaryIdle, ordinaryWaiting, halfHead, almostWhole, longIdle, freshHead, ordinaryReading, session}
+	all := []Holding{ordinarySending, ordinaryUpload, ordinaryIdle, ordinaryWaiting, halfHead, almostWhole, longIdle, freshHead, ordinaryReading, session, refused, longRefused}
 	for name, test := range map[string]struct {
 		bytes    int
 		onlyLate bool
@@ -59,9 +63,9 @@
 		"nothing is needed":             {0, false, nil},
 		"the late client with most":     {1, false, []int{5}},
 		"late clients first":            {4<<20 + 1, false, []int{5, 4}},
-		"then those with most":          {5 << 20, false, []int{5, 4, 1}},
-		"all but requests and idle":     {1 << 40, false, []int{5, 4, 1, 7, 0, 8}},
-		"late ones only, if that is it": {1 << 40, true, []int{5, 4}},
+		"then those with most":          {5<<20 + 1, false, []int{5, 4, 11, 1}},
+		"all but requests and idle":     {1 << 40, false, []int{5, 4, 11, 1, 7, 0, 8}},
+		"late ones only, if that is it": {1 << 40, true, []int{5, 4, 11}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var got []int
@@ -80,7 +84,7 @@
 		all := slices.Clone(ordinary)
 		held := 0
 		for range rapid.IntRange(1, 50).Draw(t, "crowd") {
-			h := rapid.SampledFrom([]Holding{halfHead, almostWhole, trickled, readsNothing}).Draw(t, "client")
+			h := rapid.SampledFrom([]Holding{halfHead, almostWhole, trickled, readsNothing, longRefused}).Draw(t, "client")
 			h.For += time.Duration(rapid.IntRange(0, 60_000).Draw(t, "ms")) * time.Millisecond
 			held += h.Bytes
 			all = append(all, h)
--- a/intake/account.go
+++ b/intake/account.go
@@ -31,7 +31,8 @@
 	sweepInterval = time.Second
 	// roomInterval is the least time between two searches for connections to close.
 	roomInterval = 10 * time.Millisecond
-	// maxUnread is how long a write to a client may be blocked, maxSending how long a client may take to send a request.
+	// maxUnread is how long a write to a client may be blocked, and how long a client may take to read a refusal; maxSending is how long it may take to
+	// send a request.
 	maxUnread  = 6 * time.Second
 	maxSending = 65 * time.Second
 )
@@ -152,7 +153,8 @@
 // closeExpired closes the connections whose clients have not read or sent for too long.
 func (a *Account) closeExpired(now time.Time) {
 	for c, h := range a.holdings(now) {
-		if h.Phase == buffering.Unread && h.For > maxUnread || h.Phase == buffering.Sending && h.For > maxSending {
+		most := map[buffering.Phase]time.Duration{buffering.Unread: maxUnread, buffering.Refused: maxUnread, buffering.Sending: maxSending}[h.Phase]
+		if most > 0 && h.For > most {
 			c.cut("Expired")
 		}
 	}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -20,6 +20,8 @@
 	readAheadBytes = 4 << 10
 	// headSlackBytes is how much longer than the limit a head may be, since the limit does not define what counts.
 	headSlackBytes = 4 << 10
+	// maxWriteBytes limits a single write.
+	maxWriteBytes = 64 << 10
 	// blockedAfter is how long a write takes until it counts as blocked.
 	blockedAfter = 500 * time.Millisecond
 )
@@ -118,11 +120,17 @@
 	return nil
 }
 
-// Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
-	c.writing.Store(time.Now().UnixNano())
+// Write implements net.Conn. It writes in parts, so that a write that makes progress does not count as blocked.
+func (c *Conn) Write(p []byte) (written int, err error) {
 	defer c.writing.Store(0)
-	return c.Conn.Write(p)
+	for {
+		c.writing.Store(time.Now().UnixNano())
+		n, err := c.Conn.Write(p[:min(len(p), maxWriteBytes)])
+		written += n
+		if p = p[n:]; err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
 }
 
 // CloseWrite closes the writing side, as net/http does after a response that ends before its request.
