--- a/quorum/silence.go
+++ b/quorum/silence.go
@@ -15,6 +15,12 @@
 		clear(s.silentVoters)
 		return
 	}
+	standbys := 0
+	for _, p := range status.Peers {
+		if !p.Voter && p.CaughtUp {
+			standbys++
+		}
+	}
 	for _, p := range status.Peers {
 		silent := p.Voter && p.ID != s.id && p.SilentTicks >= silentTicks
 		if silent == s.silentVoters[p.ID] {
@@ -22,7 +28,7 @@
 		}
 		if silent {
 			s.silentVoters[p.ID] = true
-			s.log.Info("voter is silent", "address", p.Address, "member", p.ID, "match", p.Match, "last", status.Last,
+			s.log.Info("voter is silent", "address", p.Address, "member", p.ID, "match", p.Match, "last", status.Last, "standbys", standbys,
 				"ms", (time.Duration(p.SilentTicks) * s.tick).Milliseconds())
 			continue
 		}
