Have a member that stops give up its vote to one that stays

Cause: a member that stopped handed over the leadership and kept its vote. Only silence cost it the vote, however many members could have replaced it.

Change: a member that is about to stop announces it to its leader, until that answers. The leader promotes a live learner that stays, then demotes the leaver, whose vote counts until then, and tells it that it may stop; it is told at once if nobody can take its place. A leader hands over first, to a voter that stays. The member is demoted rather than removed, so a restart finds it in the group, as a learner. Groups without learners stop as before.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PARALLEL ?= 4
 CROWDS ?= all
 
-.PHONY: bench-requests broken build capacity crowds e2e faults fmt generate lint replay soak system test unit vet
+.PHONY: bench-requests broken build capacity crowds departures e2e faults fmt generate lint replay soak system test unit vet
 
 build:
 	$(GO) build -o burdocksaddle .
@@ -16,6 +16,7 @@
 test: fmt lint vet build unit system
 	$(MAKE) faults SEEDS=2
 	$(MAKE) faults SEEDS=1 SHAPE=large PARALLEL=2
+	$(MAKE) departures
 	$(MAKE) crowds CROWDS=short
 
 fmt:
@@ -44,6 +45,10 @@
 faults:
 	BURDOCKSADDLE_FAULTS=1 SEEDS=$(SEEDS) FIRST=$(FIRST) SHAPE=$(SHAPE) .ci/known-red $(GO) test ./e2e -run TestPlatformFaults -count=1 -parallel $(PARALLEL) -timeout 60m -v
 
+# departures has stewards, as real processes, leave their group several at a time, in series and beside losses.
+departures:
+	BURDOCKSADDLE_FAULTS=1 .ci/known-red $(GO) test ./e2e -run TestStewardDepartures -count=1 -parallel $(PARALLEL) -timeout 10m -v
+
 broken:
 	BURDOCKSADDLE_FAULTS=1 $(GO) test ./e2e -run TestChecksFail -count=1 -parallel 4 -timeout 10m -v
 
--- a/consensus/absence.go
+++ b/consensus/absence.go
@@ -1,13 +1,15 @@
 package consensus
 
-// Absence describes a member that is of no use for the quorum at the moment. A leader sends them with its heartbeats and
+// Absence describes a member that is of no use for the quorum at the moment, or is about to stop. A leader sends them with its heartbeats and
 // when it hands over, so that the time until a lost voter is replaced does not start again with each leader.
 type Absence struct {
 	Member                    uint64
 	SilentTicks, StalledTicks uint64
+	// Leaving reports whether the member announced that it was about to stop.
+	Leaving bool
 }
 
-// currentAbsences returns the members that this leader does not hear from.
+// currentAbsences returns the members that this leader does not hear from, or that are about to stop.
 func (c *Core) currentAbsences() []Absence {
 	var absences []Absence
 	for _, id := range c.peerIDs() {
@@ -15,11 +17,11 @@
 		if p == nil {
 			continue
 		}
-		a := Absence{Member: id, SilentTicks: c.silentTicks(p) + p.inherited.SilentTicks}
+		a := Absence{Member: id, SilentTicks: c.silentTicks(p) + p.inherited.SilentTicks, Leaving: p.leaving}
 		if stalled := c.stalledTicks(p); stalled > 0 {
 			a.StalledTicks = stalled + p.inherited.StalledTicks
 		}
-		if max(a.SilentTicks, a.StalledTicks) > liveSilenceTicks {
+		if max(a.SilentTicks, a.StalledTicks) > liveSilenceTicks || a.Leaving {
 			absences = append(absences, a)
 		}
 	}
@@ -34,7 +36,7 @@
 		if p == nil {
 			continue
 		}
-		p.inherited = a
+		p.inherited, p.leaving = a, a.Leaving
 		if a.SilentTicks > liveSilenceTicks {
 			p.inherited.SilentTicks += elapsed
 		}
@@ -48,7 +50,7 @@
 // answered this one.
 func (c *Core) observe(peer *PeerStatus, p *progress) {
 	peer.SilentTicks, peer.StalledTicks = c.silentTicks(p), c.stalledTicks(p)
-	if c.tick-c.electedTick <= liveSilenceTicks {
+	if c.tick-c.electedTick <= c.config.ElectionTicks {
 		return
 	}
 	peer.SilentTicks += p.inherited.SilentTicks
--- a/consensus/absence_test.go
+++ b/consensus/absence_test.go
@@ -26,21 +26,22 @@
 	if got := silence(c, third); got > 1 {
 		t.Errorf("a leader that has just been elected relies on a silence of %d ticks", got)
 	}
-	answer := func() {
-		c.Step(consensus.Message{Kind: consensus.KindHeartbeatReply, From: second, To: self, Term: term, SentTick: c.Status().ProofAge})
-	}
-	for range 6 {
+	for range 11 {
 		c.Tick()
-		answer()
+		for _, m := range messagesOfKind(drainReady(c), consensus.KindHeartbeat) {
+			if m.To != second {
+				continue
+			}
+			if len(m.Absences) != 1 || m.Absences[0].Member != third || m.Absences[0].SilentTicks < 40 {
+				t.Errorf("absences in a heartbeat: %+v", m.Absences)
+			}
+			c.Step(consensus.Message{Kind: consensus.KindHeartbeatReply, From: second, To: self, Term: term, SentTick: m.SentTick})
+		}
+		c.Step(consensus.Message{Kind: consensus.KindAppendReply, From: second, To: self, Term: term, Index: c.Status().Last})
 	}
-	if got := silence(c, third); got < 60 {
+	if got := silence(c, third); got < 65 {
 		t.Errorf("silent for %d ticks, want 40 and those since", got)
 	}
-	for _, m := range messagesOfKind(drainReady(c), consensus.KindHeartbeat) {
-		if m.To == second && (len(m.Absences) != 1 || m.Absences[0].Member != third || m.Absences[0].SilentTicks < 40) {
-			t.Errorf("absences in a heartbeat: %+v", m.Absences)
-		}
-	}
 	c.Step(consensus.Message{Kind: consensus.KindHeartbeatReply, From: third, To: self, Term: term})
 	if got := silence(c, third); got != 0 {
 		t.Errorf("silent for %d ticks after an answer", got)
--- a/consensus/change.go
+++ b/consensus/change.go
@@ -4,12 +4,13 @@
 type ChangeKind uint8
 
 // Membership changes. Adding a learner removes other learners with the same name. One voter at a time is promoted or
-// removed; the address of a member can be updated.
+// removed, or demoted to a learner; the address of a member can be updated.
 const (
 	ChangeAddLearner ChangeKind = iota + 1
 	ChangePromote
 	ChangeRemove
 	ChangeAddress
+	ChangeDemote
 )
 
 // Change describes one membership change.
@@ -45,6 +46,11 @@
 	return nil
 }
 
+// CanChange reports whether this member leads, and may propose a membership change.
+func (c *Core) CanChange() bool {
+	return c.role == RoleLeader && c.transferee == 0 && c.hasCommittedInTerm() && c.log.configuration().index <= c.log.committed
+}
+
 func (c *Core) nextConfiguration(change Change) (Configuration, error) {
 	current, member := c.configuration(), change.Member
 	present, known := current.Member(member.ID)
@@ -77,6 +83,12 @@
 			return refuse("not a member, or the only voter")
 		}
 		return current.WithoutMember(member.ID), nil
+	case ChangeDemote:
+		if !present.Voter || len(current.Voters()) == 1 {
+			return refuse("not a voter, or the only one")
+		}
+		present.Voter = false
+		return current.WithMember(present), nil
 	}
 	if !known {
 		return refuse("not a member")
--- a/consensus/codec.go
+++ b/consensus/codec.go
@@ -12,10 +12,10 @@
 		Kind: uint32(m.Kind), Term: m.Term, Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
 		Entries: EntriesToWire(m.Entries), Reject: m.Reject, Hint: m.Hint, Transfer: m.Transfer,
 		Round: m.Round, SentTick: m.SentTick, EchoTick: m.EchoTick, ProofAge: m.ProofAge, Token: m.Token,
-		Offset: m.Offset, Chunk: m.Chunk, LastChunk: m.LastChunk,
+		Offset: m.Offset, Chunk: m.Chunk, LastChunk: m.LastChunk, Leaving: m.Leaving,
 	}
 	for _, a := range m.Absences {
-		w.Absences = append(w.Absences, &wirepb.LogAbsence{Member: a.Member, Silent: a.SilentTicks, Stalled: a.StalledTicks})
+		w.Absences = append(w.Absences, &wirepb.LogAbsence{Member: a.Member, Silent: a.SilentTicks, Stalled: a.StalledTicks, Leaving: a.Leaving})
 	}
 	if m.Kind == KindSnapshot {
 		w.Configuration = m.Configuration.ToWire()
@@ -40,14 +40,14 @@
 	}
 	var absences []Absence
 	for _, a := range w.GetAbsences() {
-		absences = append(absences, Absence{Member: a.GetMember(), SilentTicks: a.GetSilent(), StalledTicks: a.GetStalled()})
+		absences = append(absences, Absence{Member: a.GetMember(), SilentTicks: a.GetSilent(), StalledTicks: a.GetStalled(), Leaving: a.GetLeaving()})
 	}
 	return Message{
 		Kind: MessageKind(kind), From: from, To: to, Term: w.GetTerm(), Index: w.GetIndex(), LogTerm: w.GetLogTerm(),
 		Commit: w.GetCommit(), Entries: entries, Reject: w.GetReject(), Hint: w.GetHint(), Transfer: w.GetTransfer(),
 		Round: w.GetRound(), SentTick: w.GetSentTick(), EchoTick: w.GetEchoTick(), ProofAge: w.GetProofAge(),
 		Token: w.GetToken(), Offset: w.GetOffset(), Chunk: w.GetChunk(), LastChunk: w.GetLastChunk(),
-		Configuration: ConfigurationFromWire(w.GetConfiguration()), Absences: absences,
+		Configuration: ConfigurationFromWire(w.GetConfiguration()), Leaving: w.GetLeaving(), Absences: absences,
 	}, nil
 }
 
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -85,6 +85,7 @@
 	reads        readQueue
 	// electedTick is when this leader was elected.
 	electedTick uint64
+	departure   Departure
 	// absences are what the last known leader told about others, as of absencesTick.
 	absences     []Absence
 	absencesTick uint64
@@ -139,15 +140,24 @@
 		c.leader = 0
 		c.failReads()
 	}
+	if c.tick%c.config.HeartbeatTicks == 0 {
+		c.announceDeparture()
+	}
 	if c.tick-c.electionTimerTick < c.electionTimeout {
 		return
 	}
 	c.resetTimer()
-	if c.configuration().IsVoter(c.id) {
+	if c.mayLead() {
 		c.campaign(RolePreCandidate, false)
 	}
 }
 
+// mayLead reports whether this member is a voter. A change that demotes it may be on no other live member, which then don't vote for
+// each other, as their logs are shorter; it may lead until the change is committed.
+func (c *Core) mayLead() bool {
+	return c.configuration().IsVoter(c.id) || c.log.configurationAt(c.log.committed).IsVoter(c.id)
+}
+
 // Step processes a message from another member.
 func (c *Core) Step(m Message) {
 	if m.To != c.id || m.From == c.id {
@@ -192,6 +202,8 @@
 		c.onReadReply(m)
 	case KindTimeoutNow:
 		c.onTimeoutNow(m)
+	case KindLeaveReply:
+		c.onLeaveReply(m)
 	default:
 		c.handleAsLeader(m)
 	}
@@ -203,7 +215,10 @@
 		return
 	}
 	p.lastReceivedTick, p.inherited.SilentTicks = c.tick, 0
+	p.observeDeparture(m)
 	switch m.Kind {
+	case KindLeave:
+		c.answerDeparture(m.From, p)
 	case KindAppendReply:
 		c.onAppendReply(m, p)
 	case KindHeartbeatReply:
@@ -223,6 +238,7 @@
 	c.knownLeaderTerm, c.knownLeader = c.term, m.From
 	if c.role != RoleFollower || c.leader != m.From {
 		c.becomeFollower(c.term, m.From)
+		c.announceDeparture()
 	}
 	c.leaderContactTick, c.electionTimerTick = c.tick, c.tick
 }
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -25,6 +25,12 @@
 	lastReceivedTick, echoTick uint64
 	// progressTick is when the peer last acknowledged entries, or when it began to lack some.
 	progressTick uint64
+	// leaving is set if the peer announced that it is about to stop, and was not heard from since it started again. leavingStart
+	// identifies the start of the peer that made the announcement.
+	leaving      bool
+	leavingStart uint64
+	// answered is what the leader told the peer about its departure last.
+	answered Departure
 	// inherited is what the previous leader told about the peer, until this leader finds out for itself.
 	inherited Absence
 
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -56,6 +56,7 @@
 	if m.Term == 0 {
 		m.Term = c.term
 	}
+	m.Leaving = c.departure != DepartureNone
 	if len(c.outbox.queued) >= c.config.Limits.QueuedMessages {
 		return
 	}
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -7,25 +7,74 @@
 // liveSilenceTicks is how long a member may be silent and still count as live, which is two heartbeats and a half.
 const liveSilenceTicks = 5
 
-// NextRepair returns the next membership change that a leader should make, or false if there is none. A learner that
-// rejoined with a new ID under the name of a voter replaces that voter. A standby learner, or a former voter that
-// rejoined as a learner, replaces a voter that has been silent, or has acknowledged none of the entries that it lacks, for
-// replaceAfter ticks; 0 disables this. That voter is removed first, once a learner that has caught up is available: promoting the
-// learner first would require more live voters than before, and a second failure would lose the quorum. A change that the live members
-// cannot commit is not made: it is in effect at once, and no other could follow it.
+// NextRepair returns the next membership change that a leader should make, or false if there is none. There are as many voters as
+// Configuration.Target if enough members stay: neither lost nor about to stop.
+//
+// A voter is lost if it has been silent, or has acknowledged none of the entries that it lacks, for replaceAfter ticks, or if a member with
+// a new ID has joined under its name; 0 disables the former. Voters that are lost, or about to stop, are replaced by learners that have
+// caught up. At no step does the group bear fewer further losses than before:
+//   - A voter that is lost is removed before its successor is promoted. Promoting the successor first would require more live voters than
+//     before, and its loss would lose the quorum.
+//   - A voter that is about to stop is demoted only after its successor was promoted. It can still vote, or may soon be back, and a smaller
+//     group bears fewer losses.
+//   - A change that the live members cannot commit is not made: it is in effect at once, and no other could follow it.
+//
+// A leader does not demote itself; it hands over the leadership first. A learner that has been silent for replaceAfter ticks is removed;
+// it may join again.
 func NextRepair(s Status, replaceAfter uint64) (Change, bool) {
 	if s.Role != RoleLeader || !s.ConfigurationCommitted {
 		return Change{}, false
 	}
+	change, ok := s.nextVoterChange(replaceAfter)
+	if !ok {
+		change, ok = s.lostLearner(replaceAfter)
+	}
+	return change, ok && s.canCommit(change)
+}
+
+func (s Status) nextVoterChange(replaceAfter uint64) (Change, bool) {
 	voters, target := len(s.Configuration.Voters()), int(s.Configuration.Target)
 	learner, promotable := promotableLearner(s)
+	promote := Change{Kind: ChangePromote, Member: learner.Member}
 	if voters < target {
-		change := Change{Kind: ChangePromote, Member: learner.Member}
-		return change, promotable && s.canCommit(change)
+		return promote, promotable
+	}
+	surplus := target > 0 && voters > target
+	lost, isLost := longestLostVoter(s, replaceAfter)
+	leaving, isLeaving := leavingVoter(s)
+	switch {
+	case isLost && (promotable || surplus):
+		return Change{Kind: ChangeRemove, Member: lost.Member}, true
+	case surplus:
+		return s.demoteSurplus(leaving)
+	}
+	return promote, promotable && isLeaving
+}
+
+// demoteSurplus returns the change that reduces the voters to their target: it demotes one that is about to stop, else the last one that joined.
+func (s Status) demoteSurplus(leaving PeerStatus) (Change, bool) {
+	found := leaving
+	if found.ID == 0 {
+		for _, p := range s.Peers {
+			if !p.isLive() {
+				return Change{}, false // it may be lost, and is to be removed then
+			}
+			if p.Voter && p.ID != s.ID {
+				found = p
+			}
+		}
+	}
+	return Change{Kind: ChangeDemote, Member: found.Member}, found.ID != 0 && found.ID != s.ID
+}
+
+// lostLearner returns the change that removes a learner that has been silent for replaceAfter ticks.
+func (s Status) lostLearner(replaceAfter uint64) (Change, bool) {
+	for _, p := range s.Peers {
+		if replaceAfter > 0 && !p.Voter && p.SilentTicks >= replaceAfter {
+			return Change{Kind: ChangeRemove, Member: p.Member}, true
+		}
 	}
-	lost, ok := longestLostVoter(s, replaceAfter)
-	change := Change{Kind: ChangeRemove, Member: lost.Member}
-	return change, ok && (promotable || voters > target) && s.canCommit(change)
+	return Change{}, false
 }
 
 // canCommit reports whether the live members are a quorum of the voters after a change.
@@ -40,18 +89,29 @@
 			continue
 		}
 		voters++
-		if p.ID == s.ID || p.lostTicks() <= liveSilenceTicks {
+		if p.ID == s.ID || p.isLive() {
 			live++
 		}
 	}
 	return 2*live > voters
 }
 
-// promotableLearner returns a learner that has caught up, preferably one that is not a standby.
+// promotableLearner returns a live learner that has caught up and stays, preferably one that is not a standby.
 func promotableLearner(s Status) (PeerStatus, bool) {
 	var found PeerStatus
 	for _, p := range s.Peers {
-		if !p.Voter && p.CaughtUp && (found.ID == 0 || found.Standing && !p.Standing) {
+		if !p.Voter && p.CaughtUp && !p.Leaving && p.isLive() && (found.ID == 0 || found.Standing && !p.Standing) {
+			found = p
+		}
+	}
+	return found, found.ID != 0
+}
+
+// leavingVoter returns a voter that is about to stop, or has stopped after it said so. One that is gone comes first, the leader itself last.
+func leavingVoter(s Status) (PeerStatus, bool) {
+	var found PeerStatus
+	for _, p := range s.Peers {
+		if p.Voter && p.Leaving && (found.ID == 0 || found.ID == s.ID || p.ID != s.ID && p.SilentTicks > found.SilentTicks) {
 			found = p
 		}
 	}
@@ -70,6 +130,9 @@
 	return longest, longest.ID != 0
 }
 
+// isLive reports whether a peer has answered the last heartbeats and acknowledges entries.
+func (p PeerStatus) isLive() bool { return p.lostTicks() <= liveSilenceTicks }
+
 // lostTicks is how long a peer has been of no use for the quorum.
 func (p PeerStatus) lostTicks() uint64 { return max(p.SilentTicks, p.StalledTicks) }
 
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -167,6 +167,7 @@
 	for _, peer := range c.peerIDs() {
 		c.replicate(peer, true)
 	}
+	c.AnswerDepartures()
 	c.startReadRound()
 	return true
 }
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -11,6 +11,8 @@
 	StalledTicks uint64
 	// CaughtUp reports whether a learner may be promoted to voter.
 	CaughtUp bool
+	// Leaving reports whether the peer is about to stop, or has stopped after it said so.
+	Leaving bool
 }
 
 // Status describes the state of a member at one point in time.
@@ -24,6 +26,7 @@
 	Configuration          Configuration
 	ConfigurationCommitted bool
 	ProofAge               uint64
+	Departure              Departure
 	Peers                  []PeerStatus
 }
 
@@ -34,15 +37,16 @@
 		ID: c.id, Term: c.term, Leader: c.leader, Role: c.role, Committed: c.log.committed, First: c.log.baseIndex + 1,
 		Last: c.log.lastIndex(), Stable: c.log.stable, Snapshot: c.snapshot.Index, Configuration: latest.configuration,
 		ConfigurationCommitted: latest.index <= c.log.committed, ProofAge: c.ProofAge(),
+		Departure: c.departure,
 	}
 	for _, m := range latest.configuration.Members {
 		peer := PeerStatus{Member: m}
 		if m.ID == c.id {
-			peer.Match, peer.CaughtUp = c.log.stable, true
+			peer.Match, peer.CaughtUp, peer.Leaving = c.log.stable, true, c.departure != DepartureNone
 		} else if p := c.peers[m.ID]; p != nil {
 			peer.State, peer.Match = p.state, p.match
 			c.observe(&peer, p)
-			peer.CaughtUp = c.caughtUp(m.ID)
+			peer.CaughtUp, peer.Leaving = c.caughtUp(m.ID), p.leaving
 		}
 		s.Peers = append(s.Peers, peer)
 	}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -67,6 +67,9 @@
 	KindRead
 	KindReadReply
 	KindTimeoutNow
+	// KindLeave announces that a member is about to stop, KindLeaveReply tells it that it may.
+	KindLeave
+	KindLeaveReply
 	kindEnd
 )
 
@@ -101,7 +104,9 @@
 	LastChunk     bool
 	Configuration Configuration
 
-	// Absences are the members that the leader does not hear from.
+	// Leaving is set while the sender is about to stop.
+	Leaving bool
+	// Absences are the members that the leader does not hear from, or that are about to stop.
 	Absences []Absence
 }
 
--- a/control/replicated_log.go
+++ b/control/replicated_log.go
@@ -32,6 +32,8 @@
 	// Index is the last log entry the member is known to have, Lag the number of entries it lacks.
 	Index uint64
 	Lag   uint64
+	// Leaving reports whether the member is about to stop, or has stopped after it said so; only the leader knows.
+	Leaving bool `json:",omitempty"`
 	// SilentMS is the time since the leader last heard from the member.
 	SilentMS int64 `json:",omitempty"`
 }
@@ -43,7 +45,7 @@
 		for _, s := range log.Members() {
 			members = append(members, MemberInfo{
 				Name: s.Name, Address: s.Address, Leader: s.Leader, Voter: s.Voter,
-				Index: s.Match, Lag: s.Lag, SilentMS: s.SilentFor.Milliseconds(),
+				Index: s.Match, Lag: s.Lag, Leaving: s.Leaving, SilentMS: s.SilentFor.Milliseconds(),
 			})
 		}
 		return members
--- /dev/null
+++ b/e2e/control_departures_test.go
@@ -0,0 +1,107 @@
+package e2e
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocksaddle/operatorapi"
+)
+
+// TestControlDepartures guards against planned stops of control members that end the group, though standby learners have caught up.
+func TestControlDepartures(t *testing.T) {
+	tests := map[string]func(c *memCluster, names []string){
+		"two in series": func(c *memCluster, names []string) {
+			c.stopControls(names[0])
+			time.Sleep(time.Second)
+			c.stopControls(names[1])
+		},
+		"three at once": func(c *memCluster, names []string) { c.stopControls(names...) },
+		"one, then a loss": func(c *memCluster, names []string) {
+			c.stopControls(names[0])
+			c.killNode(names[1])
+		},
+		"restarts in turn": func(c *memCluster, names []string) {
+			for _, name := range names {
+				c.stopControls(name)
+				c.startNode(name)
+				c.mustChange("during " + name)
+			}
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			runtime.GC() // drops the timers that yamux pooled in an earlier synctest bubble
+			runtime.GC()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				c := newIdleMemCluster(ctx, t, dir, io.Discard)
+				c.learners = 3
+				if err := c.writeCatalog(); err != nil {
+					t.Fatal(err)
+				}
+				for i := range c.controls + c.learners {
+					c.startNode(controlName(i))
+				}
+				c.mustChange("before")
+				time.Sleep(settleTime)
+				run(c, []string{controlName(0), controlName(1), controlName(2)})
+				c.mustChange("after")
+				c.close()
+				cancel()
+				time.Sleep(time.Minute) // the network's goroutines end
+			})
+		})
+	}
+}
+
+// stopControls shuts control members down at once.
+func (c *memCluster) stopControls(names ...string) {
+	var stopped sync.WaitGroup
+	for _, name := range names {
+		n := c.nodes[name]
+		delete(c.nodes, name)
+		stopped.Go(func() {
+			began := time.Now()
+			n.cancel()
+			if err := <-n.exited; err != nil {
+				c.t.Errorf("%s exited with %v", name, err)
+			}
+			c.network.Crash(name)
+			if took := time.Since(began); took > stopTimeout {
+				c.t.Errorf("%s took %v to stop", name, took)
+			}
+		})
+	}
+	stopped.Wait()
+}
+
+// mustChange has any control member accept a change of the catalog.
+func (c *memCluster) mustChange(operation string) {
+	c.t.Helper()
+	attempt := 0
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		for name := range c.nodes {
+			base := c.catalogVersionOf(name)
+			if base == 0 {
+				continue
+			}
+			attempt++ // an earlier attempt may have changed the version
+			header := http.Header{"Operation-Id": {operation + strconv.Itoa(attempt)}, "If-Match": {strconv.Quote(strconv.FormatUint(base, 10))}}
+			var answer struct{ Version uint64 }
+			status, err := c.requestJSON(http.MethodPost, c.operatorURLOf(name)+operatorapi.PathChanges, header, presetChange(c.changeCount+attempt), &answer, 3*time.Second)
+			if err == nil && status == http.StatusOK {
+				c.changeCount += attempt
+				return
+			}
+		}
+	}
+	c.t.Errorf("change %q was not accepted within %v", operation, readyTimeout)
+}
--- a/e2e/layout_test.go
+++ b/e2e/layout_test.go
@@ -73,9 +73,7 @@
 // callerURL returns the base URL of an entry's caller API.
 func (l layout) callerURL(i int) string { return "http://" + l.host(entryName(i)) + ":" + callerPort }
 
-// operatorURL returns the base URL of a control member's operator API.
-func (l layout) operatorURL(i int) string { return l.operatorURLOf(controlName(i)) }
-
+// operatorURLOf returns the base URL of a node's operator API.
 func (l layout) operatorURLOf(name string) string {
 	return "http://" + l.host(name) + ":" + operatorPort
 }
--- a/e2e/mem_cluster_test.go
+++ b/e2e/mem_cluster_test.go
@@ -262,14 +262,20 @@
 // catalogVersion returns the newest catalog version that any control member reports.
 func (c *memCluster) catalogVersion() (newest uint64) {
 	for i := range c.controls {
-		var current catalog.Catalog
-		if status, err := c.requestJSON(http.MethodGet, c.operatorURL(i)+operatorapi.PathCatalog, nil, nil, &current, time.Second); err == nil && status == http.StatusOK {
-			newest = max(newest, current.Version)
-		}
+		newest = max(newest, c.catalogVersionOf(controlName(i)))
 	}
 	return newest
 }
 
+// catalogVersionOf returns the catalog version that a control member reports, or 0 if it does not answer.
+func (c *memCluster) catalogVersionOf(name string) uint64 {
+	var current catalog.Catalog
+	if status, err := c.requestJSON(http.MethodGet, c.operatorURLOf(name)+operatorapi.PathCatalog, nil, nil, &current, time.Second); err != nil || status != http.StatusOK {
+		return 0
+	}
+	return current.Version
+}
+
 // close stops all nodes.
 func (c *memCluster) close() {
 	for _, name := range slices.Sorted(maps.Keys(c.nodes)) {
--- a/node/stop.go
+++ b/node/stop.go
@@ -12,8 +12,9 @@
 	// lingerTime is the delay before the sessions close, so that the last frames reach their peers.
 	lingerTime = 200 * time.Millisecond
 	// leaveNoticeTime gives the control members and entries time to learn that an agent is leaving.
-	leaveNoticeTime       = 500 * time.Millisecond
-	leaderTransferTimeout = 3 * time.Second
+	leaveNoticeTime = 500 * time.Millisecond
+	// leaveGroupTimeout limits the wait for a control member's successors as voter and leader.
+	leaveGroupTimeout = 3 * time.Second
 	// httpShutdownTimeout limits the wait for responses when the HTTP servers are shut down; the entry has finished its requests by then.
 	httpShutdownTimeout = time.Second
 	// finalResponseTime is reserved for the responses to requests that were canceled.
@@ -34,9 +35,9 @@
 		n.stopAgent(ctx)
 	}
 	if n.member != nil {
-		transferCtx, cancel := context.WithTimeout(ctx, leaderTransferTimeout)
-		if err := n.replicatedLog.TransferLeader(transferCtx); err != nil {
-			n.log.Info("leadership transfer failed", "error", err.Error())
+		leaveCtx, cancel := context.WithTimeout(ctx, leaveGroupTimeout)
+		if err := n.replicatedLog.Leave(leaveCtx); err != nil {
+			n.log.Info("stopping without having left the control group", "error", err.Error())
 		}
 		cancel()
 	}
--- a/quorum/join.go
+++ b/quorum/join.go
@@ -33,7 +33,7 @@
 func (l *Log) ensureMembership(ctx context.Context) {
 	status := l.published.Load().status
 	own, member := status.Configuration.Member(l.id)
-	if member && status.Leader != 0 && own.Address == l.config.Address {
+	if status.Departure != consensus.DepartureNone || member && status.Leader != 0 && own.Address == l.config.Address {
 		return
 	}
 	others := l.otherPeers(status)
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -9,11 +9,13 @@
 
 // MemberStatus describes a member as seen by the leader; SilentFor is 0 for the leader itself.
 type MemberStatus struct {
-	ID        uint64
-	Name      string
-	Address   string
-	Voter     bool
-	Leader    bool
+	ID      uint64
+	Name    string
+	Address string
+	Voter   bool
+	Leader  bool
+	// Leaving reports whether the member is about to stop, or has stopped after it said so; only the leader knows.
+	Leaving   bool
 	Match     uint64
 	Lag       uint64
 	SilentFor time.Duration
@@ -35,6 +37,9 @@
 
 func (l *Log) publish() {
 	status := l.core.Status()
+	if status.ProofAge != consensus.NoProof {
+		l.provenAt.Store(max(l.provenAt.Load(), time.Now().Add(-time.Duration(status.ProofAge)*l.tick).UnixNano()))
+	}
 	l.published.Store(&publishedStatus{at: time.Now(), status: status, leaderAddress: l.peers.address(status.Configuration, status.Leader)})
 }
 
@@ -67,7 +72,7 @@
 	return v.leaderAddress, v.status.Role == consensus.RoleLeader
 }
 
-// Members returns the members in join order; Match, Lag and SilentFor are set only on the leader.
+// Members returns the members in join order; Leaving, Match, Lag and SilentFor are set only on the leader.
 func (l *Log) Members() []MemberStatus {
 	v := l.published.Load()
 	isLeader := v.status.Role == consensus.RoleLeader
@@ -76,6 +81,7 @@
 		m := MemberStatus{ID: p.ID, Name: p.Name, Address: p.Address, Voter: p.Voter, Leader: p.ID == v.status.Leader}
 		if isLeader {
 			m.Match, m.Lag = p.Match, v.status.Last-min(p.Match, v.status.Last)
+			m.Leaving = p.Leaving
 			m.SilentFor = time.Duration(p.SilentTicks) * l.tick
 		}
 		members = append(members, m)
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -36,6 +36,7 @@
 // coreRequest is a request that the step loop has to make to the core; errc must have room for one error.
 type coreRequest struct {
 	transfer  bool
+	leave     bool
 	join      *consensus.Member
 	bootstrap *consensus.Configuration
 	errc      chan error
@@ -111,6 +112,11 @@
 			s.pendingTasks = s.pendingTasks[1:]
 		}
 		s.advanceTicks()
+		if s.core.HasDepartures() {
+			s.leave()
+			s.repair()
+			s.core.AnswerDepartures()
+		}
 	}
 }
 
@@ -141,6 +147,7 @@
 	s.retryReads()
 	s.repair()
 	s.handOver()
+	s.leave()
 	s.logSilence(s.core.Status())
 	s.publish()
 }
@@ -159,11 +166,10 @@
 
 // repair proposes the next membership change that the leader should make.
 func (s *stepper) repair() {
-	status := s.core.Status()
-	if status.Role != consensus.RoleLeader {
+	if !s.core.CanChange() {
 		return
 	}
-	if change, ok := consensus.NextRepair(status, uint64(s.config.ReplaceAfter/s.tick)); ok {
+	if change, ok := consensus.NextRepair(s.core.Status(), uint64(s.config.ReplaceAfter/s.tick)); ok {
 		err := s.core.ProposeChange(change)
 		s.log.Info("membership change", "kind", change.Kind, "name", change.Member.Name, "member", change.Member.ID, "error", err)
 	}
@@ -185,6 +191,18 @@
 	}
 }
 
+// leave transfers the leadership if this member is about to stop.
+func (s *stepper) leave() {
+	status := s.core.Status()
+	to, ok := consensus.NextHandOver(status)
+	if !ok {
+		return
+	}
+	if err := s.core.Transfer(to); err == nil {
+		s.log.Info("handing over the leadership before a stop", "member", s.id, "to", to)
+	}
+}
+
 func (s *stepper) propose(p *proposal) {
 	if !p.claimed.CompareAndSwap(false, true) {
 		return
@@ -206,6 +224,11 @@
 	switch {
 	case r.bootstrap != nil:
 		return s.core.Bootstrap(*r.bootstrap)
+	case r.leave:
+		s.core.Leave()
+		s.leave()
+		s.publish()
+		return nil
 	case status.Role != consensus.RoleLeader:
 		return ErrNotLeader{LeaderAddress: s.peers.address(status.Configuration, status.Leader)}
 	case r.transfer:
@@ -256,7 +279,7 @@
 	}
 	v := s.published.Load()
 	status := s.core.Status()
-	if v.status.Role != status.Role || v.status.Term != status.Term || v.status.Leader != status.Leader || v.status.Committed != status.Committed {
+	if v.status.Role != status.Role || v.status.Term != status.Term || v.status.Leader != status.Leader || v.status.Departure != status.Departure || v.status.Committed != status.Committed {
 		s.publish()
 	}
 	if isLeader := status.Role == consensus.RoleLeader; isLeader != s.wasLeader {
--- a/storage/soak_node_test.go
+++ b/storage/soak_node_test.go
@@ -12,6 +12,7 @@
 	snapshotEvery = 30
 	replaceTicks  = 60
 	joinTicks     = 10
+	maxLeaveTicks = 60
 )
 
 // node is a data directory and the process that runs on it, if any.
@@ -38,6 +39,12 @@
 	writes              map[uint64]*call
 	reads               map[uint64]*call
 	pendingReads        []pendingRead
+
+	// left is called once a node that leaves has stopped, which it does when its ticks reach leaveBy at the latest.
+	left    func()
+	leaveBy int
+	// generation counts the machines that took this node's place.
+	generation int
 }
 
 // diskWrite is one queued write to the disk.
@@ -119,7 +126,7 @@
 	if !n.up {
 		return
 	}
-	n.up = false
+	n.up, n.left = false, nil
 	n.epoch++
 	if len(n.queue) > 0 && n.sim.chance(500) {
 		// The power fails while the disk is writing.
@@ -148,6 +155,7 @@
 	n.ticks++
 	n.core.Tick()
 	n.process()
+	n.stopOnceLeft()
 	if !n.up {
 		return
 	}
@@ -156,16 +164,52 @@
 			n.sim.counts["changes"]++
 			n.process()
 		}
+		if to, ok := consensus.NextHandOver(n.core.Status()); ok && n.core.Transfer(to) == nil {
+			n.sim.counts["hand-overs"]++
+			n.process()
+		}
+		n.core.AnswerDepartures()
+		n.process()
 	}
 	if n.ticks%joinTicks == 0 {
 		n.join()
 	}
 }
 
+// leave has the node stop once its group allows it, and calls afterwards then.
+func (n *node) leave(afterwards func()) {
+	if !n.up || n.left != nil {
+		return
+	}
+	n.sim.counts["departures"]++
+	n.left, n.leaveBy = afterwards, n.ticks+maxLeaveTicks
+	n.core.Leave()
+	n.process()
+}
+
+func (n *node) stopOnceLeft() {
+	if !n.up || n.left == nil {
+		return
+	}
+	afterwards, status := n.left, n.core.Status()
+	alone := status.Irreplaceable()
+	if _, ok := consensus.NextHandOver(status); ok {
+		alone = false
+	}
+	switch {
+	case status.Departure == consensus.DepartureReleased:
+		n.sim.counts["departures without a vote"]++
+	case status.Departure != consensus.DepartureIrreplaceable && !alone && n.ticks < n.leaveBy:
+		return
+	}
+	n.kill()
+	afterwards()
+}
+
 // join asks the leader to add the node, if the leader is reachable.
 func (n *node) join() {
 	leader := n.sim.leader()
-	if leader == nil || leader == n || !n.sim.connected(n, leader) {
+	if n.left != nil || leader == nil || leader == n || !n.sim.connected(n, leader) {
 		return
 	}
 	if _, known := leader.status.Configuration.Member(n.id); known {
--- a/storage/soak_test.go
+++ b/storage/soak_test.go
@@ -90,7 +90,7 @@
 	if leader := s.leader(); leader != nil && s.chance(400) {
 		n = leader
 	}
-	switch s.random.IntN(9) {
+	switch s.random.IntN(11) {
 	case 0, 1:
 		if s.chance(400) {
 			s.counts["kills"]++
@@ -131,7 +131,27 @@
 		}
 	case 8:
 		s.transferLeadership()
+	case 9:
+		for range 1 + s.random.IntN(2) {
+			s.after(s.between(1, 300), func() {
+				n := s.randomNode()
+				n.leave(func() { s.after(s.between(50, 3000), n.start) })
+			})
+		}
+	case 10:
+		n.leave(func() { s.replace(n) })
+	}
+}
+
+// replace starts an empty node under another name in the place of one that has stopped, or that one again if the group needs it.
+func (s *simulation) replace(n *node) {
+	if s.check.canWipe(n) {
+		s.counts["replacements"]++
+		n.generation++
+		n.name = fmt.Sprintf("n%d.%d", n.slot, n.generation)
+		n.wipe()
 	}
+	s.after(s.between(50, 2000), n.start)
 }
 
 // blockLinks blocks the matching links for a while and then unblocks only those that it blocked.
