Keep the endpoints of a steward that restarts without its vote

A steward that stops gives up its vote to a standby. The leader assigned endpoints to voters only, so a restart would have cost each of its endpoints the wait for the lease of the former holder. Such a steward now keeps what it holds while it reports, and gets nothing new; nothing is moved to even out the load meanwhile, as the one that votes in its place holds nothing yet.

A voter that is silent is now replaced after 2 s instead of 3 s, when its endpoints are reassigned, too: with a standby at hand the group should not bear one loss less for longer.

--- a/holder/assign.go
+++ b/holder/assign.go
@@ -41,8 +41,11 @@
 	// Endpoints are the listed addresses. Gone are those that have been off the list for so long that no order can be in flight. An
 	// endpoint that is in both is kept.
 	Endpoints, Gone []string
-	// SilentFor is the time since the last report of each voting steward.
+	// SilentFor is the time since the last report of each steward that votes or is in Retained.
 	SilentFor map[string]time.Duration
+	// Retained are stewards that gave up their votes before a stop. They keep what they hold while they report, as they would over a
+	// restart, and get nothing new.
+	Retained map[string]bool
 	// ReadyFences are the fencing tokens under which holders report that they may issue orders, keyed by endpoint.
 	ReadyFences map[string]uint64
 	// Rebalance allows moving one endpoint only to even out the load.
@@ -64,7 +67,7 @@
 	}
 	heldCounts := map[string]int{}
 	for steward, silent := range v.SilentFor {
-		if silent <= maxStewardReportAge {
+		if silent <= maxStewardReportAge && !v.Retained[steward] {
 			heldCounts[steward] = 0
 		}
 	}
--- a/holder/assign_test.go
+++ b/holder/assign_test.go
@@ -132,3 +132,25 @@
 		t.Errorf("%t %s", ok, cmp.Diff(table, got))
 	}
 }
+
+// TestRestartWithoutVoteKeepsEndpoints guards against a restart that costs a steward its endpoints, as another one votes in its place.
+func TestRestartWithoutVoteKeepsEndpoints(t *testing.T) {
+	table, _ := Table{}.Next(view(map[string]time.Duration{"a": 0, "b": 0, "c": 0}, endpoints(9)...))
+	v := view(map[string]time.Duration{"a": takeoverTimeout, "b": 0, "c": 0, "d": 0}, endpoints(10)...)
+	v.Retained = map[string]bool{"a": true}
+	next, _ := table.Next(v)
+	if diff := cmp.Diff(map[string]int{"a": 3, "b": 3, "c": 3, "d": 1}, counts(next)); diff != "" {
+		t.Error(diff)
+	}
+	v.SilentFor["a"] = 0
+	v.Endpoints = endpoints(18)
+	next, _ = next.Next(v)
+	if diff := cmp.Diff(map[string]int{"a": 3, "b": 5, "c": 5, "d": 5}, counts(next)); diff != "" {
+		t.Error(diff)
+	}
+	v.SilentFor["a"] = takeoverTimeout + 1
+	next, _ = next.Next(v)
+	if held := counts(next)["a"]; held != 0 {
+		t.Errorf("a steward that has not come back holds %d endpoints", held)
+	}
+}
--- a/steward/assign.go
+++ b/steward/assign.go
@@ -65,9 +65,10 @@
 	})
 }
 
-// holderView returns what the leader knows of endpoints and stewards. The caller must hold the lock.
+// holderView returns what the leader knows of endpoints and stewards. Nothing is moved to even out the load while a steward that is no
+// voter any more holds endpoints, as it may be restarting. The caller must hold the lock.
 func (l *leader) holderView(now time.Time) holder.View {
-	view := holder.View{SilentFor: map[string]time.Duration{}, ReadyFences: maps.Clone(l.readyFences), Rebalance: now.Sub(l.rebalancedAt) > rebalanceInterval}
+	view := holder.View{SilentFor: map[string]time.Duration{}, Retained: map[string]bool{}, ReadyFences: maps.Clone(l.readyFences), Rebalance: now.Sub(l.rebalancedAt) > rebalanceInterval}
 	view.Endpoints = l.planner.Addresses()
 	for address, at := range l.lastListed {
 		if l.listReadAt.Sub(at) <= endpointGoneAfter {
@@ -79,8 +80,16 @@
 			delete(l.lastListed, address)
 		}
 	}
+	holding := map[string]bool{}
+	for _, a := range l.holders.Holders {
+		holding[a.Steward] = true
+	}
 	for _, m := range l.quorumLog.Members() {
-		if !m.Voter {
+		switch {
+		case m.Voter:
+		case holding[m.Address]:
+			view.Retained[m.Address], view.Rebalance = true, false
+		default:
 			continue // it may not be able to verify the quorum yet
 		}
 		last := l.leadershipSince
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -210,8 +210,8 @@
 	return s, err
 }
 
-// replaceAfter is how long a voter may be silent before a newly added machine replaces it.
-const replaceAfter = 3 * time.Second
+// replaceAfter is how long a voter may be silent before another steward replaces it. By then its endpoints are reassigned, too.
+const replaceAfter = 2 * time.Second
 
 // SetPeers updates the addresses of the stewards from the settings. A steward that has lost its group looks for it at these
 // addresses.
