Bound the waits of a member that leaves by live members and a steady clock

Found in reading: a member that stops waited for a learner that had caught up and whose disk then completed no more writes, up to 6.7 s, since no change promotes such a learner. A leader that was elected less than a round trip ago ended without handing over, which costs the group an election. The time since the last proof of a quorum was taken from the time of day, which may jump.

Learners and voters count as successors while they are live, that is heard and acknowledging entries; a leader that stops waits for the first answer of a live voter; the proof's time is monotonic. Before, TestStopDoesNotWaitForSuccessorWithoutProgress reported that the learner could replace the member.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -218,7 +218,7 @@
 	p.observeDeparture(m)
 	switch m.Kind {
 	case KindLeave:
-		c.answerDeparture(m.From, p)
+		c.answerDeparture(m.From, c.departureOf(m.From))
 	case KindAppendReply:
 		c.onAppendReply(m, p)
 	case KindHeartbeatReply:
--- a/consensus/departure.go
+++ b/consensus/departure.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "slices"
+
 // Departure is the state of a member that is about to stop.
 type Departure uint8
 
@@ -57,15 +59,19 @@
 		return
 	}
 	for id, p := range c.peers {
-		if p.leaving && c.silentTicks(p) <= liveSilenceTicks && p.answered != c.departureOf(id) {
-			c.answerDeparture(id, p)
+		if !p.leaving || c.silentTicks(p) > liveSilenceTicks {
+			continue
+		}
+		if answer := c.departureOf(id); answer != p.answered {
+			c.answerDeparture(id, answer)
 		}
 	}
 }
 
 // answerDeparture tells a member that is about to stop whether it may. It sends nothing while that is not decided.
-func (c *Core) answerDeparture(id uint64, p *progress) {
-	p.answered = c.departureOf(id)
+func (c *Core) answerDeparture(id uint64, answer Departure) {
+	p := c.peers[id]
+	p.answered = answer
 	if p.answered != DeparturePending {
 		c.send(Message{Kind: KindLeaveReply, To: id, Reject: p.answered == DepartureIrreplaceable})
 	}
@@ -106,14 +112,17 @@
 
 // hasSuccessor reports whether a live learner that stays can replace a voter, now or once it has caught up.
 func (s Status) hasSuccessor() bool {
-	for _, p := range s.Peers {
-		if !p.Voter && !p.Leaving && p.SilentTicks <= liveSilenceTicks && (p.CaughtUp || p.StalledTicks <= liveSilenceTicks) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.Peers, func(p PeerStatus) bool { return !p.Voter && p.staysLive() })
 }
 
+// MayHandOver reports whether there is another live voter that stays, which can lead now or once it has answered this leader.
+func (s Status) MayHandOver() bool {
+	return slices.ContainsFunc(s.Peers, func(p PeerStatus) bool { return p.Voter && p.ID != s.ID && p.staysLive() })
+}
+
+// staysLive reports whether a peer is live and not about to stop.
+func (p PeerStatus) staysLive() bool { return !p.Leaving && p.isLive() }
+
 // HasDepartures reports whether this member leads, and it or another live member is about to stop.
 func (c *Core) HasDepartures() bool {
 	if c.role != RoleLeader {
@@ -138,7 +147,7 @@
 	}
 	var best PeerStatus
 	for _, p := range s.Peers {
-		if p.Voter && p.ID != s.ID && p.CaughtUp && !p.Leaving && p.SilentTicks <= liveSilenceTicks && (best.ID == 0 || p.Match > best.Match) {
+		if p.Voter && p.ID != s.ID && p.CaughtUp && p.staysLive() && (best.ID == 0 || p.Match > best.Match) {
 			best = p
 		}
 	}
--- a/consensus/departure_test.go
+++ b/consensus/departure_test.go
@@ -209,6 +209,17 @@
 	}
 }
 
+// TestStopDoesNotWaitForSuccessorWithoutProgress guards against stops that wait for a learner whose disk does not complete a write.
+func TestStopDoesNotWaitForSuccessorWithoutProgress(t *testing.T) {
+	s := votersOf([]memberState{leaving, leftForGood, silent}, 1)
+	for stalled, want := range map[uint64]bool{0: false, 10: true} {
+		s.Peers[3].StalledTicks = stalled
+		if got := s.Irreplaceable(); got != want {
+			t.Errorf("learner stalled for %d ticks: irreplaceable %t, want %t", stalled, got, want)
+		}
+	}
+}
+
 // TestDemotedMemberLeadsUntilOthersKnow guards against a group without a leader: a member has the change that demotes it, which the
 // leader that proposed it was lost with, and the others need its vote, but their logs are shorter.
 func TestDemotedMemberLeadsUntilOthersKnow(t *testing.T) {
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -100,7 +100,7 @@
 func promotableLearner(s Status) (PeerStatus, bool) {
 	var found PeerStatus
 	for _, p := range s.Peers {
-		if !p.Voter && p.CaughtUp && !p.Leaving && p.isLive() && (found.ID == 0 || found.Standing && !p.Standing) {
+		if !p.Voter && p.CaughtUp && p.staysLive() && (found.ID == 0 || found.Standing && !p.Standing) {
 			found = p
 		}
 	}
--- a/quorum/leave.go
+++ b/quorum/leave.go
@@ -45,7 +45,7 @@
 		if v.status.Irreplaceable() && time.Since(began) > maxHandOverTicks*l.tick {
 			return ErrNoQuorum{Reason: "no other member became the leader"}
 		}
-		if time.Since(time.Unix(0, l.provenAt.Load())) > maxLeaveUnprovenTicks*l.tick {
+		if proven := l.provenAt.Load(); proven == nil || time.Since(*proven) > maxLeaveUnprovenTicks*l.tick {
 			return ErrNoQuorum{Reason: "the group has no quorum"}
 		}
 		select {
@@ -62,8 +62,7 @@
 func mayStop(s consensus.Status, led bool) bool {
 	switch {
 	case s.Role == consensus.RoleLeader:
-		_, ok := consensus.NextHandOver(s)
-		return s.Irreplaceable() && !ok
+		return s.Irreplaceable() && !s.MayHandOver()
 	case s.Departure == consensus.DepartureReleased || s.Departure == consensus.DepartureIrreplaceable:
 		return true
 	}
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -67,8 +67,8 @@
 	// writingSince is when the write in progress began, or nil if there is none. diskBytes is the size of the data directory.
 	writingSince atomic.Pointer[time.Time]
 	diskBytes    atomic.Int64
-	// provenAt is the time of the last proof of a quorum, in nanoseconds since 1970, or 0 if there was none.
-	provenAt atomic.Int64
+	// provenAt is the time of the last proof of a quorum, or nil if there was none.
+	provenAt atomic.Pointer[time.Time]
 	// stopped is closed when the member stops; cause is set before.
 	stopped chan struct{}
 	cause   error
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -38,7 +38,10 @@
 func (l *Log) publish() {
 	status := l.core.Status()
 	if status.ProofAge != consensus.NoProof {
-		l.provenAt.Store(max(l.provenAt.Load(), time.Now().Add(-time.Duration(status.ProofAge)*l.tick).UnixNano()))
+		proven := time.Now().Add(-time.Duration(status.ProofAge) * l.tick)
+		if last := l.provenAt.Load(); last == nil || last.Before(proven) {
+			l.provenAt.Store(&proven)
+		}
 	}
 	l.published.Store(&publishedStatus{at: time.Now(), status: status, leaderAddress: l.peers.address(status.Configuration, status.Leader)})
 }
--- a/storage/soak_node_test.go
+++ b/storage/soak_node_test.go
@@ -192,10 +192,7 @@
 		return
 	}
 	afterwards, status := n.left, n.core.Status()
-	alone := status.Irreplaceable()
-	if _, ok := consensus.NextHandOver(status); ok {
-		alone = false
-	}
+	alone := status.Irreplaceable() && !status.MayHandOver()
 	switch {
 	case status.Departure == consensus.DepartureReleased:
 		n.sim.counts["departures without a vote"]++
