Rely on an inherited silence as soon as a live member would have answered

A new leader relied on what its predecessor told about absent members after 10 ticks, which leaders on links that lose packets often do not reach.

--- a/consensus/absence.go
+++ b/consensus/absence.go
@@ -50,7 +50,7 @@
 // answered this one.
 func (c *Core) observe(peer *PeerStatus, p *progress) {
 	peer.SilentTicks, peer.StalledTicks = c.silentTicks(p), c.stalledTicks(p)
-	if c.tick-c.electedTick <= c.config.ElectionTicks {
+	if c.tick-c.electedTick <= liveSilenceTicks {
 		return
 	}
 	peer.SilentTicks += p.inherited.SilentTicks
