--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -81,8 +81,7 @@
 
 func measure(t *testing.T, adapters, nodes int) (m measurement) {
 	dir := t.TempDir()
-	runtime.GC() // drops the timers that yamux pooled in an earlier synctest bubble
-	runtime.GC()
+	dropPooledTimers()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCapacityCluster(ctx, t, dir, adapters)
--- a/e2e/capacity_tokens_test.go
+++ b/e2e/capacity_tokens_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"os"
-	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,8 +29,7 @@
 	for _, tokens := range []int{25, 50, 100, 200} {
 		t.Run(fmt.Sprint(tokens), func(t *testing.T) {
 			dir := t.TempDir()
-			runtime.GC() // drops the timers that yamux pooled in an earlier synctest bubble
-			runtime.GC()
+			dropPooledTimers()
 			synctest.Test(t, func(t *testing.T) { measureTokenCost(t, dir, tokens) })
 		})
 	}
--- a/e2e/control_departures_test.go
+++ b/e2e/control_departures_test.go
@@ -38,8 +38,8 @@
 	for name, run := range tests {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
-			runtime.GC() // drops the timers that yamux pooled in an earlier synctest bubble
-			runtime.GC()
+			dropPooledTimers()
+			defer dropPooledTimers()
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				c := newIdleMemCluster(ctx, t, dir, io.Discard)
@@ -62,6 +62,12 @@
 	}
 }
 
+// dropPooledTimers drops the timers that yamux pools, which must not be used in another synctest bubble or outside of theirs.
+func dropPooledTimers() {
+	runtime.GC()
+	runtime.GC()
+}
+
 // stopControls shuts control members down at once.
 func (c *memCluster) stopControls(names ...string) {
 	var stopped sync.WaitGroup
--- a/e2e/mem_soak_test.go
+++ b/e2e/mem_soak_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -141,9 +140,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// yamux pools timers; a timer from an earlier synctest bubble must not be reused in this one.
-	runtime.GC()
-	runtime.GC()
+	dropPooledTimers()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newMemCluster(ctx, t, dir, log)
