Fail the checks of stop times if no stop was measured

The subtests that judge how long stops took passed without a look if the ways had not run, as with -run TestStewardDepartures/stops.

--- a/e2e/steward_departures_test.go
+++ b/e2e/steward_departures_test.go
@@ -304,6 +304,9 @@
 	})
 	for name := range departureWays {
 		t.Run("stops in time: "+name, func(t *testing.T) {
+			if len(stops[name]) == 0 {
+				t.Error("no stop was measured")
+			}
 			for _, s := range stops[name] {
 				t.Logf("%s stopped in %v", s.member, s.took.Round(time.Millisecond))
 				if s.took > s.limit {
