Log membership changes that are not committed

`membership change` is logged when a change is proposed; nothing said whether it was committed, so a change that waits for a lost member could not be told from one that was committed before the quorum was lost. The leader now logs a change that is not committed after 5 ticks, and how each one that was not committed within a tick ended.

--- a/quorum/step.go
+++ b/quorum/step.go
@@ -75,6 +75,8 @@
 	awaitedSince int64
 	// silentVoters are the voters that this leader has logged as silent.
 	silentVoters map[uint64]bool
+	// changeSince is the tick since which a membership change of this leader is not committed, or 0 if there is none.
+	changeSince int64
 }
 
 func (l *Log) stepLoop(ctx context.Context) error {
@@ -148,7 +150,9 @@
 	s.repair()
 	s.handOver()
 	s.leave()
-	s.logSilence(s.core.Status())
+	status := s.core.Status()
+	s.logSilence(status)
+	s.logChange(status)
 	s.publish()
 }
 
