Grow an odd number of voters by two

Groups that bear two losses start with the three voters that all settings list, and grow to five. They grew to four first, of which three were needed: if the new voter and another one lost their disks at that moment, as many as the group is to bear, it ended for good, though the three voters alone bore the loss of one. A second quorum does not help there, as four voters bear no more than three.

Change: an odd number of voters grows by two in one joint change, once two learners have caught up. An even number still grows by one, at once: every quorum before is one afterwards.

--- a/consensus/change.go
+++ b/consensus/change.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "errors"
+
 // ChangeKind identifies an operation on the membership of a group.
 type ChangeKind uint8
 
@@ -15,13 +17,15 @@
 	ChangeReplace
 	// ChangeRelieve promotes Successor in the place of Member, which remains as a learner.
 	ChangeRelieve
+	// ChangePromotePair promotes both Member and Successor.
+	ChangePromotePair
 )
 
 // Change describes one membership change.
 type Change struct {
 	Kind   ChangeKind
 	Member Member
-	// Successor is the learner that takes the place of Member.
+	// Successor is the second member of a change of two.
 	Successor Member
 }
 
@@ -39,6 +43,8 @@
 		return c.WithMember(member)
 	case ChangePromote:
 		return c.withVoter(member.ID, true)
+	case ChangePromotePair:
+		return c.withVoter(member.ID, true).withVoter(successor.ID, true)
 	case ChangeRemove:
 		return c.WithoutMember(member.ID)
 	case ChangeDemote:
@@ -120,6 +126,11 @@
 		return nil
 	case ChangePromote:
 		return c.checkPromotion(change.Member.ID)
+	case ChangePromotePair:
+		if change.Member.ID == change.Successor.ID {
+			return refuse("both are the same learner")
+		}
+		return errors.Join(c.checkPromotion(change.Member.ID), c.checkPromotion(change.Successor.ID))
 	case ChangeRemove:
 		if !known || present.Voter && len(current.Voters()) == 1 {
 			return refuse("not a member, or the only voter")
--- a/consensus/joint_test.go
+++ b/consensus/joint_test.go
@@ -52,6 +52,7 @@
 		first, successor := consensus.Member{ID: uint64(voters) + 1}, consensus.Member{ID: uint64(voters) + 2}
 		changes := []consensus.Change{
 			{Kind: consensus.ChangePromote, Member: first},
+			{Kind: consensus.ChangePromotePair, Member: first, Successor: successor},
 			{Kind: consensus.ChangeReplace, Member: consensus.Member{ID: 1}, Successor: successor},
 			{Kind: consensus.ChangeRelieve, Member: consensus.Member{ID: 1}, Successor: successor},
 		}
--- a/consensus/repair.go
+++ b/consensus/repair.go
@@ -14,7 +14,8 @@
 //
 // A voter is lost if it has been silent, or has acknowledged none of the entries that it lacks, for replaceAfter ticks, or if a member with
 // a new ID has joined under its name; 0 disables the former. Voters that are lost, or about to stop, are replaced by learners that have
-// caught up. A replacement is one change, so that the group has neither fewer voters meanwhile, nor one that may be lost already.
+// caught up. A replacement is one change, so that the group has neither fewer voters meanwhile, nor one that may be lost already. For the same
+// reason an odd number of voters grows by two.
 //
 // A change that the live members cannot commit is not made, as another one would have to wait for it.
 //
@@ -47,7 +48,7 @@
 	}
 	learner := learners[0].Member
 	switch {
-	case voters < target:
+	case voters < target && voters%2 == 0:
 		return Change{Kind: ChangePromote, Member: learner}, true
 	case isLost:
 		return Change{Kind: ChangeReplace, Member: lost.Member, Successor: learner}, true
@@ -56,6 +57,10 @@
 			return Change{Kind: ChangeReplace, Member: leaving.Member, Successor: learner}, true
 		}
 		return Change{Kind: ChangeRelieve, Member: leaving.Member, Successor: learner}, true
+	case voters+1 < target && len(learners) > 1:
+		return Change{Kind: ChangePromotePair, Member: learner, Successor: learners[1].Member}, true
+	case voters+1 == target:
+		return Change{Kind: ChangePromote, Member: learner}, true
 	}
 	return Change{}, false
 }
--- a/consensus/repair_test.go
+++ b/consensus/repair_test.go
@@ -20,7 +20,7 @@
 	learner := func(id uint64, name string, standing, caughtUp bool) consensus.PeerStatus {
 		return consensus.PeerStatus{Member: consensus.Member{ID: id, Name: name, Standing: standing}, CaughtUp: caughtUp}
 	}
-	replace, remove, promote := consensus.ChangeReplace, consensus.ChangeRemove, consensus.ChangePromote
+	replace, remove, promote, pair := consensus.ChangeReplace, consensus.ChangeRemove, consensus.ChangePromote, consensus.ChangePromotePair
 	tests := map[string]struct {
 		peers         []consensus.PeerStatus
 		kind          consensus.ChangeKind
@@ -41,6 +41,8 @@
 		"no removal while others stall":     {[]consensus.PeerStatus{voter(1, "a", 0), stalled(2, "b", 6), voter(3, "c", 100), learner(4, "d", true, true)}, 0, 0, 0},
 		"promotion restores the quorum":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 100), learner(4, "d", true, true)}, promote, 4, 0},
 		"lost surplus voter is removed":     {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 100), voter(4, "d", 0)}, remove, 3, 0},
+		"one voter waits for two learners":  {[]consensus.PeerStatus{voter(1, "a", 0), learner(4, "d", false, true)}, 0, 0, 0},
+		"one voter grows by two":            {[]consensus.PeerStatus{voter(1, "a", 0), learner(4, "d", true, true), learner(5, "e", false, true), learner(6, "f", false, true)}, pair, 5, 6},
 		"two live members of one name":      {[]consensus.PeerStatus{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", 0), learner(5, "c", false, true)}, 0, 0, 0},
 	}
 	for name, test := range tests {
--- a/consensus/replacement_test.go
+++ b/consensus/replacement_test.go
@@ -362,6 +362,7 @@
 	"a voter that stops and loses its disk":           {begin: func(m []*machine) { m[1].leave((*machine).loseDisk) }, wiped: []int{1}},
 	"a voter that loses its disk":                     {begin: func(m []*machine) { m[1].loseDisk() }, wiped: []int{1}},
 	"a voter that stops beside one that stands still": {learners: 2, begin: func(m []*machine) { m[2].pause(); m[1].leave((*machine).kill) }},
+	"growth by two":                                   {late: 2, begin: func(m []*machine) { m[len(m)-2].removed, m[len(m)-1].removed = false, false }},
 	"all voters stop": {learners: 2, begin: func(m []*machine) {
 		m[1].leave((*machine).kill)
 		m[2].leave((*machine).kill)
