--- a/consensus/change.go
+++ b/consensus/change.go
@@ -21,6 +21,15 @@
 	ChangePromotePair
 )
 
+// String returns the name of the change in logs.
+func (k ChangeKind) String() string {
+	names := map[ChangeKind]string{
+		ChangeAddLearner: "add learner", ChangePromote: "promote", ChangeRemove: "remove", ChangeAddress: "address", ChangeDemote: "demote",
+		ChangeReplace: "replace", ChangeRelieve: "relieve", ChangePromotePair: "promote pair",
+	}
+	return names[k]
+}
+
 // Change describes one membership change.
 type Change struct {
 	Kind   ChangeKind
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -175,7 +175,7 @@
 	}
 	if change, ok := consensus.NextRepair(s.core.Status(), uint64(s.config.ReplaceAfter/s.tick)); ok {
 		err := s.core.ProposeChange(change)
-		s.log.Info("membership change", "kind", change.Kind, "name", change.Member.Name, "member", change.Member.ID, "successor", change.Successor.ID, "error", err)
+		s.log.Info("membership change", "kind", change.Kind.String(), "name", change.Member.Name, "member", change.Member.ID, "successor", change.Successor.ID, "error", err)
 	}
 }
 
