Wait for the next leader even if the hand-over is quicker than the request to leave

Seen by callers: after some stops of a steward that leads, the group has no leader until the next election, 0.4 to 0.5 s in the test's ticks. TestRestartsInTurn without the race detector counted 7 or 8 elections for 6 leaders that stopped, in 5 of 5 runs of the users and 2 of 2 here.

Cause, by a trace of the test: a member that leaves waits for another leader if it has led, which it asked its published status only after the request to leave was answered. If the leadership was handed over by then, it took itself for a follower, and stopped at once (`left`, 0 ms), before its vote for the next leader was sent. Ruled out: two pieces of code that choose whom to hand over to, as each leader handed over once.

Change: whether the member leads is read before the request, too.

--- a/quorum/leave.go
+++ b/quorum/leave.go
@@ -23,7 +23,9 @@
 // leadership, and the member is no voter any more, unless no other member can take its place. A member that continues afterwards, or
 // starts again with its data directory, remains in the group as a learner or keeps its vote. It fails with ErrNoQuorum or ErrStopped.
 func (l *Log) Leave(ctx context.Context) error {
-	began, led, lingerUntil := time.Now(), false, time.Time{}
+	began, lingerUntil := time.Now(), time.Time{}
+	// The leadership may be handed over before the request returns.
+	led := l.published.Load().status.Role == consensus.RoleLeader
 	if err := l.submitRequest(ctx, coreRequest{leave: true, errc: make(chan error, 1)}); err != nil {
 		return err
 	}
