Remember the first start on the member's disk

Cause: only the first listed member may start the group, and only if its settings say that the system starts for the first time. The settings of a restarted process no longer do. Ruled out: the restart of another member, after which the group forms (the second way of the test, green before).

Change: the identity, which is written before the member answers anyone, records whether it was created at the first start. A member with it and an empty log may still start the group. A wiped one may not.

TestMemberRestartedBeforeItsGroupStarts failed before for the member that starts the group (no leader) and passes now.

--- a/quorum/config.go
+++ b/quorum/config.go
@@ -26,7 +26,8 @@
 	// Voters is the intended number of voters: learners are promoted until it is reached. The number of initial voters
 	// is its minimum.
 	Voters int
-	// JoinOnly makes a member with an empty data directory join an existing group instead of starting one.
+	// JoinOnly makes a member with an empty data directory join an existing group instead of starting one. A member remembers that it was created
+	// without it, so that it can start its group after a restart.
 	JoinOnly bool
 	// Standing makes this member a standby learner, which replaces a voter that stays unavailable.
 	Standing bool
--- a/quorum/join.go
+++ b/quorum/join.go
@@ -57,7 +57,7 @@
 
 // startsGroup reports whether this member is the one that bootstraps the group.
 func (l *Log) startsGroup() bool {
-	return !l.config.JoinOnly && (len(l.config.Bootstrap) == 0 || l.config.Bootstrap[0].Name == l.config.Name)
+	return l.firstStart && (len(l.config.Bootstrap) == 0 || l.config.Bootstrap[0].Name == l.config.Name)
 }
 
 // otherPeers returns the peers in the settings and in the log, without this member.
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -45,8 +45,10 @@
 	// maxWritesPerSync limits the writes that one fsync makes durable.
 	maxWritesPerSync int
 
-	id    uint64
-	store *storage.Storage
+	id uint64
+	// firstStart is set if this member was created at the first start of its group, which it may start then.
+	firstStart bool
+	store      *storage.Storage
 	core  *consensus.Core
 	peers *peers
 
@@ -103,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.id = state.Identity.ID
+	l.id, l.firstStart = state.Identity.ID, state.Identity.FirstStart || !config.JoinOnly
 	// The seed differs between starts so that the tick counters of two starts do not overlap.
 	coreConfig := consensus.DefaultConfig(l.id, l.seed^uint64(time.Now().UnixNano()))
 	l.core, err = consensus.New(coreConfig, state.Hard, state.Snapshot, state.Entries)
@@ -131,7 +133,7 @@
 		}
 	}
 	if storage.IsErrNoIdentity(err) {
-		state.Identity = storage.Identity{ID: randomID(), Name: l.config.Name}
+		state.Identity = storage.Identity{ID: randomID(), Name: l.config.Name, FirstStart: !l.config.JoinOnly}
 		store, err = storage.Create(dir, state.Identity, files)
 		l.log.Info("new member identity", "member", state.Identity.ID, "folder", dir)
 	}
--- a/storage/load.go
+++ b/storage/load.go
@@ -51,7 +51,7 @@
 	if w.GetId() == 0 {
 		return Identity{}, ErrCorrupt{File: s.path(identityName), Reason: "member ID is missing"}
 	}
-	return Identity{ID: w.GetId(), Name: w.GetName()}, nil
+	return Identity{ID: w.GetId(), Name: w.GetName(), FirstStart: w.GetFirstStart()}, nil
 }
 
 // readRecordFile reads a file that contains a single record.
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -26,6 +26,8 @@
 type Identity struct {
 	ID   uint64
 	Name string
+	// FirstStart is set if the directory was created at the first start of the member's group.
+	FirstStart bool
 }
 
 // State is the content of a data directory when it is opened.
@@ -157,7 +159,7 @@
 	if err := s.startSegment(); err != nil {
 		return err
 	}
-	payload, err := proto.Marshal(&wirepb.LogIdentity{Id: identity.ID, Name: identity.Name})
+	payload, err := proto.Marshal(&wirepb.LogIdentity{Id: identity.ID, Name: identity.Name, FirstStart: identity.FirstStart})
 	if err != nil {
 		return s.fail("encoding", identityName, err)
 	}
