--- a/quorum/log.go
+++ b/quorum/log.go
@@ -49,8 +49,8 @@
 	// firstStart is set if this member was created at the first start of its group, which it may start then.
 	firstStart bool
 	store      *storage.Storage
-	core  *consensus.Core
-	peers *peers
+	core       *consensus.Core
+	peers      *peers
 
 	inbox     chan inboundMessage
 	proposals chan *proposal
