--- a/quorum/replacement_test.go
+++ b/quorum/replacement_test.go
@@ -62,79 +62,83 @@
 	}
 }
 
+// lossWay is how disks are lost around the replacement of voters.
+type lossWay struct {
+	voters, standbys int
+	// from and to are when the disks are lost.
+	from, to time.Duration
+	run      func(g *lossGroup, at time.Duration)
+}
+
+var lossWays = map[string]lossWay{
+	"a silent voter, another one's disk": {3, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
+		g.cutOff(true, 1)
+		time.Sleep(at)
+		g.wipe(2)
+		time.Sleep(30 * testTick)
+		g.cutOff(false, 1)
+	}},
+	"a silent voter, the leader's disk": {3, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
+		g.cutOff(true, 1)
+		time.Sleep(at)
+		g.wipe(0)
+		time.Sleep(30 * testTick)
+		g.cutOff(false, 1)
+	}},
+	"a voter that is gone, its successor's disk": {3, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
+		g.members[1].stop(g.t)
+		time.Sleep(at)
+		g.wipe(3)
+	}},
+	"a voter that left, its disk and its successor's": {3, 0, 0, 12 * testTick, func(g *lossGroup, at time.Duration) {
+		leave(g.t, g.members[1])
+		g.wipe(1)
+		time.Sleep(at)
+		g.wipe(1)
+	}},
+	"a voter that leaves, its successor's disk": {3, 1, 0, 4 * testTick, func(g *lossGroup, at time.Duration) {
+		wiped := make(chan struct{})
+		go func() {
+			defer close(wiped)
+			time.Sleep(at / 8)
+			g.wipe(3)
+		}()
+		leave(g.t, g.members[1])
+		<-wiped
+	}},
+	"two silent voters of five, two disks": {5, 2, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
+		g.cutOff(true, 1, 2)
+		time.Sleep(at)
+		wiped := make(chan struct{})
+		go func() {
+			defer close(wiped)
+			g.wipe(3)
+		}()
+		g.wipe(0)
+		<-wiped
+		time.Sleep(30 * testTick)
+		g.cutOff(false, 1, 2)
+	}},
+	"a silent voter of five, a disk and the successor's": {5, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
+		g.cutOff(true, 1)
+		time.Sleep(at)
+		wiped := make(chan struct{})
+		go func() {
+			defer close(wiped)
+			g.wipe(5)
+		}()
+		g.wipe(3)
+		<-wiped
+		time.Sleep(30 * testTick)
+		g.cutOff(false, 1)
+	}},
+}
+
 // TestGroupSurvivesLossesDuringReplacements guards against a group that ends as disks are lost, unnoticed, at any moment around the replacement of
 // voters that are silent, leave or have lost their disks.
 func TestGroupSurvivesLossesDuringReplacements(t *testing.T) {
-	ways := map[string]struct {
-		voters, standbys int
-		// from and to are when the disks are lost.
-		from, to time.Duration
-		run      func(g *lossGroup, at time.Duration)
-	}{
-		"a silent voter, another one's disk": {3, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
-			g.cutOff(true, 1)
-			time.Sleep(at)
-			g.wipe(2)
-			time.Sleep(30 * testTick)
-			g.cutOff(false, 1)
-		}},
-		"a silent voter, the leader's disk": {3, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
-			g.cutOff(true, 1)
-			time.Sleep(at)
-			g.wipe(0)
-			time.Sleep(30 * testTick)
-			g.cutOff(false, 1)
-		}},
-		"a voter that is gone, its successor's disk": {3, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
-			g.members[1].stop(g.t)
-			time.Sleep(at)
-			g.wipe(3)
-		}},
-		"a voter that left, its disk and its successor's": {3, 0, 0, 12 * testTick, func(g *lossGroup, at time.Duration) {
-			leave(g.t, g.members[1])
-			g.wipe(1)
-			time.Sleep(at)
-			g.wipe(1)
-		}},
-		"a voter that leaves, its successor's disk": {3, 1, 0, 4 * testTick, func(g *lossGroup, at time.Duration) {
-			wiped := make(chan struct{})
-			go func() {
-				defer close(wiped)
-				time.Sleep(at / 8)
-				g.wipe(3)
-			}()
-			leave(g.t, g.members[1])
-			<-wiped
-		}},
-		"two silent voters of five, two disks": {5, 2, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
-			g.cutOff(true, 1, 2)
-			time.Sleep(at)
-			wiped := make(chan struct{})
-			go func() {
-				defer close(wiped)
-				g.wipe(3)
-			}()
-			g.wipe(0)
-			<-wiped
-			time.Sleep(30 * testTick)
-			g.cutOff(false, 1, 2)
-		}},
-		"a silent voter of five, a disk and the successor's": {5, 1, 45 * testTick, 56 * testTick, func(g *lossGroup, at time.Duration) {
-			g.cutOff(true, 1)
-			time.Sleep(at)
-			wiped := make(chan struct{})
-			go func() {
-				defer close(wiped)
-				g.wipe(5)
-			}()
-			g.wipe(3)
-			<-wiped
-			time.Sleep(30 * testTick)
-			g.cutOff(false, 1)
-		}},
-	}
 	const moments = 12
-	for name, way := range ways {
+	for name, way := range lossWays {
 		for i := range moments {
 			at := way.from + time.Duration(i)*(way.to-way.from)/moments
 			t.Run(fmt.Sprint(name, ", after ", at), func(t *testing.T) {
